--- /dev/null
+++ b/src/administration/mod.rs
@@ -0,0 +1,37 @@
+//! The administration API of a daemon: statements, health and metrics over HTTP.
+
+use super::*;
+
+use crate::{
+  configuration::{Change, Configuration, Head, Object, ObjectName, Operation, Summary},
+  daemon::{Daemon, Shared},
+  distribution::{
+    Acceptance, AcceptanceStep, Archive, Outcome, Question as FleetQuestion, Report, keys,
+  },
+  fleet::Endpoint,
+  language::{Author, Document, Kind, Plan, Question, Script, Statement},
+  requests::RequestRecord,
+  settings::Role,
+  store::{Entry, Reply, StoreRequest},
+  web::AnyBody,
+};
+
+pub use self::{
+  answer::Answer, answer_outcome::AnswerOutcome, bearer::Bearer, error::Error, serve::serve,
+  statement_request::StatementRequest, table::Table,
+};
+
+mod answer;
+mod answer_outcome;
+mod bearer;
+mod changes;
+mod error;
+mod questions;
+mod recall;
+mod serve;
+mod statement_request;
+mod table;
+mod why;
+
+/// Result of an administration call.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/administration/questions.rs
@@ -0,0 +1,274 @@
+//! Statements that ask.
+
+use super::*;
+
+use serde_json::{Value, json};
+
+/// Answers a question.
+pub async fn answer(daemon: &Rc<Daemon>, question: &Question) -> Result<Answer> {
+  match question {
+    Question::Change(id) => change(daemon, id).await,
+    Question::Difference(from, to) => {
+      let from = recall::version_of(&daemon.shared, *from).await?;
+      let to = recall::version_of(&daemon.shared, *to).await?;
+      Ok(Answer::table("", difference(&from, &to)).at(to.version))
+    }
+    Question::Explain { headers, host, method, path } => {
+      why::explain(daemon, method, host, path, headers)
+    }
+    Question::Export => {
+      let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+      let document = serde_json::to_value(Document::of(&held)).expect("plain data");
+      Ok(Answer { document: Some(document), ..Answer::done("") }.at(held.version))
+    }
+    Question::Fleet => Ok(fleet(daemon).await),
+    Question::History(count) => Ok(history(daemon, *count)),
+    Question::Rollout(version) => rollout(daemon, *version).await,
+    Question::Show(kind, filters) => show(daemon, *kind, filters),
+    Question::ShowOne(name) => show_one(daemon, name),
+    Question::Status => Ok(status(daemon)),
+    Question::WhyBox(box_id, route) => why::box_holds(daemon, box_id, route).await,
+    Question::WhyRequest(id) => why::request(daemon, id).await,
+  }
+}
+
+/// What became of a change: the store knows best, and the held history serves while it is silent.
+async fn change(daemon: &Daemon, id: &ChangeId) -> Result<Answer> {
+  let asked = recall::head(&daemon.shared).await;
+  let from_store = asked.as_ref().ok().and_then(Option::as_ref);
+  let held = daemon.distribution.distributor().catalog().history().to_vec();
+  let history = from_store.map_or(&held, |(head, _)| &head.history);
+  if let Some(summary) = history.iter().find(|summary| summary.id == *id) {
+    let mut table = summaries_table();
+    add_summary(&mut table, summary);
+    let message = format!("accepted as version {}", summary.version);
+    return Ok(Answer::table(message, table).at(summary.version));
+  }
+  if let Err(err) = asked {
+    return Ok(Answer::unknown(format!("unknown: {err}; ask again once the store answers")));
+  }
+  let what = format!("no accepted change has the id {id} among the last {}", Head::HISTORY_MAX);
+  Err(Error::Unknown { what })
+}
+
+/// What differs between two configurations.
+pub fn difference(from: &Configuration, to: &Configuration) -> Table {
+  let mut table = Table::new(&["object", "difference", "from", "to"]);
+  let names: BTreeSet<ObjectName> =
+    from.object_names().into_iter().chain(to.object_names()).collect();
+  for name in names {
+    let (old, new) = (from.object(&name), to.object(&name));
+    if old == new {
+      continue;
+    }
+    let kind = match (&old, &new) {
+      (None, _) => "created",
+      (_, None) => "deleted",
+      _ => "changed",
+    };
+    let shown = |object: &Option<Object>| object.as_ref().map_or(Value::Null, fields_text);
+    table.add([json!(name.to_string()), json!(kind), shown(&old), shown(&new)]);
+  }
+  table
+}
+
+fn fields_text(object: &Object) -> Value {
+  let fields = fields(object);
+  let shown = |(name, value): (&String, &Value)| match value {
+    Value::String(text) => format!("{name}={text}"),
+    other => format!("{name}={other}"),
+  };
+  json!(fields.iter().map(shown).collect::<Vec<String>>().join(" "))
+}
+
+fn fields(object: &Object) -> serde_json::Map<String, Value> {
+  let value = match object {
+    Object::Drain(_, drain) => serde_json::to_value(drain),
+    Object::Policy(_, policy) => serde_json::to_value(policy),
+    Object::Route(_, route) => serde_json::to_value(route),
+    Object::Service(_, service) => serde_json::to_value(service),
+  };
+  match value {
+    Ok(Value::Object(fields)) => fields,
+    _ => serde_json::Map::new(),
+  }
+}
+
+fn summaries_table() -> Table {
+  Table::new(&[
+    "version",
+    "change",
+    "operator",
+    "team",
+    "unix_ms",
+    "touched",
+    "reason",
+    "statement",
+  ])
+}
+
+fn add_summary(table: &mut Table, summary: &Summary) {
+  let touched: Vec<String> = summary.touched.iter().map(ToString::to_string).collect();
+  table.add([
+    json!(summary.version),
+    json!(summary.id),
+    json!(summary.operator),
+    json!(summary.team),
+    json!(summary.unix_ms),
+    json!(touched.join(", ")),
+    json!(summary.reason),
+    json!(summary.statement),
+  ]);
+}
+
+fn history(daemon: &Daemon, count: u32) -> Answer {
+  let distributor = daemon.distribution.distributor();
+  let mut table = summaries_table();
+  for summary in distributor.catalog().history().iter().rev().take(count as usize) {
+    add_summary(&mut table, summary);
+  }
+  Answer::table("", table)
+}
+
+fn show(daemon: &Daemon, kind: Kind, filters: &[(String, String)]) -> Result<Answer> {
+  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+  let mut table = Table::new(&["name", "revision", "fields"]);
+  for name in held.object_names().into_iter().filter(|name| Kind::of_object(name) == kind) {
+    let Some(object) = held.object(&name) else {
+      continue;
+    };
+    if passes(&object, filters) {
+      let bare = name.to_string();
+      let bare = bare.split_once(' ').map_or(bare.as_str(), |(_, name)| name);
+      table.add([json!(bare), json!(held.revision(&name)), fields_text(&object)]);
+    }
+  }
+  Ok(Answer::table("", table).at(held.version))
+}
+
+fn passes(object: &Object, filters: &[(String, String)]) -> bool {
+  let fields = fields(object);
+  filters.iter().all(|(field, wanted)| match fields.get(field) {
+    Some(Value::String(text)) => text == wanted,
+    Some(other) => other.to_string() == *wanted,
+    None => false,
+  })
+}
+
+fn show_one(daemon: &Daemon, name: &ObjectName) -> Result<Answer> {
+  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+  let unknown =
+    || Error::Unknown { what: format!("there is no {name} in version {}", held.version) };
+  let object = held.object(name).ok_or_else(unknown)?;
+  let mut table = Table::new(&["field", "value"]);
+  for (field, value) in fields(&object) {
+    table.add([json!(field), value]);
+  }
+  table.add([json!("revision"), json!(held.revision(name))]);
+  Ok(Answer::table("", table).at(held.version))
+}
+
+fn status(daemon: &Daemon) -> Answer {
+  let status = daemon.distribution.distributor().status();
+  let limiter = daemon.shared.limiter.borrow();
+  let mut table = Table::new(&["field", "value"]);
+  if let Ok(Value::Object(fields)) = serde_json::to_value(&status) {
+    for (field, value) in fields.into_iter().filter(|(field, _)| field != "relays") {
+      table.add([json!(field), value]);
+    }
+  }
+  table.add([json!("box"), json!(daemon.shared.settings.box_id)]);
+  table.add([json!("requests_running"), json!(limiter.running())]);
+  table.add([json!("requests_waiting"), json!(limiter.waiting())]);
+  Answer::table("", table)
+}
+
+/// Which version each box applies, as the relays know it, by box.
+async fn applied(
+  daemon: &Rc<Daemon>,
+) -> (BTreeMap<BoxId, (Option<Version>, u64, Option<String>)>, usize) {
+  let inquired = daemon.distribution.ask(FleetQuestion::Rollout).await;
+  let mut boxes = BTreeMap::new();
+  for report in inquired.reports {
+    if let Report::Applied { box_id, refusal, unix_ms, version } = report {
+      let known: Option<&(Option<Version>, u64, Option<String>)> = boxes.get(&box_id);
+      if known.is_none_or(|(known, ..)| *known < version) {
+        boxes.insert(box_id, (version, unix_ms, refusal));
+      }
+    }
+  }
+  (boxes, inquired.missing)
+}
+
+async fn rollout(daemon: &Rc<Daemon>, version: Option<Version>) -> Result<Answer> {
+  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+  let version = version.unwrap_or(held.version);
+  let (boxes, missing) = applied(daemon).await;
+  let endpoints: Vec<Endpoint> =
+    daemon.distribution.distributor().endpoints().present().cloned().collect();
+  let mut table = Table::new(&["box", "data_hall", "applies", "version", "unix_ms", "why"]);
+  let mut applying = 0;
+  for endpoint in &endpoints {
+    let found = boxes.get(&endpoint.peer.box_id);
+    let applies = found.is_some_and(|(applied, ..)| *applied >= Some(version));
+    applying += usize::from(applies);
+    let why = match found {
+      None => "its relay does not answer".into(),
+      Some((_, _, Some(refusal))) => refusal.clone(),
+      Some(_) if applies => String::new(),
+      Some(_) => "on its way".into(),
+    };
+    table.add([
+      json!(endpoint.peer.box_id),
+      json!(endpoint.peer.data_hall),
+      json!(if applies { "yes" } else { "no" }),
+      json!(found.and_then(|(applied, ..)| *applied)),
+      json!(found.map(|(_, unix_ms, _)| unix_ms)),
+      json!(why),
+    ]);
+  }
+  let mut message =
+    format!("version {version}: applied by {applying} of {} boxes", endpoints.len());
+  if missing > 0 {
+    message = format!("{message}; {missing} neighbours did not answer in time");
+  }
+  Ok(Answer::table(message, table).at(version))
+}
+
+async fn fleet(daemon: &Rc<Daemon>) -> Answer {
+  let (boxes, _) = applied(daemon).await;
+  let distributor = daemon.distribution.distributor();
+  let relays = distributor.status().relays;
+  let mut table = Table::new(&[
+    "box",
+    "data_hall",
+    "region",
+    "service",
+    "state",
+    "role",
+    "relay",
+    "version",
+    "address",
+  ]);
+  for endpoint in distributor.endpoints().iter() {
+    let box_id = &endpoint.peer.box_id;
+    let found = boxes.get(box_id);
+    table.add([
+      json!(box_id),
+      json!(endpoint.peer.data_hall),
+      json!(endpoint.region),
+      json!(endpoint.service),
+      json!(endpoint.state),
+      json!(if relays.has(box_id) { "relay" } else { "subscriber" }),
+      json!(endpoint.relay),
+      json!(found.and_then(|(version, ..)| *version)),
+      json!(endpoint.forward_address),
+    ]);
+  }
+  let age = distributor.status().store_age_ms;
+  let message = match age {
+    Some(age_ms) => format!("the store confirmed the newest version {age_ms} ms ago"),
+    None => "the store has not confirmed the newest version yet".into(),
+  };
+  Answer::table(message, table)
+}
--- /dev/null
+++ b/src/administration/recall.rs
@@ -0,0 +1,82 @@
+//! Older versions, made again from what the store keeps.
+
+use super::*;
+
+use crate::store::{Key, Revision};
+
+/// The store's head with its revision; nothing where there is none.
+pub async fn head(shared: &Shared) -> Result<Option<(Head, Revision)>> {
+  let Some(entry) = read(shared, keys::head()).await? else {
+    return Ok(None);
+  };
+  let head = serde_json::from_str(&entry.value).map_err(|_| unreadable(&entry.key))?;
+  Ok(Some((head, entry.revision)))
+}
+
+/// The entries under a prefix, by key.
+pub async fn keys_under(shared: &Shared, prefix: Key) -> Result<Vec<Entry>> {
+  match shared.call_store(StoreRequest::List { prefix }).await? {
+    Reply::Entries { entries, .. } => Ok(entries),
+    _ => Ok(Vec::new()),
+  }
+}
+
+async fn read(shared: &Shared, key: Key) -> Result<Option<Entry>> {
+  match shared.call_store(StoreRequest::Read { key }).await? {
+    Reply::Entry { entry, .. } => Ok(entry),
+    _ => Ok(None),
+  }
+}
+
+fn unreadable(key: &Key) -> Error {
+  Error::Unknown { what: format!("the value of {key} cannot be read: repair it in the store") }
+}
+
+/// The older versions that a script's rollbacks name.
+pub async fn versions(
+  daemon: &Daemon,
+  script: &Script,
+) -> Result<BTreeMap<Version, Arc<Configuration>>> {
+  let mut found = BTreeMap::new();
+  for statement in &script.statements {
+    if let Statement::Rollback(version) = statement {
+      found.insert(*version, version_of(&daemon.shared, *version).await?);
+    }
+  }
+  Ok(found)
+}
+
+/// One version, as far back as the store keeps.
+pub async fn version_of(shared: &Shared, wanted: Version) -> Result<Arc<Configuration>> {
+  if let Some(held) = shared.configuration().filter(|held| held.version == wanted) {
+    return Ok(held);
+  }
+  let gone = || Error::Unknown {
+    what: format!("version {wanted} is not kept any more, or never was: see `history`"),
+  };
+  let (head, _) = head(shared).await?.ok_or_else(gone)?;
+  if wanted > head.version {
+    return Err(gone());
+  }
+  let archive = if wanted >= head.snapshot_version {
+    Archive {
+      snapshot_digest: head.snapshot_digest,
+      snapshot_version: head.snapshot_version,
+      tail: head.tail,
+    }
+  } else {
+    let archives = keys_under(shared, keys::archives()).await?;
+    let decoded = archives.iter().filter_map(|entry| serde_json::from_str(&entry.value).ok());
+    let covers =
+      |archive: &Archive| archive.snapshot_version <= wanted && wanted <= archive.version();
+    decoded.into_iter().find(covers).ok_or_else(gone)?
+  };
+  let key = keys::snapshot(archive.snapshot_version, &archive.snapshot_digest);
+  let entry = read(shared, key).await?.ok_or_else(gone)?;
+  let mut configuration: Configuration =
+    serde_json::from_str(&entry.value).map_err(|_| unreadable(&entry.key))?;
+  for change in archive.tail.iter().filter(|change| change.version() <= wanted) {
+    configuration = configuration.apply(change).map_err(|_| unreadable(&entry.key))?;
+  }
+  Ok(Arc::new(configuration))
+}
--- /dev/null
+++ b/src/administration/table.rs
@@ -0,0 +1,59 @@
+use super::*;
+
+use serde_json::Value;
+
+/// Rows under named columns.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Table {
+  /// The columns.
+  pub columns: Vec<String>,
+  /// The rows, each as long as `columns`.
+  pub rows: Vec<Vec<Value>>,
+}
+
+impl Table {
+  /// A table without rows.
+  pub fn new(columns: &[&str]) -> Self {
+    Self { columns: columns.iter().map(ToString::to_string).collect(), rows: Vec::new() }
+  }
+
+  /// Adds a row.
+  pub fn add<const N: usize>(&mut self, row: [Value; N]) {
+    debug_assert_eq!(N, self.columns.len());
+    self.rows.push(row.into());
+  }
+
+  /// The rows as JSON objects.
+  pub fn objects(&self) -> Vec<Value> {
+    let object = |row: &Vec<Value>| {
+      let fields = self.columns.iter().cloned().zip(row.iter().cloned());
+      Value::Object(fields.collect())
+    };
+    self.rows.iter().map(object).collect()
+  }
+}
+
+/// A cell as people read it.
+fn cell(value: &Value) -> String {
+  match value {
+    Value::Null => "-".into(),
+    Value::String(text) => text.clone(),
+    other => other.to_string(),
+  }
+}
+
+impl Display for Table {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    let head: Vec<String> = self.columns.clone();
+    let rows = self.rows.iter().map(|row| row.iter().map(cell).collect::<Vec<String>>());
+    let lines: Vec<Vec<String>> = std::iter::once(head).chain(rows).collect();
+    let width = |column: usize| lines.iter().map(|line| line[column].chars().count()).max();
+    let widths: Vec<usize> = (0..self.columns.len()).map(|one| width(one).unwrap_or(0)).collect();
+    for line in &lines {
+      let padded = line.iter().zip(&widths).map(|(text, width)| format!("{text:width$}"));
+      let text: Vec<String> = padded.collect();
+      writeln!(f, "{}", text.join("  ").trim_end())?;
+    }
+    Ok(())
+  }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,83 @@
+//! The command line.
+
+use super::*;
+
+use crate::{
+  administration::{Answer, AnswerOutcome, StatementRequest},
+  daemon::{self, Daemon, Listeners, SystemClock, signals::Signals},
+  dev,
+  settings::Settings,
+  standin,
+  telemetry::Log,
+};
+
+pub use self::{arguments::arguments, error::Error};
+
+mod arguments;
+mod check;
+mod error;
+pub mod query;
+mod run;
+mod standins;
+
+/// Result of a command.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// Exit code of a command that was carried out.
+const DONE: u8 = 0;
+/// Exit code of a command that failed.
+const FAILED: u8 = 1;
+/// Exit code of wrong usage or settings.
+const USAGE: u8 = 2;
+
+/// Carries out the command that the process was given and returns its exit code.
+pub fn execute() -> std::process::ExitCode {
+  let matches = match arguments().try_get_matches() {
+    Ok(matches) => matches,
+    Err(err) => {
+      err.print().ok();
+      return if err.use_stderr() { USAGE.into() } else { DONE.into() };
+    }
+  };
+  match dispatch(&matches) {
+    Ok(()) => DONE.into(),
+    Err(err) => {
+      eprintln!("error: {err}");
+      err.exit_code().into()
+    }
+  }
+}
+
+fn dispatch(matches: &ArgMatches) -> Result {
+  match matches.subcommand() {
+    Some(("check", matches)) => check::check(path(matches, "settings")),
+    Some(("completions", matches)) => completions(matches),
+    Some(("dev", matches)) => {
+      block_on(dev::run(matches.get_flag("once")))?.map_err(Error::Dev)
+    }
+    Some(("query", matches)) => query::query(matches),
+    Some(("run", matches)) => run::run(path(matches, "settings")),
+    Some(("stand-in", matches)) => standins::serve(matches),
+    _ => unreachable!("the parser demands a known command"),
+  }
+}
+
+fn completions(matches: &ArgMatches) -> Result {
+  let shell = matches.get_one::<clap_complete::Shell>("shell").expect("the parser demands it");
+  clap_complete::generate(*shell, &mut arguments(), "ferryyoke", &mut io::stdout());
+  Ok(())
+}
+
+fn path<'a>(matches: &'a ArgMatches, name: &str) -> &'a Path {
+  matches.get_one::<PathBuf>(name).expect("the parser demands it")
+}
+
+/// Runs a future on an event loop of this thread. The loop polls with epoll; `io_uring` is not even
+/// compiled in.
+pub fn block_on<F: Future>(future: F) -> Result<F::Output> {
+  let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+    .enable_timer()
+    .build()
+    .map_err(|err| Error::Daemon(daemon::Error::Runtime(err)))?;
+  Ok(runtime.block_on(future))
+}
--- /dev/null
+++ b/src/commands/query.rs
@@ -0,0 +1,116 @@
+//! `ferryyoke query`.
+
+use super::*;
+
+/// Milliseconds between two looks at a rollout.
+const WATCH_PERIOD_MS: u64 = 250;
+
+/// Largest answer in bytes.
+const ANSWER_BYTES_MAX: usize = 16 << 20;
+
+struct Query {
+  address: SocketAddr,
+  change_id: Option<ChangeId>,
+  is_json: bool,
+  text: String,
+  token: Option<String>,
+}
+
+/// States a script to a daemon and prints what comes back.
+pub fn query(matches: &ArgMatches) -> Result {
+  let query = Query::read(matches)?;
+  let timeout_ms = *matches.get_one::<u64>("timeout-ms").expect("it has a default");
+  block_on(async {
+    let limit = Duration::from_millis(timeout_ms);
+    let carried_out = monoio::time::timeout(limit, query.carry_out());
+    carried_out.await.unwrap_or(Err(Error::TimeUp))
+  })?
+}
+
+impl Query {
+  fn read(matches: &ArgMatches) -> Result<Self> {
+    let text = matches.get_one::<String>("text").expect("the parser demands it");
+    Ok(Self {
+      address: *matches.get_one("admin").expect("it has a default"),
+      change_id: matches.get_one("change-id").cloned(),
+      is_json: matches.get_one::<String>("output").is_some_and(|output| output == "json"),
+      text: if text == "-" { io::read_to_string(io::stdin()).map_err(Error::Input)? } else { text.clone() },
+      token: Self::read_token(matches)?,
+    })
+  }
+
+  fn read_token(matches: &ArgMatches) -> Result<Option<String>> {
+    match matches.get_one::<PathBuf>("token-file") {
+      Some(path) => {
+        let token = fs::read_to_string(path).map_err(Error::Input)?;
+        Ok(Some(token.trim().into()))
+      }
+      None => Ok(std::env::var("FERRYYOKE_TOKEN").ok()),
+    }
+  }
+
+  async fn carry_out(&self) -> Result {
+    let watched = self.text.trim().strip_prefix("watch ");
+    match watched {
+      Some(text) => self.watch(text).await,
+      None => {
+        let answer = self.state(&self.text).await?;
+        self.print(&answer);
+        if answer.outcome == AnswerOutcome::Done { Ok(()) } else { Err(Error::Refused) }
+      }
+    }
+  }
+
+  /// Shows the progress of a rollout until every box applies the version.
+  async fn watch(&self, text: &str) -> Result {
+    loop {
+      let answer = self.state(text).await?;
+      if answer.outcome != AnswerOutcome::Done {
+        self.print(&answer);
+        return Err(Error::Refused);
+      }
+      let applies = answer.table.columns.iter().position(|column| column == "applies");
+      let waiting = applies.is_some_and(|column| {
+        answer.table.rows.iter().any(|row| row[column].as_str() == Some("no"))
+      });
+      if !waiting {
+        self.print(&answer);
+        return Ok(());
+      }
+      eprintln!("{}", answer.message);
+      monoio::time::sleep(Duration::from_millis(WATCH_PERIOD_MS)).await;
+    }
+  }
+
+  async fn state(&self, text: &str) -> Result<Answer> {
+    let request = StatementRequest { change_id: self.change_id.clone(), text: text.into() };
+    state(self.address, self.token.as_deref(), &request).await
+  }
+
+  fn print(&self, answer: &Answer) {
+    if self.is_json {
+      println!("{}", answer.json());
+    } else {
+      print!("{answer}");
+    }
+  }
+}
+
+/// States a script to the daemon at `address`.
+pub async fn state(
+  address: SocketAddr,
+  token: Option<&str>,
+  request: &StatementRequest,
+) -> Result<Answer> {
+  let failed = |reason: String| Error::Query { address, reason };
+  let text = serde_json::to_string(request).expect("a request is plain data");
+  let mut post = Request::post("/v1/statements").header(http::header::HOST, address.to_string());
+  if let Some(token) = token {
+    post = post.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
+  }
+  let post = post.body(web::full(text)).map_err(|err| failed(err.to_string()))?;
+  let pool = web::Pool::new(2_000);
+  let exchanged = pool.exchange(address, post, ANSWER_BYTES_MAX).await;
+  let (_, body) = exchanged.map_err(|err| failed(err.to_string()))?;
+  serde_json::from_slice(&body).map_err(|err| failed(format!("malformed answer: {err}")))
+}
--- /dev/null
+++ b/src/commands/run.rs
@@ -0,0 +1,20 @@
+//! `ferryyoke run`.
+
+use super::*;
+
+/// Runs a daemon until it is asked to stop.
+pub fn run(path: &Path) -> Result {
+  let settings = Settings::load(path)?;
+  let log = Log::new(settings.log_format, settings.log_level);
+  let signals = Signals::take().map_err(|err| Error::Daemon(daemon::Error::Runtime(err)))?;
+  block_on(serve(settings, log, signals))?
+}
+
+async fn serve(settings: Settings, log: Log, signals: Signals) -> Result {
+  let listeners = Listeners::bind(&settings)?;
+  let clock = Rc::new(SystemClock::new());
+  let daemon = Daemon::start(settings, listeners, clock, log, rand::random());
+  signals.next().await.map_err(|err| Error::Daemon(daemon::Error::Runtime(err)))?;
+  daemon.stop().await;
+  Ok(())
+}
--- /dev/null
+++ b/src/configuration/change.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// An operators' change: a transaction on a base version.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Change {
+  /// The version that the operator saw. Objects changed since then conflict.
+  pub base: Version,
+  /// Kept through every retry, so that a retry finds out whether the change took effect.
+  pub id: ChangeId,
+  /// The version that must be the newest one, where the operator demanded it.
+  #[serde(default, skip_serializing_if = "Option::is_none")]
+  pub only_at: Option<Version>,
+  /// The steps, in order. All of them take effect, or none.
+  pub operations: Vec<Operation>,
+  /// Who made the change.
+  pub operator: Operator,
+  /// Why, in the operator's words.
+  #[serde(default, skip_serializing_if = "String::is_empty")]
+  pub reason: String,
+  /// The statement that the operator gave.
+  pub statement: String,
+  /// The operator's team.
+  pub team: Team,
+  /// When the change was made, in milliseconds since 1970 by the accepting daemon's clock.
+  pub unix_ms: u64,
+}
--- /dev/null
+++ b/src/configuration/configuration.rs
@@ -0,0 +1,234 @@
+use super::*;
+
+/// One whole, numbered version of everything the operators decided.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Configuration {
+  /// Boxes that receive no new work.
+  pub drains: BTreeMap<BoxId, Revised<Drain>>,
+  /// Backend server policies.
+  pub policies: BTreeMap<PolicyName, Revised<Policy>>,
+  /// Routes. Every route's service is in `services`.
+  pub routes: BTreeMap<RouteName, Revised<Route>>,
+  /// Services. Every service's policy is in `policies`.
+  pub services: BTreeMap<ServiceName, Revised<Service>>,
+  /// The number of this version.
+  pub version: Version,
+}
+
+impl Configuration {
+  /// Makes the next version out of `change`, checked whole. `self` stays as it is.
+  ///
+  /// `history` names the author of a conflicting change.
+  pub fn accept(&self, change: &Change, history: &[Summary]) -> Result<AcceptedChange> {
+    if change.operations.is_empty() {
+      return Err(Error::Empty);
+    }
+    if let Some(demanded) = change.only_at.filter(|demanded| *demanded != self.version) {
+      return Err(Error::VersionMoved { demanded, newest: self.version });
+    }
+    for operation in &change.operations {
+      self.check_conflict(&operation.target(), change.base, history)?;
+    }
+    let next = self.after(self.version.next(), &change.operations)?;
+    next.validate()?;
+    Ok(AcceptedChange {
+      digest: next.digest(),
+      operations: change.operations.clone(),
+      summary: Summary::of(change, next.version),
+    })
+  }
+
+  /// The configuration that `change` makes of this one, proved by its digest.
+  pub fn apply(&self, change: &AcceptedChange) -> Result<Self> {
+    let next = self.after(change.version(), &change.operations)?;
+    if next.digest() != change.digest {
+      return Err(Error::Digest { version: change.version() });
+    }
+    Ok(next)
+  }
+
+  fn after(&self, version: Version, operations: &[Operation]) -> Result<Self> {
+    let mut next = self.clone();
+    next.version = version;
+    for operation in operations {
+      next.step(operation)?;
+    }
+    Ok(next)
+  }
+
+  fn check_conflict(&self, object: &ObjectName, base: Version, history: &[Summary]) -> Result {
+    let touching = |summary: &&Summary| summary.version > base && summary.touched.contains(object);
+    let by = history.iter().rev().find(touching);
+    let changed = self.revision(object).is_some_and(|revision| revision > base);
+    if by.is_none() && !changed {
+      return Ok(());
+    }
+    Err(Error::Conflict { by: by.cloned().map(Box::new), object: object.clone() })
+  }
+
+  /// The digest of the whole, encoded form.
+  pub fn digest(&self) -> Digest {
+    Digest::of(self.encode().as_bytes())
+  }
+
+  /// The whole as JSON. Equal configurations give equal text.
+  pub fn encode(&self) -> String {
+    serde_json::to_string(self).expect("a configuration is plain data")
+  }
+
+  /// The object of that name.
+  pub fn object(&self, name: &ObjectName) -> Option<Object> {
+    match name {
+      ObjectName::Drain(name) => {
+        self.drains.get(name).map(|drain| Object::Drain(name.clone(), drain.value.clone()))
+      }
+      ObjectName::Policy(name) => {
+        self.policies.get(name).map(|policy| Object::Policy(name.clone(), policy.value.clone()))
+      }
+      ObjectName::Route(name) => {
+        self.routes.get(name).map(|route| Object::Route(name.clone(), route.value.clone()))
+      }
+      ObjectName::Service(name) => {
+        self.services.get(name).map(|service| Object::Service(name.clone(), service.value.clone()))
+      }
+    }
+  }
+
+  /// The names of all objects.
+  pub fn object_names(&self) -> Vec<ObjectName> {
+    let drains = self.drains.keys().cloned().map(ObjectName::Drain);
+    let policies = self.policies.keys().cloned().map(ObjectName::Policy);
+    let routes = self.routes.keys().cloned().map(ObjectName::Route);
+    let services = self.services.keys().cloned().map(ObjectName::Service);
+    drains.chain(policies).chain(routes).chain(services).collect()
+  }
+
+  /// The policy of a service.
+  pub fn policy_of(&self, service: &ServiceName) -> Option<&Policy> {
+    let service = self.services.get(service)?;
+    self.policies.get(&service.value.policy).map(|policy| &policy.value)
+  }
+
+  /// The version that last changed the object of that name.
+  pub fn revision(&self, name: &ObjectName) -> Option<Version> {
+    match name {
+      ObjectName::Drain(name) => self.drains.get(name).map(|object| object.revision),
+      ObjectName::Policy(name) => self.policies.get(name).map(|object| object.revision),
+      ObjectName::Route(name) => self.routes.get(name).map(|object| object.revision),
+      ObjectName::Service(name) => self.services.get(name).map(|object| object.revision),
+    }
+  }
+
+  fn step(&mut self, operation: &Operation) -> Result {
+    match operation {
+      Operation::Delete(name) => self.remove(name),
+      Operation::Put(object) => {
+        self.put(object.clone());
+        Ok(())
+      }
+    }
+  }
+
+  fn put(&mut self, object: Object) {
+    let revision = self.version;
+    match object {
+      Object::Drain(name, value) => {
+        self.drains.insert(name, Revised { revision, value });
+      }
+      Object::Policy(name, value) => {
+        self.policies.insert(name, Revised { revision, value });
+      }
+      Object::Route(name, value) => {
+        self.routes.insert(name, Revised { revision, value });
+      }
+      Object::Service(name, value) => {
+        self.services.insert(name, Revised { revision, value });
+      }
+    }
+  }
+
+  fn remove(&mut self, name: &ObjectName) -> Result {
+    let removed = match name {
+      ObjectName::Drain(name) => self.drains.remove(name).is_some(),
+      ObjectName::Policy(name) => self.policies.remove(name).is_some(),
+      ObjectName::Route(name) => self.routes.remove(name).is_some(),
+      ObjectName::Service(name) => self.services.remove(name).is_some(),
+    };
+    if !removed {
+      return Err(Error::Missing { object: name.clone() });
+    }
+    Ok(())
+  }
+
+  /// Checks that every reference resolves, limits are sane and the whole fits the store.
+  pub fn validate(&self) -> Result {
+    self.validate_policies()?;
+    self.validate_services()?;
+    self.validate_routes()?;
+    let bytes = self.encode().len();
+    if bytes > ENCODED_BYTES_MAX {
+      return Err(Error::TooLarge { bytes });
+    }
+    Ok(())
+  }
+
+  fn validate_policies(&self) -> Result {
+    for (name, policy) in &self.policies {
+      let object = || ObjectName::Policy(name.clone());
+      if !(1..=10).contains(&policy.value.attempts) {
+        return Err(Error::Limit { allowed: "1 to 10", field: "attempts", object: object() });
+      }
+      if !(1..=86_400_000).contains(&policy.value.deadline_ms) {
+        return Err(Error::Limit {
+          allowed: "1 to 86400000",
+          field: "deadline_ms",
+          object: object(),
+        });
+      }
+      if policy.value.queue_length > 10_000 {
+        return Err(Error::Limit {
+          allowed: "0 to 10000",
+          field: "queue_length",
+          object: object(),
+        });
+      }
+    }
+    Ok(())
+  }
+
+  fn validate_routes(&self) -> Result {
+    let mut seen = BTreeMap::new();
+    for (name, route) in &self.routes {
+      let object = || ObjectName::Route(name.clone());
+      if !route.value.path_prefix.starts_with('/') || route.value.path_prefix.len() > 1_000 {
+        return Err(Error::Limit {
+          allowed: "1 to 1000 characters that start with `/`",
+          field: "path_prefix",
+          object: object(),
+        });
+      }
+      if !self.services.contains_key(&route.value.service) {
+        return Err(Error::Reference {
+          object: object(),
+          target: ObjectName::Service(route.value.service.clone()),
+        });
+      }
+      if let Some(first) = seen.insert(route.value.conditions(), name) {
+        return Err(Error::Shadowed { first: first.clone(), second: name.clone() });
+      }
+    }
+    Ok(())
+  }
+
+  fn validate_services(&self) -> Result {
+    for (name, service) in &self.services {
+      if !self.policies.contains_key(&service.value.policy) {
+        return Err(Error::Reference {
+          object: ObjectName::Service(name.clone()),
+          target: ObjectName::Policy(service.value.policy.clone()),
+        });
+      }
+    }
+    Ok(())
+  }
+}
--- /dev/null
+++ b/src/configuration/error.rs
@@ -0,0 +1,105 @@
+use super::*;
+
+/// Why a change is not accepted, or an update does not apply.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+  /// Someone changed the same object since the base version.
+  Conflict {
+    /// Who changed it, where history still knows.
+    by: Option<Box<Summary>>,
+    /// The object that both changes touch.
+    object: ObjectName,
+  },
+  /// The result differs from what the sender made.
+  Digest {
+    /// The version in question.
+    version: Version,
+  },
+  /// The change has no steps.
+  Empty,
+  /// A number lies outside its limits.
+  Limit {
+    /// The limits.
+    allowed: &'static str,
+    /// The field.
+    field: &'static str,
+    /// The object that carries the field.
+    object: ObjectName,
+  },
+  /// The object is not in the configuration.
+  Missing {
+    /// The object.
+    object: ObjectName,
+  },
+  /// An object names another one that does not exist.
+  Reference {
+    /// The object that names it.
+    object: ObjectName,
+    /// The object that is not there.
+    target: ObjectName,
+  },
+  /// Two routes ask the same of a request, so one of them would never be used.
+  Shadowed {
+    /// One route.
+    first: RouteName,
+    /// The other route.
+    second: RouteName,
+  },
+  /// The configuration does not fit the store.
+  TooLarge {
+    /// Its encoded size in bytes.
+    bytes: usize,
+  },
+  /// The newest version is not the demanded one.
+  VersionMoved {
+    /// The demanded version.
+    demanded: Version,
+    /// The newest version.
+    newest: Version,
+  },
+}
+
+impl Display for Error {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Conflict { by: Some(by), object } => write!(
+        f,
+        "{object} was changed by {} of {} in version {}: look at it and state your change again",
+        by.operator, by.team, by.version
+      ),
+      Self::Conflict { by: None, object } => write!(
+        f,
+        "{object} was changed since your base version: look at it and state your change again"
+      ),
+      Self::Digest { version } => {
+        write!(f, "the update to version {version} does not give the digest that it promises")
+      }
+      Self::Empty => write!(f, "the change has no steps: state at least one"),
+      Self::Limit { allowed, field, object } => {
+        write!(f, "{field} of {object} is out of its limits: give {allowed}")
+      }
+      Self::Missing { object } => write!(f, "there is no {object}: create it first"),
+      Self::Reference { object, target } => write!(
+        f,
+        "{object} names {target}, which does not exist: create {target} in the same change, or \
+         keep it while {object} names it"
+      ),
+      Self::Shadowed { first, second } => write!(
+        f,
+        "route {first} and route {second} match the same requests: change or delete one of them"
+      ),
+      Self::TooLarge { bytes } => write!(
+        f,
+        "the configuration would take {bytes} bytes and the store holds {ENCODED_BYTES_MAX}: \
+         delete objects that nothing uses"
+      ),
+      Self::VersionMoved { demanded, newest } => write!(
+        f,
+        "the newest version is {newest}, not {demanded}: look at the difference and state your \
+         change again"
+      ),
+    }
+  }
+}
+
+impl StdError for Error {}
--- /dev/null
+++ b/src/configuration/head.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// The store's record of the newest version. One compare-and-swap of it accepts a change.
+///
+/// The whole configuration of version `snapshot_version` is a value of its own; `tail` holds the
+/// changes since then.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Head {
+  /// The newest accepted changes, oldest first, at most [`Head::HISTORY_MAX`].
+  pub history: Vec<Summary>,
+  /// The digest of the snapshot.
+  pub snapshot_digest: Digest,
+  /// The version of the snapshot. Never above `version`.
+  pub snapshot_version: Version,
+  /// The changes from the snapshot to `version`, without gaps.
+  pub tail: Vec<AcceptedChange>,
+  /// The newest version.
+  pub version: Version,
+}
+
+impl Head {
+  /// Accepted changes that history keeps.
+  pub const HISTORY_MAX: usize = 200;
+  /// Bytes of encoded changes above which the next change starts from a new snapshot.
+  pub const TAIL_BYTES_MAX: usize = 64_000;
+  /// Changes above which the next change starts from a new snapshot.
+  pub const TAIL_MAX: usize = 32;
+
+  /// The digest of the newest version.
+  pub fn digest(&self) -> Digest {
+    self.tail.last().map_or(self.snapshot_digest, |change| change.digest)
+  }
+
+  /// The head that follows once `change` is accepted.
+  #[must_use]
+  pub fn with(&self, change: AcceptedChange) -> Self {
+    let mut next = self.clone();
+    next.version = change.version();
+    next.history.push(change.summary.clone());
+    let surplus = next.history.len().saturating_sub(Self::HISTORY_MAX);
+    next.history.drain(..surplus);
+    next.tail.push(change);
+    next
+  }
+
+  /// The head that follows once `change` is accepted and `configuration`, its result, is stored as
+  /// the snapshot.
+  #[must_use]
+  pub fn with_snapshot(&self, change: AcceptedChange) -> Self {
+    let mut next = self.with(change.clone());
+    next.snapshot_digest = change.digest;
+    next.snapshot_version = change.version();
+    next.tail.clear();
+    next
+  }
+
+  /// Whether the tail has grown so long that the next change should store a snapshot.
+  pub fn wants_snapshot(&self, change: &AcceptedChange) -> bool {
+    if self.tail.len() >= Self::TAIL_MAX {
+      return true;
+    }
+    let encoded = |change: &AcceptedChange| {
+      serde_json::to_string(change).expect("a change is plain data").len()
+    };
+    let bytes: usize = self.tail.iter().map(encoded).sum();
+    bytes + encoded(change) > Self::TAIL_BYTES_MAX
+  }
+
+  /// Whether the change of that id was accepted, and as which version, as far as history goes.
+  pub fn version_of(&self, id: &ChangeId) -> Option<Version> {
+    self.history.iter().find(|summary| summary.id == *id).map(|summary| summary.version)
+  }
+}
--- /dev/null
+++ b/src/configuration/mod.rs
@@ -0,0 +1,37 @@
+//! The configuration: routes, services, backend server policies and drains, as one numbered whole.
+//!
+//! Everything here is pure. A [`Change`] turns one [`Configuration`] into the next; the store's
+//! [`Head`] records which changes were accepted, in order.
+
+use super::*;
+
+pub use self::{
+  accepted_change::AcceptedChange, change::Change, configuration::Configuration, drain::Drain,
+  error::Error, head::Head, object::Object, object_name::ObjectName, operation::Operation,
+  policy::Policy, revised::Revised, route::Route, service::Service, summary::Summary,
+};
+
+mod accepted_change;
+mod change;
+#[allow(clippy::module_inception)]
+mod configuration;
+mod drain;
+mod error;
+mod head;
+mod object;
+mod object_name;
+mod operation;
+mod policy;
+mod revised;
+mod route;
+mod service;
+mod summary;
+
+#[cfg(test)]
+mod tests;
+
+/// Result of a step on the configuration.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// Largest encoded configuration in bytes: what the store's value of one megabyte holds.
+pub const ENCODED_BYTES_MAX: usize = 1_000_000;
--- /dev/null
+++ b/src/configuration/object_name.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// Names one object of the configuration.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ObjectName {
+  /// The drain of a box.
+  Drain(BoxId),
+  /// A backend server policy.
+  Policy(PolicyName),
+  /// A route.
+  Route(RouteName),
+  /// A service.
+  Service(ServiceName),
+}
+
+impl Display for ObjectName {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Drain(name) => write!(f, "drain {name}"),
+      Self::Policy(name) => write!(f, "policy {name}"),
+      Self::Route(name) => write!(f, "route {name}"),
+      Self::Service(name) => write!(f, "service {name}"),
+    }
+  }
+}
--- /dev/null
+++ b/src/configuration/route.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// Sends requests that match to one service.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+  /// Headers that a request must carry, by lower-case name.
+  #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+  pub headers: BTreeMap<String, String>,
+  /// The host that a request must name; any host where absent.
+  #[serde(default, skip_serializing_if = "Option::is_none")]
+  pub host: Option<String>,
+  /// The method that a request must use; any method where absent.
+  #[serde(default, skip_serializing_if = "Option::is_none")]
+  pub method: Option<String>,
+  /// The team that may change the route.
+  pub owner: Team,
+  /// The path that a request must start with, on a segment border. Starts with `/`.
+  pub path_prefix: String,
+  /// Whether a request may run more than once. Where false, requests carry a key and run at most
+  /// once.
+  pub repeatable: bool,
+  /// The service that receives the requests. Always a service of the same configuration.
+  pub service: ServiceName,
+}
+
+impl Route {
+  /// Whether `path` lies under the route's prefix, on a segment border.
+  pub fn covers_path(&self, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(&self.path_prefix) else {
+      return false;
+    };
+    rest.is_empty() || rest.starts_with('/') || self.path_prefix.ends_with('/')
+  }
+
+  /// What the route asks of a request, for finding two routes that ask the same.
+  pub(super) fn conditions(&self) -> (Option<&str>, &str, Option<&str>, &BTreeMap<String, String>) {
+    (self.host.as_deref(), &self.path_prefix, self.method.as_deref(), &self.headers)
+  }
+
+  /// Orders routes by how much they ask of a request: host, path length, method, headers.
+  pub fn specificity(&self) -> (bool, usize, bool, usize) {
+    (self.host.is_some(), self.path_prefix.len(), self.method.is_some(), self.headers.len())
+  }
+}
--- /dev/null
+++ b/src/configuration/summary.rs
@@ -0,0 +1,44 @@
+use super::*;
+
+/// What history keeps of an accepted change.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Summary {
+  /// The change's id.
+  pub id: ChangeId,
+  /// Who made the change.
+  pub operator: Operator,
+  /// Why, in the operator's words.
+  #[serde(default, skip_serializing_if = "String::is_empty")]
+  pub reason: String,
+  /// The statement that the operator gave, cut to [`Summary::STATEMENT_CHARS_MAX`].
+  pub statement: String,
+  /// The operator's team.
+  pub team: Team,
+  /// The objects that the change touched.
+  pub touched: Vec<ObjectName>,
+  /// When the change was made, in milliseconds since 1970 by the accepting daemon's clock.
+  pub unix_ms: u64,
+  /// The version that the change made.
+  pub version: Version,
+}
+
+impl Summary {
+  /// Characters of a statement that history keeps.
+  pub const STATEMENT_CHARS_MAX: usize = 200;
+  /// Touched objects that history names.
+  pub const TOUCHED_MAX: usize = 16;
+
+  /// Summarizes `change` as the one that made `version`.
+  pub fn of(change: &Change, version: Version) -> Self {
+    Self {
+      id: change.id.clone(),
+      operator: change.operator.clone(),
+      reason: change.reason.clone(),
+      statement: change.statement.chars().take(Self::STATEMENT_CHARS_MAX).collect(),
+      team: change.team.clone(),
+      touched: change.operations.iter().map(Operation::target).take(Self::TOUCHED_MAX).collect(),
+      unix_ms: change.unix_ms,
+      version,
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/distribution_loop.rs
@@ -0,0 +1,236 @@
+use super::*;
+
+use super::open_link::{Ended, OpenLink};
+
+/// Carries out what the [`Distributor`] decides.
+pub struct DistributionLoop {
+  credentials: Credentials,
+  distributor: RefCell<Distributor>,
+  handshakes: Cell<usize>,
+  last_link: Cell<LinkId>,
+  last_token: Cell<u64>,
+  links: RefCell<BTreeMap<LinkId, OpenLink>>,
+  questions: RefCell<BTreeMap<u64, futures_channel::oneshot::Sender<Inquired>>>,
+  shared: Rc<Shared>,
+}
+
+/// What an inquiry of the operators' side brought.
+#[derive(Debug, Default)]
+pub struct Inquired {
+  /// Neighbours that did not answer in time.
+  pub missing: usize,
+  /// What is known.
+  pub reports: Vec<Report>,
+}
+
+impl DistributionLoop {
+  /// Links that may be opening at once.
+  const HANDSHAKES_MAX: usize = 256;
+  /// Milliseconds for which opening a link may take.
+  const OPEN_TIMEOUT_MS: u64 = 2_000;
+
+  /// A loop around a fresh distributor.
+  pub fn new(shared: Rc<Shared>, identity: Identity) -> Rc<Self> {
+    let settings = &shared.settings;
+    let credentials =
+      Credentials { box_id: settings.box_id.clone(), key: settings.fleet_key.clone() };
+    let distributor = Distributor::new(shared.now(), shared.make_seed(), identity);
+    shared.set_endpoints(distributor.endpoints().iter());
+    Rc::new(Self {
+      credentials,
+      distributor: RefCell::new(distributor),
+      handshakes: Cell::default(),
+      last_link: Cell::default(),
+      last_token: Cell::default(),
+      links: RefCell::default(),
+      questions: RefCell::default(),
+      shared,
+    })
+  }
+
+  /// The distributor, to look at.
+  pub fn distributor(&self) -> std::cell::Ref<'_, Distributor> {
+    self.distributor.borrow()
+  }
+
+  /// Takes links from other daemons and lets time pass, for as long as the daemon lives.
+  pub fn start(self: &Rc<Self>, listener: Listener) {
+    let taking = self.clone();
+    monoio::spawn(async move {
+      loop {
+        let stream = listener.accept().await;
+        if taking.handshakes.get() < Self::HANDSHAKES_MAX {
+          monoio::spawn(taking.clone().take_link(stream));
+        }
+      }
+    });
+    let ticking = self.clone();
+    monoio::spawn(async move {
+      loop {
+        monoio::time::sleep(Duration::from_millis(Distributor::TICK_MS)).await;
+        ticking.handle(Event::Tick);
+      }
+    });
+  }
+
+  /// Asks the fleet, and waits until it answered as far as it will.
+  pub async fn ask(self: &Rc<Self>, question: Question) -> Inquired {
+    let token = self.last_token.get() + 1;
+    self.last_token.set(token);
+    let (answer, answered) = futures_channel::oneshot::channel();
+    self.questions.borrow_mut().insert(token, answer);
+    self.handle(Event::Asked { question, token });
+    answered.await.unwrap_or_default()
+  }
+
+  /// Hands an event to the distributor and does what it wants.
+  pub fn handle(self: &Rc<Self>, event: Event) {
+    let actions = self.distributor.borrow_mut().handle(self.shared.now(), event);
+    for action in actions {
+      self.perform(action);
+    }
+  }
+
+  fn perform(self: &Rc<Self>, action: Action) {
+    match action {
+      Action::Answer { missing, reports, token } => {
+        if let Some(answer) = self.questions.borrow_mut().remove(&token) {
+          answer.send(Inquired { missing, reports }).ok();
+        }
+      }
+      Action::Apply(configuration) => self.shared.apply(configuration),
+      Action::CallStore { call, request } => {
+        monoio::spawn(self.clone().call_store(call, request));
+      }
+      Action::CloseLink { link } => {
+        self.links.borrow_mut().remove(&link);
+      }
+      Action::Consult { id, question } => {
+        let reports = self.consult(&question);
+        let looked = self.clone();
+        monoio::spawn(async move { looked.handle(Event::Consulted { id, reports }) });
+      }
+      Action::EndpointsChanged => {
+        self.shared.set_endpoints(self.distributor.borrow().endpoints().iter());
+      }
+      Action::Log(text) => info!(self.shared.log.logger, "{}", text),
+      Action::OpenLink(peer) => {
+        monoio::spawn(self.clone().open_link(peer));
+      }
+      Action::Send { link, message } => self.send(link, message),
+    }
+  }
+
+  fn consult(&self, question: &Question) -> Vec<Report> {
+    let Question::Request { id } = question else {
+      return Vec::new();
+    };
+    let records = self.shared.records.borrow();
+    let found = records.find(id).into_iter().cloned();
+    found.map(|record| Report::Request(Box::new(record))).collect()
+  }
+
+  async fn call_store(self: Rc<Self>, call: u64, request: StoreRequest) {
+    let result = self.shared.call_store(request).await;
+    self.handle(Event::StoreAnswered { call, result });
+  }
+
+  /// A peer that is too slow to take its messages loses the link.
+  fn send(self: &Rc<Self>, link: LinkId, message: Message) {
+    let sent = self.links.borrow_mut().get_mut(&link).map(|open| open.send(message));
+    if sent == Some(false) {
+      self.end_link(link);
+    }
+  }
+
+  fn end_link(self: &Rc<Self>, link: LinkId) {
+    if self.links.borrow_mut().remove(&link).is_some() {
+      let ended = self.clone();
+      monoio::spawn(async move { ended.handle(Event::LinkClosed { link }) });
+    }
+  }
+
+  async fn open_link(self: Rc<Self>, peer: Peer) {
+    let nonce = self.shared.rng.borrow_mut().random();
+    let dialing = self.credentials.dial(peer.address, nonce);
+    let limit = Duration::from_millis(Self::OPEN_TIMEOUT_MS);
+    let opened = monoio::time::timeout(limit, dialing).await;
+    match opened {
+      Ok(Ok((found, outgoing, incoming))) if found == peer.box_id => {
+        self.add_link(found, true, outgoing, incoming);
+      }
+      Ok(Err(err)) if !matches!(err, links::Error::Broken { .. }) => {
+        self.shared.note_refused_link(err.label());
+        self.handle(Event::LinkFailed { box_id: peer.box_id });
+      }
+      _ => self.handle(Event::LinkFailed { box_id: peer.box_id }),
+    }
+  }
+
+  async fn take_link(self: Rc<Self>, stream: TcpStream) {
+    self.handshakes.set(self.handshakes.get() + 1);
+    let nonce = self.shared.rng.borrow_mut().random();
+    let limit = Duration::from_millis(Self::OPEN_TIMEOUT_MS);
+    let taken = monoio::time::timeout(limit, self.credentials.accept(stream, nonce)).await;
+    self.handshakes.set(self.handshakes.get() - 1);
+    match taken {
+      Ok(Ok((peer, outgoing, incoming))) => self.add_link(peer, false, outgoing, incoming),
+      Ok(Err(err)) => self.shared.note_refused_link(err.label()),
+      Err(_) => self.shared.note_refused_link("too slow"),
+    }
+  }
+
+  fn add_link(
+    self: &Rc<Self>,
+    peer: BoxId,
+    outbound: bool,
+    outgoing: Outgoing,
+    incoming: IncomingFrames,
+  ) {
+    let link = self.last_link.get().next();
+    self.last_link.set(link);
+    let (open, messages, ended) = OpenLink::new();
+    self.links.borrow_mut().insert(link, open);
+    monoio::spawn(self.clone().write_link(link, messages, outgoing, ended.clone()));
+    monoio::spawn(self.clone().read_link(link, incoming, ended));
+    self.handle(Event::LinkOpened { link, outbound, peer });
+  }
+
+  async fn write_link(
+    self: Rc<Self>,
+    link: LinkId,
+    mut messages: futures_channel::mpsc::Receiver<Message>,
+    mut outgoing: Outgoing,
+    ended: Ended,
+  ) {
+    let writing = async {
+      while let Some(message) = messages.next().await {
+        match outgoing.send(&message).await {
+          Ok(bytes) => self.shared.metrics.link_sent(bytes),
+          Err(_) => return,
+        }
+      }
+    };
+    futures_util::future::select(Box::pin(writing), ended).await;
+    let limit = Duration::from_millis(Self::OPEN_TIMEOUT_MS);
+    monoio::time::timeout(limit, outgoing.close()).await.ok();
+    self.end_link(link);
+  }
+
+  async fn read_link(self: Rc<Self>, link: LinkId, mut incoming: IncomingFrames, ended: Ended) {
+    let reading = async {
+      loop {
+        match incoming.receive().await {
+          Ok((message, bytes)) => {
+            self.shared.metrics.link_received(bytes);
+            self.handle(Event::Received { link, message });
+          }
+          Err(links::Error::Broken { .. }) => return,
+          Err(err) => return self.shared.note_refused_link(err.label()),
+        }
+      }
+    };
+    futures_util::future::select(Box::pin(reading), ended).await;
+    self.end_link(link);
+  }
+}
--- /dev/null
+++ b/src/daemon/health.rs
@@ -0,0 +1,49 @@
+//! Watches the health endpoint of the backend server beside the daemon.
+
+use super::*;
+
+/// Milliseconds between two looks.
+const PERIOD_MS: u64 = 500;
+
+/// Milliseconds that a look may take.
+const TIMEOUT_MS: u64 = 1_000;
+
+/// Looks that must fail in a row before the backend server counts as unable to work.
+const FAILURES_MAX: u32 = 2;
+
+/// Largest answer in bytes.
+const BODY_BYTES_MAX: usize = 65_536;
+
+/// Announces what the backend server can do, for as long as the daemon lives.
+pub async fn watch(shared: Rc<Shared>, distribution: Rc<DistributionLoop>) {
+  let mut failures = 0;
+  loop {
+    let state = match look(&shared).await {
+      Some(state) => {
+        failures = 0;
+        Some(state)
+      }
+      None => {
+        failures += 1;
+        (failures >= FAILURES_MAX).then_some(EndpointState::Draining)
+      }
+    };
+    if let Some(state) = state.filter(|_| !shared.is_stopping()) {
+      distribution.handle(Event::EndpointState(state));
+    }
+    monoio::time::sleep(Duration::from_millis(PERIOD_MS)).await;
+  }
+}
+
+/// What the backend server says it can do; nothing where it does not answer in time.
+async fn look(shared: &Shared) -> Option<EndpointState> {
+  let backend_server = &shared.settings.backend_server;
+  let request = Request::get(backend_server.health_path.as_str())
+    .header(http::header::HOST, backend_server.address.to_string())
+    .body(web::empty())
+    .ok()?;
+  let exchange = shared.backend_pool.exchange(backend_server.address, request, BODY_BYTES_MAX);
+  let limited = monoio::time::timeout(Duration::from_millis(TIMEOUT_MS), exchange);
+  let (status, _) = limited.await.ok()?.ok()?;
+  Some(if status.is_success() { EndpointState::Live } else { EndpointState::Draining })
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,45 @@
+//! The daemon: the one loop that wires decisions to sockets, clocks and the store.
+
+use super::*;
+
+use crate::{
+  administration,
+  configuration::{Configuration, Policy},
+  distribution::{
+    Acceptance, AcceptanceStep, Action, Distributor, Event, Identity, LinkId, Message, Moment,
+    Outcome, Question, Report,
+  },
+  fleet::{Endpoint, EndpointState, Peer},
+  links::{Credentials, IncomingFrames, Outgoing},
+  proxy,
+  requests::{Balancer, Limiter, RecordBook, RequestRecord, RetryBudget, Router, Ticket},
+  settings::{FleetKey, Settings},
+  store::{HttpStore, Reply, Store, StoreRequest},
+  telemetry::{Log, Metrics},
+  web::{Listener, Server},
+};
+
+pub use self::{
+  clock::Clock,
+  daemon::Daemon,
+  distribution_loop::{DistributionLoop, Inquired},
+  error::Error,
+  listeners::Listeners,
+  shared::Shared,
+  system_clock::SystemClock,
+};
+
+mod clock;
+#[allow(clippy::module_inception)]
+mod daemon;
+mod distribution_loop;
+mod error;
+mod health;
+mod listeners;
+mod open_link;
+mod shared;
+pub mod signals;
+mod system_clock;
+
+/// Result of running a daemon.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/daemon/shared.rs
@@ -0,0 +1,245 @@
+use super::*;
+
+/// What the parts of a daemon share. All of it lives on the daemon's one thread.
+pub struct Shared {
+  /// Kept connections to the backend server.
+  pub backend_pool: Rc<web::Pool>,
+  /// Chooses backend servers.
+  pub balancer: RefCell<Balancer>,
+  /// Bounds retries.
+  pub budget: RefCell<RetryBudget>,
+  /// Tells the time.
+  pub clock: Rc<dyn Clock>,
+  configuration: RefCell<Option<Arc<Configuration>>>,
+  endpoints: RefCell<BTreeMap<ServiceName, Rc<Vec<Endpoint>>>>,
+  incarnation: Incarnation,
+  last_number: Cell<u64>,
+  /// Bounds what the backend server runs.
+  pub limiter: RefCell<Limiter>,
+  /// The log.
+  pub log: Log,
+  /// The metrics.
+  pub metrics: Metrics,
+  /// Kept connections to other daemons.
+  pub peer_pool: Rc<web::Pool>,
+  /// What became of the last requests.
+  pub records: RefCell<RecordBook>,
+  refuses_work: Cell<bool>,
+  /// Randomness for decisions.
+  pub rng: RefCell<ChaCha8Rng>,
+  router: RefCell<Rc<Router>>,
+  /// The settings.
+  pub settings: Settings,
+  /// Statements of operators under way.
+  pub statements_at_work: Cell<usize>,
+  stopping: Cell<bool>,
+  store: Rc<dyn Store>,
+  /// Requests that wait for a slot.
+  pub waiting: RefCell<BTreeMap<Ticket, futures_channel::oneshot::Sender<()>>>,
+}
+
+impl Shared {
+  /// Milliseconds to wait for a connection.
+  const CONNECT_TIMEOUT_MS: u64 = 1_000;
+  /// Milliseconds beyond a deadline within which another daemon's word about it may arrive.
+  pub const PEER_GRACE_MS: u64 = 50;
+  /// Requests that wait for a slot where no policy says otherwise.
+  const QUEUE_DEFAULT: usize = 64;
+  /// Milliseconds after which to come back where nothing better is known.
+  pub const RETRY_AFTER_MS: u64 = 100;
+
+  /// What a daemon starts with.
+  pub fn new(
+    settings: Settings,
+    store: Rc<dyn Store>,
+    clock: Rc<dyn Clock>,
+    log: Log,
+    seed: u64,
+  ) -> Self {
+    let slots = settings.backend_server.slots as usize;
+    let pool = || Rc::new(web::Pool::new(Self::CONNECT_TIMEOUT_MS));
+    Self {
+      backend_pool: pool(),
+      balancer: RefCell::default(),
+      budget: RefCell::default(),
+      configuration: RefCell::default(),
+      endpoints: RefCell::default(),
+      incarnation: Incarnation(clock.now().unix_ms),
+      clock,
+      last_number: Cell::default(),
+      limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
+      log,
+      metrics: Metrics::new(),
+      peer_pool: pool(),
+      records: RefCell::default(),
+      refuses_work: Cell::default(),
+      rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+      router: RefCell::default(),
+      settings,
+      statements_at_work: Cell::default(),
+      stopping: Cell::default(),
+      store,
+      waiting: RefCell::default(),
+    }
+  }
+
+  /// Gives a waiting request its slot.
+  pub fn admit(&self, ticket: Ticket) {
+    if let Some(admit) = self.waiting.borrow_mut().remove(&ticket) {
+      admit.send(()).ok();
+    }
+  }
+
+  /// Puts a configuration in force, with the routes of one version at once.
+  pub fn apply(&self, configuration: Arc<Configuration>) {
+    let queue = configuration.policy_of(&self.settings.service).map(|policy| policy.queue_length);
+    if let Some(queue) = queue {
+      self.limiter.borrow_mut().set_queue_max(queue as usize);
+    }
+    self.metrics.version.set(i64::try_from(configuration.version.0).unwrap_or(i64::MAX));
+    info!(self.log.logger, "a configuration is in force"; "version" => configuration.version.0);
+    *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
+    *self.configuration.borrow_mut() = Some(configuration);
+  }
+
+  /// Calls the store.
+  pub async fn call_store(&self, request: StoreRequest) -> store::Result<Reply> {
+    let result = self.store.call(request).await;
+    self.metrics.store_called(&result);
+    result
+  }
+
+  /// The configuration in force.
+  pub fn configuration(&self) -> Option<Arc<Configuration>> {
+    self.configuration.borrow().clone()
+  }
+
+  /// Microseconds since a moment, to the millisecond of the clock.
+  pub fn elapsed_us(&self, since: Moment) -> u64 {
+    self.now().time.since_ms(since.time) * 1_000
+  }
+
+  /// The backend servers of a service.
+  pub fn endpoints_of(&self, service: &ServiceName) -> Rc<Vec<Endpoint>> {
+    self.endpoints.borrow().get(service).cloned().unwrap_or_default()
+  }
+
+  /// Takes over the endpoint table.
+  pub fn set_endpoints<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) {
+    let mut by_service: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
+    let mut known = BTreeSet::new();
+    for endpoint in endpoints {
+      known.insert(endpoint.peer.box_id.clone());
+      by_service.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
+    }
+    self.balancer.borrow_mut().retain(|box_id| known.contains(box_id));
+    let shared = by_service.into_iter().map(|(service, list)| (service, Rc::new(list)));
+    *self.endpoints.borrow_mut() = shared.collect();
+  }
+
+  /// Milliseconds until a request that arrives now would have a slot.
+  pub fn expected_wait_ms(&self) -> u64 {
+    self.limiter.borrow().expected_wait_ms()
+  }
+
+  /// This life of the box.
+  pub fn incarnation(&self) -> Incarnation {
+    self.incarnation
+  }
+
+  /// Whether the daemon is on its way out.
+  pub fn is_stopping(&self) -> bool {
+    self.stopping.get()
+  }
+
+  /// Requests running and waiting at the backend server, in percent of its slots.
+  pub fn load_percent(&self) -> u32 {
+    self.limiter.borrow().load_percent()
+  }
+
+  /// Logs a request: failures as information, the others for developers.
+  pub fn log_request(&self, record: &RequestRecord) {
+    let id = record.id.as_str();
+    let version = record.version.0;
+    match &record.refusal {
+      Some(refusal) => info!(
+        self.log.logger, "a request was refused";
+        "request_id" => id, "status" => record.status, "version" => version, "why" => refusal
+      ),
+      None => debug!(
+        self.log.logger, "a request was answered";
+        "request_id" => id, "status" => record.status, "version" => version
+      ),
+    }
+  }
+
+  fn next_number(&self) -> u64 {
+    self.last_number.set(self.last_number.get() + 1);
+    self.last_number.get()
+  }
+
+  /// Names a try at a claim and no other in the fleet.
+  pub fn make_attempt_id(&self) -> String {
+    format!("{}.{}.{}", self.settings.box_id, self.incarnation, self.next_number())
+  }
+
+  /// Names a request and no other in the fleet, and tells which box carries it.
+  pub fn make_request_id(&self) -> RequestId {
+    let life = self.incarnation.0 % 100_000_000;
+    let text = format!("{}-{life:x}-{:x}", self.settings.box_id, self.next_number());
+    let start = text.len().saturating_sub(text::NAME_LENGTH_MAX);
+    text[start..].parse().expect("a box name with digits is a name")
+  }
+
+  /// A random seed for a decision.
+  pub fn make_seed(&self) -> u64 {
+    self.rng.borrow_mut().random()
+  }
+
+  /// Names a request at the limiter.
+  pub fn next_ticket(&self) -> Ticket {
+    Ticket(self.next_number())
+  }
+
+  /// Counts a link or forwarded request that was refused, and logs the first of each reason.
+  pub fn note_refused_link(&self, reason: &'static str) {
+    if self.metrics.link_refused(reason) == 0 {
+      warn!(self.log.logger, "a peer was refused"; "reason" => reason);
+    }
+  }
+
+  /// The present moment.
+  pub fn now(&self) -> Moment {
+    self.clock.now()
+  }
+
+  /// The policy of a service in force.
+  pub fn policy(&self, service: &ServiceName) -> Option<Policy> {
+    self.configuration.borrow().as_ref()?.policy_of(service).cloned()
+  }
+
+  /// The routes in force.
+  pub fn router(&self) -> Rc<Router> {
+    self.router.borrow().clone()
+  }
+
+  /// Proves a text with the fleet key.
+  pub fn seal(&self, text: &str) -> Digest {
+    Digest::from(self.settings.fleet_key.derive(text.as_bytes()))
+  }
+
+  /// The daemon is on its way out: callers are told to move.
+  pub fn start_stopping(&self) {
+    self.stopping.set(true);
+  }
+
+  /// From now on the daemon hands nothing new to its backend server.
+  pub fn refuse_work(&self) {
+    self.refuses_work.set(true);
+  }
+
+  /// Whether the daemon hands nothing new to its backend server.
+  pub fn takes_no_work(&self) -> bool {
+    self.refuses_work.get()
+  }
+}
--- /dev/null
+++ b/src/daemon/system_clock.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// The clock of the machine.
+pub struct SystemClock {
+  started: Instant,
+}
+
+impl SystemClock {
+  /// A clock whose monotonic time starts now.
+  pub fn new() -> Self {
+    Self { started: Instant::now() }
+  }
+}
+
+impl Default for SystemClock {
+  fn default() -> Self {
+    Self::new()
+  }
+}
+
+impl Clock for SystemClock {
+  fn now(&self) -> Moment {
+    let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    Moment { time: Time(elapsed_ms), unix_ms: unix_ms() }
+  }
+}
--- /dev/null
+++ b/src/dev/error.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+/// Why the deployment or its tour failed.
+#[derive(Debug)]
+pub enum Error {
+  /// The machine does not give what the deployment needs.
+  Io(io::Error),
+  /// The deployment's own settings are wrong.
+  Settings(settings::Error),
+  /// A step brought something else than it should.
+  Step(String),
+}
+
+impl Display for Error {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Io(err) => write!(f, "the deployment cannot start: {err}"),
+      Self::Settings(err) => err.fmt(f),
+      Self::Step(what) => write!(f, "the tour found something wrong: {what}"),
+    }
+  }
+}
+
+impl StdError for Error {}
+
+impl From<io::Error> for Error {
+  fn from(err: io::Error) -> Self {
+    Self::Io(err)
+  }
+}
+
+impl From<settings::Error> for Error {
+  fn from(err: settings::Error) -> Self {
+    Self::Settings(err)
+  }
+}
+
+impl From<commands::Error> for Error {
+  fn from(err: commands::Error) -> Self {
+    Self::Step(err.to_string())
+  }
+}
+
+impl From<web::Error> for Error {
+  fn from(err: web::Error) -> Self {
+    Self::Step(err.to_string())
+  }
+}
--- /dev/null
+++ b/src/distribution/action.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+/// What a [`Distributor`] wants done.
+#[derive(Clone, Debug)]
+pub enum Action {
+  /// An inquiry of this daemon's operators' side ended.
+  Answer {
+    /// Boxes that could have answered and did not within the time.
+    missing: usize,
+    /// What is known.
+    reports: Vec<Report>,
+    /// The token of [`Event::Asked`].
+    token: u64,
+  },
+  /// A newer configuration is in force from now on.
+  Apply(Arc<Configuration>),
+  /// Call the store and return the answer as [`Event::StoreAnswered`].
+  CallStore {
+    /// Named again in the answer.
+    call: u64,
+    /// The request.
+    request: StoreRequest,
+  },
+  /// Close a link. No [`Event::LinkClosed`] follows.
+  CloseLink {
+    /// The link.
+    link: LinkId,
+  },
+  /// Look into the daemon's own records and return [`Event::Consulted`].
+  Consult {
+    /// The inquiry.
+    id: InquiryId,
+    /// The question.
+    question: Question,
+  },
+  /// The endpoint table changed.
+  EndpointsChanged,
+  /// Tell the log.
+  Log(String),
+  /// Open a link; [`Event::LinkOpened`] or [`Event::LinkFailed`] follows.
+  OpenLink(Peer),
+  /// Send a message.
+  Send {
+    /// The link.
+    link: LinkId,
+    /// The message.
+    message: Message,
+  },
+}
--- /dev/null
+++ b/src/distribution/beat.rs
@@ -0,0 +1,18 @@
+use super::*;
+
+/// What neighbours tell each other regularly. Small, for it is most of the control traffic at rest.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Beat {
+  /// When the sender applied its version, in milliseconds since 1970.
+  #[serde(rename = "a")]
+  pub applied_unix_ms: u64,
+  /// The fingerprint of the sender's endpoint table.
+  #[serde(rename = "e")]
+  pub endpoints: u64,
+  /// Milliseconds since the store last confirmed the sender's version; nothing where it never did.
+  #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+  pub store_age_ms: Option<u64>,
+  /// The version that the sender holds, with the start of its digest.
+  #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+  pub version: Option<(Version, u64)>,
+}
--- /dev/null
+++ b/src/distribution/catalog.rs
@@ -0,0 +1,220 @@
+use super::*;
+
+/// The configuration that a daemon holds, with what it needs to bring others up to it.
+///
+/// The held version never goes back, and changes only whole.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+  configuration: Option<Arc<Configuration>>,
+  digest: Option<Digest>,
+  /// The lowest version that this box may take.
+  floor: Version,
+  /// Newest changes, oldest first; ends with the held version where not empty.
+  history: Vec<Summary>,
+  /// How the last versions came, oldest first.
+  provenance: VecDeque<Provenance>,
+  /// The last refusals, oldest first, each with when it happened in milliseconds since 1970.
+  refusals: VecDeque<(u64, Error)>,
+  /// The last changes, oldest first, without gaps; ends with the held version where not empty.
+  window: VecDeque<AcceptedChange>,
+  /// The version that the first change of the window starts from, with its digest.
+  window_base: Option<(Version, Digest)>,
+}
+
+impl Catalog {
+  /// Refusals and provenances kept.
+  const RECORDS_MAX: usize = 64;
+  /// Changes kept for deltas.
+  const WINDOW_MAX: usize = 64;
+
+  /// The held configuration.
+  pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+    self.configuration.as_ref()
+  }
+
+  /// The digest of the held configuration.
+  pub fn digest(&self) -> Option<Digest> {
+    self.digest
+  }
+
+  /// The lowest version that this box may take.
+  pub fn floor(&self) -> Version {
+    self.floor
+  }
+
+  /// The newest changes that led to the held version, oldest first.
+  pub fn history(&self) -> &[Summary] {
+    &self.history
+  }
+
+  /// The held version with the start of its digest.
+  pub fn held(&self) -> Option<(Version, u64)> {
+    Some((self.version()?, self.digest?.prefix()))
+  }
+
+  /// How the last versions came, oldest first.
+  pub fn provenance(&self) -> impl Iterator<Item = &Provenance> {
+    self.provenance.iter()
+  }
+
+  /// Raises the floor. A floor is never lowered.
+  pub fn raise_floor(&mut self, floor: Version) {
+    self.floor = self.floor.max(floor);
+  }
+
+  /// The last refusals, oldest first, each with when it happened in milliseconds since 1970.
+  pub fn refusals(&self) -> impl Iterator<Item = &(u64, Error)> {
+    self.refusals.iter()
+  }
+
+  /// Takes in an update, or keeps all as it was and says why.
+  pub fn take(&mut self, update: Update, from: Option<BoxId>, unix_ms: u64) -> Result {
+    let offered = update.version();
+    let outcome = self.check_forward(offered).and_then(|()| match update {
+      Update::Delta { base, base_digest, changes } => self.take_delta(base, base_digest, changes),
+      Update::Snapshot { changes, configuration, digest, history } => {
+        self.take_snapshot(configuration, digest, history, changes)
+      }
+    });
+    if let Err(err) = outcome {
+      if matches!(err, Error::Backwards { held, offered } if held == offered) {
+        return Err(err);
+      }
+      push_bounded(&mut self.refusals, (unix_ms, err.clone()), Self::RECORDS_MAX);
+      return Err(err);
+    }
+    let provenance = Provenance { applied_unix_ms: unix_ms, from, version: offered };
+    push_bounded(&mut self.provenance, provenance, Self::RECORDS_MAX);
+    Ok(())
+  }
+
+  fn check_forward(&self, offered: Version) -> Result {
+    if let Some(held) = self.version().filter(|held| offered <= *held) {
+      return Err(Error::Backwards { held, offered });
+    }
+    if offered < self.floor {
+      return Err(Error::BelowFloor { floor: self.floor, offered });
+    }
+    Ok(())
+  }
+
+  fn take_delta(
+    &mut self,
+    base: Version,
+    base_digest: Digest,
+    changes: Vec<AcceptedChange>,
+  ) -> Result {
+    let gap = Error::Gap { base, held: self.version() };
+    let Some(held) = self.configuration.clone() else {
+      return Err(gap);
+    };
+    if held.version != base {
+      return Err(gap);
+    }
+    if self.digest != Some(base_digest) {
+      return Err(Error::Fork { version: base });
+    }
+    let next = follow(held, &changes)?;
+    next.validate()?;
+    self.switch(next, base_digest, changes);
+    Ok(())
+  }
+
+  fn take_snapshot(
+    &mut self,
+    configuration: Arc<Configuration>,
+    digest: Digest,
+    history: Vec<Summary>,
+    changes: Vec<AcceptedChange>,
+  ) -> Result {
+    let version = configuration.version;
+    if configuration.digest() != digest {
+      return Err(configuration::Error::Digest { version }.into());
+    }
+    let next = follow(configuration, &changes)?;
+    next.validate()?;
+    self.history = history;
+    self.window.clear();
+    self.window_base = Some((version, digest));
+    self.switch(next, digest, changes);
+    Ok(())
+  }
+
+  /// Puts a checked configuration in force. The one place where the held version changes.
+  fn switch(
+    &mut self,
+    configuration: Arc<Configuration>,
+    base_digest: Digest,
+    changes: Vec<AcceptedChange>,
+  ) {
+    self.raise_floor(configuration.version);
+    self.configuration = Some(configuration);
+    self.digest = Some(changes.last().map_or(base_digest, |change| change.digest));
+    for change in changes {
+      self.history.push(change.summary.clone());
+      self.remember(change);
+    }
+    let surplus = self.history.len().saturating_sub(Head::HISTORY_MAX);
+    self.history.drain(..surplus);
+  }
+
+  fn remember(&mut self, change: AcceptedChange) {
+    self.window.push_back(change);
+    if self.window.len() > Self::WINDOW_MAX {
+      self.window_base = self.window.pop_front().map(|old| (old.version(), old.digest));
+    }
+  }
+
+  /// The update that brings a daemon from `held` to the held version: a delta where the changes are
+  /// known and fewer bytes than the whole.
+  pub fn update_for(&self, held: Option<(Version, u64)>) -> Option<Update> {
+    let configuration = self.configuration.clone()?;
+    let digest = self.digest?;
+    if let Some(delta) = held.and_then(|held| self.delta_from(held, configuration.version)) {
+      return Some(delta);
+    }
+    let changes = Vec::new();
+    let history = self.history.clone();
+    Some(Update::Snapshot { changes, configuration, digest, history })
+  }
+
+  fn delta_from(&self, (base, prefix): (Version, u64), newest: Version) -> Option<Update> {
+    let made = self.window.iter().map(|change| (change.version(), change.digest));
+    let mut known = self.window_base.into_iter().chain(made);
+    let (_, base_digest) = known.find(|(version, _)| *version == base && base < newest)?;
+    if base_digest.prefix() != prefix {
+      return None;
+    }
+    let changes: Vec<AcceptedChange> =
+      self.window.iter().filter(|change| change.version() > base).cloned().collect();
+    let steps: usize = changes.iter().map(|change| change.operations.len()).sum();
+    if steps > self.configuration.as_ref()?.object_names().len() {
+      return None;
+    }
+    Some(Update::Delta { base, base_digest, changes })
+  }
+
+  /// The held version.
+  pub fn version(&self) -> Option<Version> {
+    self.configuration.as_ref().map(|configuration| configuration.version)
+  }
+}
+
+/// What `changes` make of `base`, each proved by its digest.
+fn follow(base: Arc<Configuration>, changes: &[AcceptedChange]) -> Result<Arc<Configuration>> {
+  let mut next = base;
+  for change in changes {
+    if change.version() != next.version.next() {
+      return Err(Error::Gap { base: change.version(), held: Some(next.version) });
+    }
+    next = Arc::new(next.apply(change)?);
+  }
+  Ok(next)
+}
+
+fn push_bounded<T>(queue: &mut VecDeque<T>, item: T, max: usize) {
+  if queue.len() == max {
+    queue.pop_front();
+  }
+  queue.push_back(item);
+}
--- /dev/null
+++ b/src/distribution/distributor/linking.rs
@@ -0,0 +1,234 @@
+use super::*;
+
+/// Finding relays, serving subscribers, and linking relays up with each other.
+impl Distributor {
+  /// Pause before a failed link between relays is tried again.
+  const MESH_RETRY_MS: u64 = 2_000;
+
+  pub(super) fn tick_upstream(&mut self) {
+    if self.is_relay() {
+      return;
+    }
+    if self.upstream.is_overdue(self.now.time) {
+      self.drop_upstream();
+    }
+    let target = self.upstream.tick(
+      self.now.time,
+      &self.own.peer,
+      &self.relays,
+      &self.identity.seeds,
+      &mut self.rng,
+    );
+    if let Some(peer) = target {
+      self.act(Action::OpenLink(peer));
+    }
+  }
+
+  /// Ends the present try or subscription, so that another box is tried.
+  pub(super) fn drop_upstream(&mut self) {
+    if let Some(link) = self.upstream.any_link() {
+      self.close_link(link);
+    }
+    self.upstream.fail(self.now.time, &mut self.rng);
+  }
+
+  pub(super) fn tick_mesh(&mut self) {
+    if !self.is_relay() {
+      return;
+    }
+    let own = self.own.peer.box_id.clone();
+    let linked: BTreeSet<BoxId> =
+      self.settled_links(LinkRole::Mesh).map(|(_, link)| link.peer.clone()).collect();
+    let wanted = self.relays.0.iter().map(|(_, peer)| peer);
+    let missing: BTreeSet<Peer> =
+      wanted.filter(|peer| peer.box_id > own && !linked.contains(&peer.box_id)).cloned().collect();
+    for peer in missing {
+      let due = self.mesh_next_at.get(&peer.box_id).is_none_or(|at| self.now.time >= *at);
+      if due {
+        let pause_ms = self.rng.random_range(Self::MESH_RETRY_MS / 2..=Self::MESH_RETRY_MS);
+        self.mesh_next_at.insert(peer.box_id.clone(), self.now.time.after(pause_ms));
+        self.act(Action::OpenLink(peer));
+      }
+    }
+  }
+
+  pub(super) fn link_opened(&mut self, link: LinkId, outbound: bool, peer: BoxId) {
+    self.links.insert(link, Link::new(self.now.time, peer.clone(), LinkRole::Pending));
+    if !outbound {
+      return;
+    }
+    if self.upstream.is_connecting(&peer) {
+      self.upstream.asked(self.now.time, link);
+      self.subscribe(link);
+      return;
+    }
+    if self.is_asking_floor(&peer) {
+      let question = Question::Floor { box_id: self.own.peer.box_id.clone() };
+      self.send(link, Message::Ask { hops: 0, id: InquiryId::default(), question });
+      return;
+    }
+    if self.is_relay() && self.relays.has(&peer) {
+      self.set_role(link, LinkRole::Mesh);
+      self.subscribe(link);
+      return;
+    }
+    self.close_link(link);
+  }
+
+  pub(super) fn link_failed(&mut self, box_id: &BoxId) {
+    self.floor_asked_ended(box_id);
+    if self.upstream.is_connecting(box_id) {
+      self.upstream.fail(self.now.time, &mut self.rng);
+    }
+  }
+
+  pub(super) fn link_closed(&mut self, link: LinkId) {
+    let Some(closed) = self.links.remove(&link) else {
+      return;
+    };
+    self.inquiries.link_closed(link);
+    self.floor_asked_ended(&closed.peer);
+    if self.upstream.any_link() == Some(link) {
+      self.upstream.fail(self.now.time, &mut self.rng);
+    }
+  }
+
+  pub(super) fn close_link(&mut self, link: LinkId) {
+    self.act(Action::CloseLink { link });
+    self.link_closed(link);
+  }
+
+  pub(super) fn close_silent_links(&mut self) {
+    let silence_ms = self.identity.timing.silence_ms();
+    let silent = |link: &Link| self.now.time.since_ms(link.heard_at) > silence_ms;
+    let closing: Vec<LinkId> =
+      self.links.iter().filter(|(_, link)| silent(link)).map(|(id, _)| *id).collect();
+    for link in closing {
+      self.close_link(link);
+    }
+  }
+
+  pub(super) fn set_role(&mut self, link: LinkId, role: LinkRole) {
+    if let Some(link) = self.links.get_mut(&link) {
+      link.role = role;
+    }
+  }
+
+  pub(super) fn subscribe(&mut self, link: LinkId) {
+    let subscribe = Subscribe {
+      desperate: self.upstream.is_desperate(self.relays.0.len()),
+      endpoint: self.own.clone(),
+      endpoints: self.endpoints.fingerprint(),
+      relay: self.is_relay(),
+      version: self.catalog.held(),
+    };
+    self.send(link, Message::Subscribe(Box::new(subscribe)));
+  }
+
+  /// A neighbour asks to be served. A relay serves up to its limit; any other daemon serves only
+  /// one that found no relay, and only with a configuration to give.
+  pub(super) fn subscription_asked(&mut self, link: LinkId, subscribe: Subscribe) {
+    let Some(known) = self.links.get(&link) else {
+      return;
+    };
+    let peer = known.peer.clone();
+    if subscribe.endpoint.peer.box_id != peer {
+      self.close_link(link);
+      return;
+    }
+    let is_new = known.role == LinkRole::Pending;
+    let relays = self.relays.clone();
+    let floor = self.floor_for(&peer);
+    if is_new && !self.may_serve(&subscribe) {
+      self.send(link, Message::Redirect { floor, relays });
+      return;
+    }
+    let role = if subscribe.relay { LinkRole::Mesh } else { LinkRole::Downstream };
+    self.set_role(link, role);
+    self.note_version(link, subscribe.version);
+    self.send(link, Message::Welcome { floor, relays });
+    self.sync_endpoints_unless(link, subscribe.endpoints);
+    self.news_received(link, vec![subscribe.endpoint]);
+    self.push_update(link);
+  }
+
+  fn may_serve(&self, subscribe: &Subscribe) -> bool {
+    if self.own.state == EndpointState::Leaving {
+      return false;
+    }
+    if subscribe.relay && self.is_relay() {
+      return true;
+    }
+    let has_room = self.settled_links(LinkRole::Downstream).count() < Self::DOWNSTREAM_MAX;
+    let is_source = self.upstream.link().is_some() || self.catalog.version().is_some();
+    has_room && (self.is_relay() || (subscribe.desperate && is_source))
+  }
+
+  pub(super) fn redirected(&mut self, link: LinkId, floor: Version, relays: Relays) {
+    let Some(known) = self.links.get(&link) else {
+      return;
+    };
+    self.floor_heard(known.peer.clone(), floor);
+    self.learn_relays(relays);
+    if self.upstream.any_link() == Some(link) {
+      self.drop_upstream();
+    } else {
+      self.close_link(link);
+    }
+  }
+
+  pub(super) fn welcomed(&mut self, link: LinkId, floor: Version, relays: Relays) {
+    let Some(known) = self.links.get(&link) else {
+      return;
+    };
+    let peer = known.peer.clone();
+    self.floor_heard(peer.clone(), floor);
+    self.learn_relays(relays);
+    if !self.upstream.is_asking(link) {
+      return;
+    }
+    self.upstream.welcomed(link);
+    self.set_role(link, LinkRole::Upstream);
+    let is_relayed = self.relays.has(&peer);
+    self.own.relay = Some(peer);
+    self.announce();
+    if is_relayed {
+      // Those who came here for want of a relay can go to one now.
+      self.redirect_subscribers();
+    }
+  }
+
+  /// Takes over what a neighbour knows of the relays. A relay knows better, from the store.
+  fn learn_relays(&mut self, relays: Relays) {
+    if !self.is_relay() && !relays.0.is_empty() {
+      self.relays = relays;
+    }
+  }
+
+  pub(super) fn relays_received(&mut self, link: LinkId, relays: Relays) {
+    if self.upstream.link() != Some(link) {
+      return;
+    }
+    self.learn_relays(relays);
+    self.tell_relays();
+  }
+
+  /// Tells the subscribers which relays there are.
+  pub(super) fn tell_relays(&mut self) {
+    let links: Vec<LinkId> = self.settled_links(LinkRole::Downstream).map(|(id, _)| id).collect();
+    for link in links {
+      self.send(link, Message::Relays(self.relays.clone()));
+    }
+  }
+
+  /// Sends the subscribers elsewhere, once this daemon is no relay any more.
+  pub(super) fn redirect_subscribers(&mut self) {
+    let links: Vec<(LinkId, BoxId)> =
+      self.settled_links(LinkRole::Downstream).map(|(id, link)| (id, link.peer.clone())).collect();
+    for (link, peer) in links {
+      let floor = self.floor_for(&peer);
+      self.send(link, Message::Redirect { floor, relays: self.relays.clone() });
+      self.set_role(link, LinkRole::Pending);
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/distributor/news.rs
@@ -0,0 +1,191 @@
+use super::*;
+
+/// News about endpoints.
+impl Distributor {
+  /// Endpoints in one message.
+  const NEWS_BATCH: usize = 64;
+  /// Differing beats in a row after which the whole table is sent.
+  const MISMATCHES_MAX: u32 = 3;
+  /// Shortest time between two whole tables on one link.
+  const SYNC_PAUSE_MS: u64 = 15_000;
+
+  pub(super) fn change_state(&mut self, state: EndpointState) {
+    if self.own.state == state || self.own.state == EndpointState::Leaving {
+      return;
+    }
+    self.own.state = state;
+    self.announce();
+    if state != EndpointState::Leaving {
+      return;
+    }
+    if let Some(slot) = self.election.held().cloned() {
+      if let Some(request) = self.election.resign() {
+        self.call_store(request);
+      }
+      self.step_down(&slot);
+    }
+  }
+
+  /// Announces the daemon's own endpoint anew.
+  pub(super) fn announce(&mut self) {
+    self.own.sequence += 1;
+    self.endpoints.merge(self.now.time, self.own.clone());
+    self.spread(&self.own.peer.box_id.clone(), None);
+    self.act(Action::EndpointsChanged);
+  }
+
+  /// Marks the news about a box for all neighbours but the one it came from.
+  fn spread(&mut self, box_id: &BoxId, from: Option<LinkId>) {
+    for (id, link) in &mut self.links {
+      if link.is_settled() && Some(*id) != from {
+        link.dirty.insert(box_id.clone());
+      }
+    }
+    let due = self.now.time.after(self.identity.timing.news_delay_ms);
+    self.news_due.get_or_insert(due);
+  }
+
+  pub(super) fn news_received(&mut self, link: LinkId, endpoints: Vec<Endpoint>) {
+    let mut changed = false;
+    for endpoint in endpoints {
+      let box_id = endpoint.peer.box_id.clone();
+      if box_id == self.own.peer.box_id {
+        self.refute(&endpoint);
+        continue;
+      }
+      if self.endpoints.merge(self.now.time, endpoint) {
+        changed = true;
+        self.spread(&box_id, Some(link));
+      }
+    }
+    if changed {
+      self.act(Action::EndpointsChanged);
+    }
+  }
+
+  /// Answers news about this box that is not its own, such as its loss, with a later announcement.
+  fn refute(&mut self, rumour: &Endpoint) {
+    if !rumour.is_newer_than(&self.own) {
+      return;
+    }
+    if rumour.incarnation > self.own.incarnation {
+      self.own.incarnation = rumour.incarnation.next();
+    }
+    self.own.sequence = self.own.sequence.max(rumour.sequence);
+    self.announce();
+  }
+
+  pub(super) fn flush_news(&mut self) {
+    if self.news_due.is_none_or(|due| self.now.time < due) {
+      return;
+    }
+    self.news_due = None;
+    let links: Vec<LinkId> = self.links.keys().copied().collect();
+    for link in links {
+      let Some(known) = self.links.get_mut(&link) else {
+        continue;
+      };
+      let dirty = std::mem::take(&mut known.dirty);
+      let endpoints = dirty.iter().filter_map(|id| self.endpoints.get(id)).cloned().collect();
+      self.send_news(link, endpoints);
+    }
+  }
+
+  fn send_news(&mut self, link: LinkId, endpoints: Vec<Endpoint>) {
+    for batch in endpoints.chunks(Self::NEWS_BATCH) {
+      self.send(link, Message::News(batch.to_vec()));
+    }
+  }
+
+  /// Sends the whole table where the neighbour's differs.
+  pub(super) fn sync_endpoints_unless(&mut self, link: LinkId, fingerprint: u64) {
+    if fingerprint == self.endpoints.fingerprint() {
+      return;
+    }
+    let now = self.now.time;
+    if let Some(link) = self.links.get_mut(&link) {
+      link.dirty.clear();
+      link.mismatches = 0;
+      link.synced_at = Some(now);
+    }
+    let all = self.endpoints.iter().cloned().collect();
+    self.send_news(link, all);
+  }
+
+  /// Counts how often a neighbour's table differed, and sends the whole once it stays so.
+  pub(super) fn compare_endpoints(&mut self, link: LinkId, fingerprint: u64) {
+    let differs = fingerprint != self.endpoints.fingerprint();
+    let now = self.now.time;
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.mismatches = if differs { known.mismatches + 1 } else { 0 };
+    let rested = known.synced_at.is_none_or(|at| now.since_ms(at) >= Self::SYNC_PAUSE_MS);
+    if known.mismatches >= Self::MISMATCHES_MAX && rested {
+      self.sync_endpoints_unless(link, fingerprint);
+    }
+  }
+
+  /// A relay looks for boxes of its data hall that no relay hears from.
+  pub(super) fn note_departures(&mut self) {
+    if !self.is_relay() {
+      self.departures.clear();
+      return;
+    }
+    let due = self.now.time.after(2 * self.identity.timing.silence_ms());
+    let unheard: Vec<(BoxId, Incarnation, u64)> = self
+      .endpoints
+      .present()
+      .filter(|endpoint| self.is_unheard(endpoint))
+      .map(|endpoint| (endpoint.peer.box_id.clone(), endpoint.incarnation, endpoint.sequence))
+      .collect();
+    let still: BTreeSet<BoxId> = unheard.iter().map(|(box_id, ..)| box_id.clone()).collect();
+    self.departures.retain(|box_id, _| still.contains(box_id));
+    for (box_id, incarnation, sequence) in unheard {
+      let known = self.departures.get(&box_id);
+      if known.is_none_or(|(life, step, _)| (*life, *step) != (incarnation, sequence)) {
+        self.departures.insert(box_id, (incarnation, sequence, due));
+      }
+    }
+  }
+
+  fn is_unheard(&self, endpoint: &Endpoint) -> bool {
+    let own = &self.own.peer;
+    if endpoint.peer.box_id == own.box_id || endpoint.peer.data_hall != own.data_hall {
+      return false;
+    }
+    let Some(relay) = &endpoint.relay else {
+      return true;
+    };
+    if *relay == own.box_id {
+      return !self
+        .links
+        .values()
+        .any(|link| link.is_settled() && link.peer == endpoint.peer.box_id);
+    }
+    !self.relays.has(relay)
+  }
+
+  /// Declares boxes lost that nobody has heard from for long enough.
+  pub(super) fn declare_lost(&mut self) {
+    let now = self.now.time;
+    let over: Vec<BoxId> = self
+      .departures
+      .iter()
+      .filter(|(_, (.., due))| now >= *due)
+      .map(|(box_id, _)| box_id.clone())
+      .collect();
+    for box_id in over {
+      self.departures.remove(&box_id);
+      let Some(mut endpoint) = self.endpoints.get(&box_id).cloned() else {
+        continue;
+      };
+      endpoint.state = EndpointState::Lost;
+      if self.endpoints.merge(now, endpoint) {
+        self.log(format!("box {box_id} is lost: no relay hears from it"));
+        self.spread(&box_id, None);
+        self.act(Action::EndpointsChanged);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/distributor/pushing.rs
@@ -0,0 +1,190 @@
+use super::*;
+
+/// Beats, and updates from neighbour to neighbour.
+impl Distributor {
+  /// Milliseconds for which a relay leaves it to the store to bring another relay up to date.
+  const MESH_PUSH_DELAY_MS: u64 = 300;
+  /// Unsound updates on one link after which another source is tried.
+  const REFUSALS_MAX: u32 = 2;
+
+  fn beat(&self) -> Beat {
+    let applied = self.catalog.provenance().last();
+    Beat {
+      applied_unix_ms: applied.map_or(0, |provenance| provenance.applied_unix_ms),
+      endpoints: self.endpoints.fingerprint(),
+      store_age_ms: self.store_age_ms(),
+      version: self.catalog.held(),
+    }
+  }
+
+  /// Milliseconds since the store last confirmed the held version.
+  pub(super) fn store_age_ms(&self) -> Option<u64> {
+    self.confirmed_at.map(|at| self.now.time.since_ms(at))
+  }
+
+  pub(super) fn send_beats(&mut self, to: impl Fn(&Link) -> bool) {
+    let beat = self.beat();
+    let links: Vec<LinkId> = self
+      .links
+      .iter()
+      .filter(|(_, link)| link.is_settled() && to(link))
+      .map(|(id, _)| *id)
+      .collect();
+    for link in links {
+      self.send(link, Message::Beat(beat.clone()));
+    }
+  }
+
+  pub(super) fn beat_received(&mut self, link: LinkId, beat: &Beat) {
+    self.note_version(link, beat.version);
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.applied_unix_ms = beat.applied_unix_ms;
+    let role = known.role;
+    let peer = known.peer.clone();
+    if self.upstream.link() == Some(link) {
+      self.upstream.progressed();
+    }
+    self.compare_endpoints(link, beat.endpoints);
+    let Some((version, prefix)) = beat.version else {
+      return;
+    };
+    if self.catalog.held().is_some_and(|held| held.0 == version && held.1 != prefix) {
+      self.log(format!("box {peer} holds version {version} with other content"));
+      return;
+    }
+    let is_source = matches!(role, LinkRole::Mesh | LinkRole::Upstream);
+    if let Some(age_ms) = beat.store_age_ms.filter(|_| is_source) {
+      self.confirm(version, age_ms);
+    }
+  }
+
+  /// The store was known `age_ms` ago to have `version` as its newest.
+  pub(super) fn confirm(&mut self, version: Version, age_ms: u64) {
+    if self.catalog.version() != Some(version) {
+      return;
+    }
+    let at = Time(self.now.time.0.saturating_sub(age_ms));
+    self.confirmed_at = self.confirmed_at.max(Some(at));
+  }
+
+  pub(super) fn note_version(&mut self, link: LinkId, version: Option<(Version, u64)>) {
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.version = version;
+    if let Some((version, _)) = version {
+      known.refusal = known.refusal.take().filter(|_| Some(version) < self.catalog.version());
+      let record = self.records.entry(known.peer.clone()).or_default();
+      *record = version.max(*record);
+    }
+  }
+
+  /// Takes in an update from a neighbour.
+  pub(super) fn update_received(&mut self, link: LinkId, update: Update) {
+    let fresh = self.catalog.version().is_none();
+    if fresh && !self.floor.is_known(self.now.time) {
+      let early = self.floor.early.as_ref().map(|(_, early)| early.version());
+      if early.is_none_or(|early| update.version() > early) {
+        self.floor.early = Some((link, update));
+      }
+      return;
+    }
+    let from = self.links.get(&link).map(|link| link.peer.clone());
+    match self.catalog.take(update, from, self.now.unix_ms) {
+      Ok(()) => self.switched(),
+      Err(Error::Backwards { .. }) => {}
+      Err(err) => self.refuse(link, &err),
+    }
+  }
+
+  /// An unsound update changes nothing. The sender is told, and left if it happens again.
+  fn refuse(&mut self, link: LinkId, err: &Error) {
+    self.log(format!("an update was refused: {err}"));
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.unsound += 1;
+    if known.unsound >= Self::REFUSALS_MAX && self.upstream.link() == Some(link) {
+      self.drop_upstream();
+      return;
+    }
+    self.send(link, Message::Refused { reason: err.to_string() });
+  }
+
+  /// A neighbour refused an update: send the whole, but not again and again.
+  pub(super) fn update_refused(&mut self, link: LinkId, reason: String) {
+    let resend_ms = self.resend_ms();
+    let now = self.now.time;
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.refusal = Some(reason);
+    let rested = known.whole_sent_at.is_none_or(|at| now.since_ms(at) >= resend_ms);
+    let Some(update) = self.catalog.update_for(None).filter(|_| rested) else {
+      return;
+    };
+    known.whole_sent_at = Some(now);
+    known.sent = Some((update.version(), now));
+    self.send(link, Message::Update(update));
+  }
+
+  /// A newer version is in force here: tell those who sent it, and bring it to those who lack it.
+  pub(super) fn switched(&mut self) {
+    let Some(configuration) = self.catalog.configuration().cloned() else {
+      return;
+    };
+    self.act(Action::Apply(configuration));
+    self.push_due = Some(self.now.time.after(self.identity.timing.push_delay_ms));
+    self.send_beats(|link| link.role != LinkRole::Downstream);
+    if self.identity.timing.push_delay_ms == 0 {
+      self.push_updates();
+    }
+  }
+
+  /// Sends the newest version to every neighbour that lacks it, where the time has come.
+  pub(super) fn push_updates(&mut self) {
+    if self.push_due.is_some_and(|due| self.now.time < due) {
+      return;
+    }
+    let Some(version) = self.catalog.version() else {
+      return;
+    };
+    let switched_at = self.push_due.take();
+    if switched_at.is_some() {
+      self.mesh_push_at = self.now.time.after(Self::MESH_PUSH_DELAY_MS);
+    }
+    let resend_ms = self.resend_ms();
+    let now = self.now.time;
+    let mesh_due = now >= self.mesh_push_at;
+    let wants = |link: &Link| {
+      (link.role != LinkRole::Mesh || mesh_due) && link.wants(now, version, resend_ms)
+    };
+    let links: Vec<LinkId> =
+      self.links.iter().filter(|(_, link)| wants(link)).map(|(id, _)| *id).collect();
+    for link in links {
+      self.push_update(link);
+    }
+  }
+
+  pub(super) fn push_update(&mut self, link: LinkId) {
+    let resend_ms = self.resend_ms();
+    let now = self.now.time;
+    let Some((version, known)) = self.catalog.version().zip(self.links.get_mut(&link)) else {
+      return;
+    };
+    if !known.wants(now, version, resend_ms) {
+      return;
+    }
+    known.sent = Some((version, now));
+    let held = known.version;
+    if let Some(update) = self.catalog.update_for(held) {
+      self.send(link, Message::Update(update));
+    }
+  }
+
+  fn resend_ms(&self) -> u64 {
+    2 * self.identity.timing.beat_ms
+  }
+}
--- /dev/null
+++ b/src/distribution/distributor/status.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+/// What a daemon knows about its own part in distribution.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+  /// Subscribers served.
+  pub downstream: usize,
+  /// Links to other relays.
+  pub mesh: usize,
+  /// The relays known.
+  pub relays: Relays,
+  /// The relay slot held.
+  pub slot: Option<String>,
+  /// Milliseconds since the store last confirmed the held version.
+  pub store_age_ms: Option<u64>,
+  /// The store's newest version where it is older than the held one.
+  pub store_behind: Option<Version>,
+  /// The box that serves this one.
+  pub upstream: Option<BoxId>,
+  /// The version held.
+  pub version: Option<Version>,
+}
+
+impl Distributor {
+  /// The configuration held, with how it came.
+  pub fn catalog(&self) -> &Catalog {
+    &self.catalog
+  }
+
+  /// The newest news about every box.
+  pub fn endpoints(&self) -> &EndpointTable {
+    &self.endpoints
+  }
+
+  /// The daemon's own endpoint.
+  pub fn own_endpoint(&self) -> &Endpoint {
+    &self.own
+  }
+
+  /// What this daemon knows about its own part, as of the last event.
+  pub fn status(&self) -> Status {
+    let upstream = self.upstream.link().and_then(|link| self.links.get(&link));
+    Status {
+      downstream: self.settled_links(LinkRole::Downstream).count(),
+      mesh: self.settled_links(LinkRole::Mesh).count(),
+      relays: self.relays.clone(),
+      slot: self.election.held().map(ToString::to_string),
+      store_age_ms: self.store_age_ms(),
+      store_behind: self.store_behind,
+      upstream: upstream.map(|link| link.peer.clone()),
+      version: self.catalog.version(),
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/distributor/storing.rs
@@ -0,0 +1,209 @@
+use super::*;
+
+/// Relay slots and the watch on the store.
+impl Distributor {
+  pub(super) fn tick_election(&mut self) {
+    let boxes = self.data_hall_size();
+    let wanted = Relays::wanted(boxes);
+    let data_hall = &self.own.peer.data_hall;
+    let vacant = self.own.state != EndpointState::Leaving
+      && self.relays.free_slot(data_hall, wanted).is_some();
+    let call = self.next_call();
+    let step = self.election.tick(
+      self.now.time,
+      vacant,
+      boxes,
+      &self.identity.timing,
+      &self.own.peer,
+      call,
+      &mut self.rng,
+    );
+    self.election_steps(step.into_iter().collect());
+  }
+
+  fn election_steps(&mut self, steps: Vec<Step>) {
+    for step in steps {
+      match step {
+        Step::Call(request) => self.call_store(request),
+        Step::Lost(slot) => self.step_down(&slot),
+        Step::Seen(entries) => self.relays_listed(&entries),
+        Step::Won(slot) => self.step_up(slot),
+      }
+    }
+  }
+
+  fn relays_listed(&mut self, entries: &[Entry]) {
+    let own = self.own.peer.data_hall.clone();
+    self.relays.0.retain(|(slot, _)| slot.data_hall != own);
+    for entry in entries {
+      let peer = serde_json::from_str(&entry.value).ok();
+      if let Some(slot) = keys::slot_of(&entry.key) {
+        self.relays.set(slot, peer);
+      }
+    }
+  }
+
+  fn step_up(&mut self, slot: RelaySlot) {
+    self.log(format!("this box holds relay slot {slot}"));
+    let former = self.upstream.link();
+    self.relays.set(slot, Some(self.own.peer.clone()));
+    self.own.relay = Some(self.own.peer.box_id.clone());
+    self.upstream.rest();
+    if let Some(link) = former {
+      self.set_role(link, LinkRole::Mesh);
+      self.subscribe(link);
+    }
+    self.announce();
+    self.tell_relays();
+  }
+
+  pub(super) fn step_down(&mut self, slot: &RelaySlot) {
+    self.log(format!("this box no longer holds relay slot {slot}"));
+    self.watcher.rest();
+    self.relays.set(slot.clone(), None);
+    self.redirect_subscribers();
+    let mesh: Vec<LinkId> = self.settled_links(LinkRole::Mesh).map(|(id, _)| id).collect();
+    for link in mesh {
+      self.close_link(link);
+    }
+  }
+
+  pub(super) fn tick_watcher(&mut self) {
+    if !self.is_relay() {
+      return;
+    }
+    let call = self.next_call();
+    if let Some(request) = self.watcher.tick(self.now.time, call) {
+      self.call_store(request);
+    }
+  }
+
+  pub(super) fn store_answered(&mut self, call: u64, result: &store::Result<Reply>) {
+    let wanted = Relays::wanted(self.data_hall_size());
+    let next_call = self.next_call();
+    let steps = self.election.answered(
+      self.now.time,
+      (call, result),
+      wanted,
+      &self.identity.timing,
+      &self.own.peer,
+      next_call,
+    );
+    if let Some(steps) = steps {
+      self.election_steps(steps);
+      return;
+    }
+    let answered = self.watcher.answered(self.now.time, call, result, next_call, &mut self.rng);
+    if let Some((seen, request)) = answered {
+      if let Some(request) = request {
+        self.call_store(request);
+      }
+      self.store_seen(seen);
+    }
+  }
+
+  fn store_seen(&mut self, seen: Seen) {
+    if seen.listed {
+      self.relays = Relays::default();
+    }
+    let relays_changed = !seen.relays.is_empty();
+    for (slot, peer) in seen.relays {
+      self.relays.set(slot, peer);
+    }
+    if relays_changed {
+      self.tell_relays();
+    }
+    if let Some(configuration) = seen.snapshot {
+      self.snapshot_read(configuration);
+    }
+    if seen.listed || seen.head {
+      self.take_head();
+    }
+    if seen.confirmed {
+      let newest = self.watcher.head().map_or(Version(0), |head| head.version);
+      self.note_store_version(newest);
+      self.confirm(newest, 0);
+    }
+  }
+
+  /// A store that knows only older versions than this box was restored, or lost its content.
+  fn note_store_version(&mut self, newest: Version) {
+    let behind = self.catalog.version().is_some_and(|held| newest < held).then_some(newest);
+    if behind.is_some() && behind != self.store_behind {
+      self.log(format!("the store knows version {newest} as its newest, which is behind this box"));
+    }
+    self.store_behind = behind;
+  }
+
+  /// Goes on to the store's newest version, by the changes since the held one where the head still
+  /// has them, and by the snapshot otherwise.
+  pub(super) fn take_head(&mut self) {
+    let listed = self.store_was_listed();
+    if !self.is_relay() || !listed || !self.floor.is_known(self.now.time) {
+      return;
+    }
+    let Some(head) = self.watcher.head().cloned() else {
+      self.take_genesis();
+      return;
+    };
+    let held = self.catalog.version();
+    if held.is_some_and(|held| held >= head.version) {
+      return;
+    }
+    let Some(base) = held.filter(|held| *held >= head.snapshot_version) else {
+      let call = self.next_call();
+      if let Some(request) = self.watcher.read_snapshot(call) {
+        self.call_store(request);
+      }
+      return;
+    };
+    self.take_from_store(Self::delta_of(&head, base));
+  }
+
+  fn store_was_listed(&self) -> bool {
+    self.watcher.is_listed()
+  }
+
+  /// A store without any version stands for the empty configuration.
+  fn take_genesis(&mut self) {
+    if self.catalog.version().is_some() {
+      return;
+    }
+    let configuration = Arc::new(Configuration::default());
+    let digest = configuration.digest();
+    let (changes, history) = (Vec::new(), Vec::new());
+    self.take_from_store(Update::Snapshot { changes, configuration, digest, history });
+  }
+
+  fn snapshot_read(&mut self, configuration: Configuration) {
+    let Some(head) = self.watcher.head().cloned() else {
+      return;
+    };
+    let held = self.catalog.version();
+    let newer = held.is_none_or(|held| held < head.version);
+    if configuration.version != head.snapshot_version || !newer {
+      return;
+    }
+    let is_before = |summary: &&Summary| summary.version <= head.snapshot_version;
+    self.take_from_store(Update::Snapshot {
+      changes: head.tail.clone(),
+      configuration: Arc::new(configuration),
+      digest: head.snapshot_digest,
+      history: head.history.iter().filter(is_before).cloned().collect(),
+    });
+  }
+
+  fn delta_of(head: &Head, base: Version) -> Update {
+    let before = head.tail.iter().take_while(|change| change.version() <= base).last();
+    let base_digest = before.map_or(head.snapshot_digest, |change| change.digest);
+    let changes = head.tail.iter().filter(|change| change.version() > base).cloned().collect();
+    Update::Delta { base, base_digest, changes }
+  }
+
+  fn take_from_store(&mut self, update: Update) {
+    match self.catalog.take(update, None, self.now.unix_ms) {
+      Ok(()) => self.switched(),
+      Err(err) => self.log(format!("the store's version was refused: {err}")),
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/election.rs
@@ -0,0 +1,224 @@
+use super::*;
+
+/// How a daemon takes a relay slot of its data hall and keeps it, by a lease in the store.
+///
+/// Two daemons that both believe they hold a slot harm nothing: an update is applied only where it
+/// leads forward, and both lead to the same accepted versions.
+#[derive(Clone, Debug, Default)]
+pub struct Election {
+  phase: Phase,
+  /// Failed tries in a row.
+  failures: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+enum Phase {
+  Creating {
+    call: u64,
+    lease: LeaseId,
+    since: Time,
+    slot: RelaySlot,
+  },
+  Granting {
+    call: u64,
+    since: Time,
+    slot: RelaySlot,
+  },
+  Holding {
+    lease: LeaseId,
+    renewal: Option<u64>,
+    renewed_at: Time,
+    slot: RelaySlot,
+  },
+  #[default]
+  Idle,
+  Listing {
+    call: u64,
+  },
+  Waiting {
+    until: Time,
+  },
+}
+
+/// What an election asks for.
+pub(super) enum Step {
+  /// Call the store.
+  Call(StoreRequest),
+  /// The slot is held from now on.
+  Won(RelaySlot),
+  /// The lease ended.
+  Lost(RelaySlot),
+  /// The relays of the data hall, as the store has them.
+  Seen(Vec<Entry>),
+}
+
+impl Election {
+  /// Milliseconds over which candidates spread, per box of the data hall.
+  const SPREAD_PER_BOX_MS: u64 = 16;
+  /// Milliseconds over which candidates spread at least.
+  const SPREAD_MIN_MS: u64 = 300;
+
+  /// The held slot.
+  pub fn held(&self) -> Option<&RelaySlot> {
+    match &self.phase {
+      Phase::Holding { slot, .. } => Some(slot),
+      _ => None,
+    }
+  }
+
+  /// Lets time pass. `boxes` is the size of the data hall.
+  pub(super) fn tick(
+    &mut self,
+    now: Time,
+    vacant: bool,
+    boxes: usize,
+    timing: &Timing,
+    own: &Peer,
+    call: u64,
+    rng: &mut ChaCha8Rng,
+  ) -> Option<Step> {
+    match &mut self.phase {
+      Phase::Holding { lease, renewal: renewal @ None, renewed_at, .. }
+        if now.since_ms(*renewed_at) >= timing.lease_ttl_ms / 3 =>
+      {
+        *renewal = Some(call);
+        *renewed_at = now;
+        Some(Step::Call(StoreRequest::RenewLease { lease: *lease }))
+      }
+      Phase::Idle if vacant => {
+        let spread_ms = Self::SPREAD_MIN_MS.max(Self::SPREAD_PER_BOX_MS * boxes as u64);
+        let delay_ms = rng.random_range(0..=spread_ms << self.failures.min(4));
+        self.phase = Phase::Waiting { until: now.after(delay_ms) };
+        None
+      }
+      Phase::Waiting { .. } if !vacant => {
+        self.phase = Phase::Idle;
+        None
+      }
+      Phase::Waiting { until } if now >= *until => {
+        self.phase = Phase::Listing { call };
+        Some(Step::Call(StoreRequest::List { prefix: keys::relays_of(&own.data_hall) }))
+      }
+      _ => None,
+    }
+  }
+
+  /// Takes in the answer to one of the election's calls; nothing where the call is not its own.
+  pub(super) fn answered(
+    &mut self,
+    now: Time,
+    answer: (u64, &store::Result<Reply>),
+    wanted: u32,
+    timing: &Timing,
+    own: &Peer,
+    next_call: u64,
+  ) -> Option<Vec<Step>> {
+    let (call, result) = answer;
+    match std::mem::take(&mut self.phase) {
+      Phase::Listing { call: own_call } if own_call == call => {
+        Some(self.listed(now, result, wanted, timing, own, next_call))
+      }
+      Phase::Granting { call: own_call, since, slot } if own_call == call => {
+        Some(self.granted(since, result, slot, own, next_call))
+      }
+      Phase::Creating { call: own_call, lease, since, slot } if own_call == call => {
+        Some(self.created(since, result, lease, slot))
+      }
+      Phase::Holding { lease, renewal: Some(renewal), renewed_at, slot } if renewal == call => {
+        Some(self.renewed(result, lease, renewed_at, slot))
+      }
+      other => {
+        self.phase = other;
+        None
+      }
+    }
+  }
+
+  fn listed(
+    &mut self,
+    now: Time,
+    result: &store::Result<Reply>,
+    wanted: u32,
+    timing: &Timing,
+    own: &Peer,
+    call: u64,
+  ) -> Vec<Step> {
+    let Ok(Reply::Entries { entries, .. }) = result else {
+      self.failures += 1;
+      return Vec::new();
+    };
+    let seen = Step::Seen(entries.clone());
+    let mut relays = Relays::default();
+    for entry in entries {
+      let peer = serde_json::from_str(&entry.value).ok();
+      let slot = keys::slot_of(&entry.key);
+      if let Some((slot, peer)) = slot.zip(peer) {
+        relays.set(slot, Some(peer));
+      }
+    }
+    let Some(slot) = relays.free_slot(&own.data_hall, wanted) else {
+      self.failures = 0;
+      return vec![seen];
+    };
+    self.phase = Phase::Granting { call, since: now, slot };
+    vec![seen, Step::Call(StoreRequest::GrantLease { ttl_ms: timing.lease_ttl_ms })]
+  }
+
+  fn granted(
+    &mut self,
+    since: Time,
+    result: &store::Result<Reply>,
+    slot: RelaySlot,
+    own: &Peer,
+    call: u64,
+  ) -> Vec<Step> {
+    let Ok(Reply::Lease { lease }) = result else {
+      self.failures += 1;
+      return Vec::new();
+    };
+    let key = keys::relay(&slot);
+    self.phase = Phase::Creating { call, lease: *lease, since, slot };
+    let value = serde_json::to_string(own).expect("a peer is plain data");
+    vec![Step::Call(StoreRequest::Create { key, lease: Some(*lease), value })]
+  }
+
+  fn created(
+    &mut self,
+    since: Time,
+    result: &store::Result<Reply>,
+    lease: LeaseId,
+    slot: RelaySlot,
+  ) -> Vec<Step> {
+    if result.is_err() {
+      self.failures += 1;
+      return vec![Step::Call(StoreRequest::RevokeLease { lease })];
+    }
+    self.failures = 0;
+    self.phase = Phase::Holding { lease, renewal: None, renewed_at: since, slot: slot.clone() };
+    vec![Step::Won(slot)]
+  }
+
+  /// A lease that the store says has ended is lost. Silence of the store is not: with the store
+  /// down nobody else can take the slot.
+  fn renewed(
+    &mut self,
+    result: &store::Result<Reply>,
+    lease: LeaseId,
+    renewed_at: Time,
+    slot: RelaySlot,
+  ) -> Vec<Step> {
+    if matches!(result, Err(store::Error::Refused(Refusal::LeaseEnded))) {
+      return vec![Step::Lost(slot)];
+    }
+    self.phase = Phase::Holding { lease, renewal: None, renewed_at, slot };
+    Vec::new()
+  }
+
+  /// Gives the slot up, for a planned stop.
+  pub(super) fn resign(&mut self) -> Option<StoreRequest> {
+    match std::mem::take(&mut self.phase) {
+      Phase::Holding { lease, .. } => Some(StoreRequest::RevokeLease { lease }),
+      _ => None,
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/event.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+/// What happens to a [`Distributor`].
+#[derive(Clone, Debug)]
+pub enum Event {
+  /// The operators' side asks the fleet. Ends with [`Action::Answer`].
+  Asked {
+    /// The question.
+    question: Question,
+    /// Named again in the answer.
+    token: u64,
+  },
+  /// The daemon answers [`Action::Consult`].
+  Consulted {
+    /// The inquiry.
+    id: InquiryId,
+    /// What the daemon knows.
+    reports: Vec<Report>,
+  },
+  /// The state of the daemon's own backend server changed.
+  EndpointState(EndpointState),
+  /// A link ended.
+  LinkClosed {
+    /// The link.
+    link: LinkId,
+  },
+  /// A link could not be opened.
+  LinkFailed {
+    /// The box that should be at its other end.
+    box_id: BoxId,
+  },
+  /// A link opened, and the peer proved the fleet key.
+  LinkOpened {
+    /// The link.
+    link: LinkId,
+    /// Whether this daemon opened it.
+    outbound: bool,
+    /// The box at the other end.
+    peer: BoxId,
+  },
+  /// A message came.
+  Received {
+    /// The link.
+    link: LinkId,
+    /// The message.
+    message: Message,
+  },
+  /// The store answered a call.
+  StoreAnswered {
+    /// The call.
+    call: u64,
+    /// The answer.
+    result: store::Result<Reply>,
+  },
+  /// Time passed. Comes every [`Distributor::TICK_MS`] milliseconds.
+  Tick,
+}
--- /dev/null
+++ b/src/distribution/message.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// What two daemons say to each other over a link.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+  /// Answers an inquiry.
+  Answer {
+    /// The asker's id of the inquiry.
+    id: InquiryId,
+    /// What is known.
+    reports: Vec<Report>,
+  },
+  /// An inquiry.
+  Ask {
+    /// Daemons that the inquiry may still pass.
+    hops: u8,
+    /// The asker's id of the inquiry.
+    id: InquiryId,
+    /// The question.
+    question: Question,
+  },
+  /// The regular word.
+  Beat(Beat),
+  /// News about endpoints.
+  News(Vec<Endpoint>),
+  /// The sender does not serve the receiver: go elsewhere.
+  Redirect {
+    /// The highest version that the sender knows the receiver's box, or itself, to have held.
+    floor: Version,
+    /// The relays that the sender knows.
+    relays: Relays,
+  },
+  /// The sender did not apply an update and asks for the whole.
+  Refused {
+    /// Why.
+    reason: String,
+  },
+  /// The relays changed.
+  Relays(Relays),
+  /// Asks for configuration and news.
+  Subscribe(Box<Subscribe>),
+  /// A newer version.
+  Update(Update),
+  /// The sender serves the receiver from now on.
+  Welcome {
+    /// The highest version that the sender knows the receiver's box, or itself, to have held.
+    floor: Version,
+    /// The relays that the sender knows.
+    relays: Relays,
+  },
+}
--- /dev/null
+++ b/src/distribution/mod.rs
@@ -0,0 +1,82 @@
+//! How one accepted configuration, and the news about endpoints, reach every daemon.
+//!
+//! [`Distributor`] is the daemon's one state machine for this: it takes a time and an [`Event`] and
+//! returns [`Action`]s. [`Acceptance`] is the state machine that turns an operator's change into a
+//! new version in the store. `docs/design/distribution.md` weighs the ways.
+
+use super::*;
+
+use crate::{
+  configuration::{AcceptedChange, Change, Configuration, Head, Summary},
+  fleet::{Endpoint, EndpointState, EndpointTable, Peer},
+  requests::RequestRecord,
+  store::{Entry, Key, LeaseId, Refusal, Reply, Revision, StoreRequest},
+};
+
+pub use self::{
+  acceptance::Acceptance,
+  acceptance_step::AcceptanceStep,
+  action::Action,
+  archive::Archive,
+  beat::Beat,
+  catalog::Catalog,
+  distributor::{Distributor, Status},
+  election::Election,
+  error::Error,
+  event::Event,
+  identity::Identity,
+  inquiry::Inquiries,
+  inquiry_id::InquiryId,
+  link::Link,
+  link_id::LinkId,
+  link_role::LinkRole,
+  message::Message,
+  moment::Moment,
+  outcome::{Outcome, Refused},
+  profile::Profile,
+  provenance::Provenance,
+  question::Question,
+  relay_slot::RelaySlot,
+  relays::Relays,
+  report::Report,
+  subscribe::Subscribe,
+  timing::Timing,
+  update::Update,
+  upstream::Upstream,
+  watcher::Watcher,
+};
+
+mod acceptance;
+mod acceptance_step;
+mod action;
+mod archive;
+mod beat;
+mod catalog;
+mod distributor;
+mod election;
+mod error;
+mod event;
+mod identity;
+mod inquiry;
+mod inquiry_id;
+pub mod keys;
+mod link;
+mod link_id;
+mod link_role;
+mod message;
+mod moment;
+mod outcome;
+mod profile;
+mod provenance;
+mod question;
+mod relay_slot;
+mod relays;
+mod report;
+mod subscribe;
+mod timing;
+mod update;
+mod upstream;
+mod watcher;
+
+/// Result of taking in an update.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/distribution/outcome.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+/// How an operators' change ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+  /// The change made this version, now or at an earlier try.
+  Accepted {
+    /// The version.
+    version: Version,
+  },
+  /// The change did not take effect and never will.
+  Refused(Refused),
+  /// The change may have taken effect.
+  Unknown {
+    /// What went wrong.
+    reason: String,
+  },
+}
+
+/// Why a change was refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refused {
+  /// The change itself does not hold.
+  Configuration(configuration::Error),
+  /// The store could not be asked in time. The change may be stated again.
+  Store(store::Error),
+  /// The store is older than what this box holds.
+  StoreBehind {
+    /// The version that this box holds.
+    held: Version,
+    /// The store's newest version.
+    newest: Version,
+  },
+  /// The store holds something that cannot be read.
+  Unreadable {
+    /// The key.
+    key: Key,
+  },
+}
+
+impl Display for Refused {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Configuration(err) => err.fmt(f),
+      Self::Store(err) => write!(f, "nothing was changed: {err}"),
+      Self::StoreBehind { held, newest } => write!(
+        f,
+        "nothing was changed: the store's newest version is {newest} and this box holds {held}; \
+         state `restore store` to write the held version back"
+      ),
+      Self::Unreadable { key } => {
+        write!(f, "nothing was changed: the value of {key} cannot be read; repair it in the store")
+      }
+    }
+  }
+}
+
+impl From<configuration::Error> for Refused {
+  fn from(err: configuration::Error) -> Self {
+    Self::Configuration(err)
+  }
+}
--- /dev/null
+++ b/src/distribution/profile.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+/// What an operator prefers where convergence time and control bytes pull apart.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Profile {
+  /// In between.
+  #[default]
+  Balanced,
+  /// Fewest control bytes.
+  Frugal,
+  /// Shortest convergence.
+  Prompt,
+}
+
+impl Profile {
+  /// All profiles, for messages about a wrong one.
+  pub const ALL: [Self; 3] = [Self::Balanced, Self::Frugal, Self::Prompt];
+
+  /// The periods that go with the profile.
+  pub fn timing(self) -> Timing {
+    match self {
+      Self::Balanced => {
+        Timing { beat_ms: 2_000, lease_ttl_ms: 6_000, news_delay_ms: 100, push_delay_ms: 50 }
+      }
+      Self::Frugal => {
+        Timing { beat_ms: 5_000, lease_ttl_ms: 9_000, news_delay_ms: 500, push_delay_ms: 1_000 }
+      }
+      Self::Prompt => {
+        Timing { beat_ms: 1_000, lease_ttl_ms: 4_000, news_delay_ms: 50, push_delay_ms: 0 }
+      }
+    }
+  }
+}
+
+impl Display for Profile {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    f.pad(match self {
+      Self::Balanced => "balanced",
+      Self::Frugal => "frugal",
+      Self::Prompt => "prompt",
+    })
+  }
+}
+
+impl FromStr for Profile {
+  type Err = String;
+
+  fn from_str(text: &str) -> std::result::Result<Self, String> {
+    let named = Self::ALL.into_iter().find(|profile| profile.to_string() == text);
+    named.ok_or_else(|| format!("`{text}` is not a profile: give balanced, frugal or prompt"))
+  }
+}
--- /dev/null
+++ b/src/fleet/endpoint.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+/// The newest news about one box and its backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Endpoint {
+  /// Where the daemon takes requests from other daemons.
+  #[serde(rename = "f")]
+  pub forward_address: SocketAddr,
+  /// Which life of the box the news is about.
+  #[serde(rename = "i")]
+  pub incarnation: Incarnation,
+  /// The box and where its daemon takes links.
+  #[serde(rename = "p")]
+  pub peer: Peer,
+  /// The region that the box stands in.
+  #[serde(rename = "g")]
+  pub region: Region,
+  /// The relay that the box is subscribed to; itself where it is a relay.
+  #[serde(rename = "r")]
+  pub relay: Option<BoxId>,
+  /// Grows within one life with each change that the box itself announces.
+  #[serde(rename = "q")]
+  pub sequence: u64,
+  /// The service that the backend server serves.
+  #[serde(rename = "s")]
+  pub service: ServiceName,
+  /// Requests that the backend server runs at once.
+  #[serde(rename = "n")]
+  pub slots: u32,
+  /// What the backend server can do.
+  #[serde(rename = "t")]
+  pub state: EndpointState,
+}
+
+impl Endpoint {
+  /// Whether this news replaces `other` about the same box.
+  ///
+  /// A later life wins. Within one life leaving wins over everything, then the later
+  /// announcement; and a loss wins over the announcement that it is about.
+  pub fn is_newer_than(&self, other: &Self) -> bool {
+    let rank = |endpoint: &Self| {
+      (
+        endpoint.incarnation,
+        endpoint.state == EndpointState::Leaving,
+        endpoint.sequence,
+        endpoint.state == EndpointState::Lost,
+      )
+    };
+    rank(self) > rank(other)
+  }
+
+  /// A number that differs, but for chance, where two pieces of news differ.
+  fn fingerprint(&self) -> u64 {
+    let text =
+      format!("{} {} {} {}", self.peer.box_id, self.incarnation, self.sequence, self.state);
+    let hash = blake3::hash(text.as_bytes());
+    let (first, _) = hash.as_bytes().split_at(8);
+    u64::from_be_bytes(first.try_into().expect("eight bytes"))
+  }
+
+  /// What the entry adds to the fingerprint of a table.
+  pub(super) fn share(&self) -> u64 {
+    if self.state.is_gone() { 0 } else { self.fingerprint() }
+  }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The fleet: boxes, the data halls they stand in, and what is known of each backend server.
+
+use super::*;
+
+pub use self::{
+  endpoint::Endpoint, endpoint_state::EndpointState, endpoint_table::EndpointTable, peer::Peer,
+};
+
+mod endpoint;
+mod endpoint_state;
+mod endpoint_table;
+mod peer;
--- /dev/null
+++ b/src/language/cursor.rs
@@ -0,0 +1,95 @@
+use super::*;
+
+/// Reads the words of one statement in order.
+pub(super) struct Cursor<'a> {
+  /// The column after the last word.
+  end: usize,
+  words: &'a [Word],
+}
+
+impl<'a> Cursor<'a> {
+  pub(super) fn new(words: &'a [Word], end: usize) -> Self {
+    Self { end, words }
+  }
+
+  /// The next word, without taking it.
+  pub(super) fn peek(&self) -> Option<&'a Word> {
+    self.words.first()
+  }
+
+  /// Whether the next word is that keyword.
+  pub(super) fn is_next(&self, keyword: &str) -> bool {
+    self.peek().is_some_and(|word| !word.is_quoted && word.text == keyword)
+  }
+
+  /// Takes the next word where it is that keyword.
+  pub(super) fn skip(&mut self, keyword: &str) -> bool {
+    let is_next = self.is_next(keyword);
+    if is_next {
+      self.words = &self.words[1..];
+    }
+    is_next
+  }
+
+  /// Takes a keyword that must be next.
+  pub(super) fn keyword(&mut self, keyword: &str) -> Result {
+    if self.skip(keyword) { Ok(()) } else { Err(self.unexpected(&[keyword])) }
+  }
+
+  /// Takes one of several keywords.
+  pub(super) fn one_of(&mut self, keywords: &[&'static str]) -> Result<&'static str> {
+    let found = keywords.iter().find(|keyword| self.skip(keyword));
+    found.copied().ok_or_else(|| self.unexpected(keywords))
+  }
+
+  /// Takes a text of any kind.
+  pub(super) fn text(&mut self, expected: &str) -> Result<&'a str> {
+    let word = self.peek().ok_or_else(|| self.wanted(expected))?;
+    self.words = &self.words[1..];
+    Ok(&word.text)
+  }
+
+  /// Takes a value of a type.
+  pub(super) fn value<T: FromStr>(&mut self, expected: &str) -> Result<T> {
+    let parsed = self.peek().and_then(|word| word.text.parse().ok());
+    let value = parsed.ok_or_else(|| self.wanted(expected))?;
+    self.words = &self.words[1..];
+    Ok(value)
+  }
+
+  /// Checks that nothing follows.
+  pub(super) fn finish(&self) -> Result {
+    if self.words.is_empty() { Ok(()) } else { Err(self.wanted("the end of the statement")) }
+  }
+
+  pub(super) fn is_finished(&self) -> bool {
+    self.words.is_empty()
+  }
+
+  /// The fault that none of these keywords is next.
+  pub(super) fn unexpected(&self, keywords: &[&str]) -> Error {
+    let found = self.peek().map_or("", |word| &word.text);
+    let quoted: Vec<String> = keywords.iter().map(|keyword| format!("`{keyword}`")).collect();
+    match self.wanted(&quoted.join(", ")) {
+      Error::Unexpected { column, expected, found: shown, .. } => Error::Unexpected {
+        column,
+        expected,
+        found: shown,
+        nearest: nearest::nearest(found, keywords.iter().copied()),
+      },
+      other => other,
+    }
+  }
+
+  /// The fault that something else is next.
+  pub(super) fn wanted(&self, expected: &str) -> Error {
+    let word = self.peek();
+    let shown = |word: &Word| format!("`{}`", word.text.chars().take(40).collect::<String>());
+    Error::Unexpected {
+      column: word.map_or(self.end, |word| word.column),
+      expected: expected.into(),
+      found: word.map_or("the end".into(), shown),
+      nearest: None,
+    }
+  }
+}
--- /dev/null
+++ b/src/language/document.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+/// A whole configuration as a document, without versions: what `export` gives and `apply` takes.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Document {
+  /// Boxes that receive no new work.
+  pub drains: BTreeMap<BoxId, Drain>,
+  /// Backend server policies.
+  pub policies: BTreeMap<PolicyName, Policy>,
+  /// Routes.
+  pub routes: BTreeMap<RouteName, Route>,
+  /// Services.
+  pub services: BTreeMap<ServiceName, Service>,
+}
+
+impl Document {
+  /// The document of a configuration.
+  pub fn of(configuration: &Configuration) -> Self {
+    fn plain<K: Clone + Ord, V: Clone>(
+      objects: &BTreeMap<K, configuration::Revised<V>>,
+    ) -> BTreeMap<K, V> {
+      objects.iter().map(|(name, object)| (name.clone(), object.value.clone())).collect()
+    }
+    Self {
+      drains: plain(&configuration.drains),
+      policies: plain(&configuration.policies),
+      routes: plain(&configuration.routes),
+      services: plain(&configuration.services),
+    }
+  }
+
+  fn objects(&self) -> Vec<Object> {
+    let drains = self.drains.iter().map(|(name, one)| Object::Drain(name.clone(), one.clone()));
+    let policies =
+      self.policies.iter().map(|(name, one)| Object::Policy(name.clone(), one.clone()));
+    let routes = self.routes.iter().map(|(name, one)| Object::Route(name.clone(), one.clone()));
+    let services =
+      self.services.iter().map(|(name, one)| Object::Service(name.clone(), one.clone()));
+    drains.chain(policies).chain(routes).chain(services).collect()
+  }
+
+  /// The steps that make `configuration` what the document says; none where it is that already.
+  pub fn steps_from(&self, configuration: &Configuration) -> Vec<Operation> {
+    let wanted = self.objects();
+    let names: BTreeSet<ObjectName> = wanted.iter().map(Object::name).collect();
+    let surplus = configuration.object_names().into_iter().filter(|name| !names.contains(name));
+    let deletions = surplus.map(Operation::Delete);
+    let differs = |object: &Object| configuration.object(&object.name()).as_ref() != Some(object);
+    let puts = wanted.into_iter().filter(differs).map(Operation::Put);
+    deletions.chain(puts).collect()
+  }
+}
+
+impl Display for Document {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    f.write_str(&serde_json::to_string(self).map_err(|_| fmt::Error)?)
+  }
+}
+
+impl FromStr for Document {
+  type Err = Error;
+
+  fn from_str(text: &str) -> Result<Self> {
+    serde_json::from_str(text).map_err(|err| Error::Document { reason: err.to_string() })
+  }
+}
--- /dev/null
+++ b/src/language/draft.rs
@@ -0,0 +1,120 @@
+use super::*;
+
+/// The object that a statement describes, field by field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Draft {
+  /// The fields, in the order given. The last word about a field counts.
+  pub fields: Vec<Field>,
+  /// The object.
+  pub object: ObjectName,
+}
+
+impl Draft {
+  pub(super) fn read(cursor: &mut Cursor) -> Result<Self> {
+    let kind = Kind::of(cursor.one_of(&Kind::DRAFTED)?);
+    let object = kind.name(cursor)?;
+    Ok(Self { fields: Field::all(kind, cursor)?, object })
+  }
+
+  /// A new object of these fields, owned by `team` unless a field says otherwise.
+  pub fn create(&self, team: &Team) -> Result<Object> {
+    match &self.object {
+      ObjectName::Drain(name) => Ok(Object::Drain(name.clone(), Drain { owner: team.clone() })),
+      ObjectName::Policy(name) => {
+        let blank =
+          Policy { attempts: 2, deadline_ms: 30_000, owner: team.clone(), queue_length: 24 };
+        Ok(self.fill(Object::Policy(name.clone(), blank)))
+      }
+      ObjectName::Route(name) => self.create_route(name, team),
+      ObjectName::Service(name) => {
+        let policy = self.fields.iter().find_map(|field| match field {
+          Field::Policy(policy) => Some(policy.clone()),
+          _ => None,
+        });
+        let policy = policy.ok_or_else(|| self.missing("policy"))?;
+        Ok(self.fill(Object::Service(name.clone(), Service { owner: team.clone(), policy })))
+      }
+    }
+  }
+
+  fn create_route(&self, name: &RouteName, team: &Team) -> Result<Object> {
+    let path_prefix = self.fields.iter().find_map(|field| match field {
+      Field::PathPrefix(path) => Some(path.clone()),
+      _ => None,
+    });
+    let service = self.fields.iter().find_map(|field| match field {
+      Field::Service(service) => Some(service.clone()),
+      _ => None,
+    });
+    let blank = Route {
+      headers: BTreeMap::new(),
+      host: None,
+      method: None,
+      owner: team.clone(),
+      path_prefix: path_prefix.ok_or_else(|| self.missing("path"))?,
+      repeatable: true,
+      service: service.ok_or_else(|| self.missing("service"))?,
+    };
+    Ok(self.fill(Object::Route(name.clone(), blank)))
+  }
+
+  fn missing(&self, field: &'static str) -> Error {
+    Error::FieldMissing { field, object: self.object.clone() }
+  }
+
+  /// `object` with these fields set.
+  pub fn fill(&self, mut object: Object) -> Object {
+    for field in self.fields.iter().cloned() {
+      match &mut object {
+        Object::Drain(..) => {}
+        Object::Policy(_, policy) => fill_policy(policy, field),
+        Object::Route(_, route) => fill_route(route, field),
+        Object::Service(_, service) => fill_service(service, field),
+      }
+    }
+    object
+  }
+}
+
+fn fill_policy(policy: &mut Policy, field: Field) {
+  match field {
+    Field::Attempts(attempts) => policy.attempts = attempts,
+    Field::DeadlineMs(deadline_ms) => policy.deadline_ms = deadline_ms,
+    Field::Owner(team) => policy.owner = team,
+    Field::QueueLength(length) => policy.queue_length = length,
+    _ => {}
+  }
+}
+
+fn fill_route(route: &mut Route, field: Field) {
+  match field {
+    Field::Header(name, value) => {
+      route.headers.insert(name, value);
+    }
+    Field::Host(host) => route.host = host,
+    Field::Method(method) => route.method = method,
+    Field::NoHeader(name) => {
+      route.headers.remove(&name);
+    }
+    Field::Owner(team) => route.owner = team,
+    Field::PathPrefix(path) => route.path_prefix = path,
+    Field::Repeatable(repeatable) => route.repeatable = repeatable,
+    Field::Service(service) => route.service = service,
+    _ => {}
+  }
+}
+
+fn fill_service(service: &mut Service, field: Field) {
+  match field {
+    Field::Owner(team) => service.owner = team,
+    Field::Policy(policy) => service.policy = policy,
+    _ => {}
+  }
+}
+
+impl Display for Draft {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    self.object.fmt(f)?;
+    self.fields.iter().try_for_each(|field| write!(f, " {field}"))
+  }
+}
--- /dev/null
+++ b/src/language/kind.rs
@@ -0,0 +1,70 @@
+use super::*;
+
+/// A kind of objects.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+  /// Drains of boxes.
+  Drain,
+  /// Backend server policies.
+  Policy,
+  /// Routes.
+  Route,
+  /// Services.
+  Service,
+}
+
+impl Kind {
+  /// The kinds that `create` and `set` take.
+  pub(super) const DRAFTED: [&'static str; 3] = ["policy", "route", "service"];
+  /// All kinds, in the plural.
+  pub(super) const PLURALS: [&'static str; 4] = ["drains", "policies", "routes", "services"];
+
+  pub(super) fn of(keyword: &str) -> Self {
+    match keyword {
+      "drain" | "drains" => Self::Drain,
+      "policies" | "policy" => Self::Policy,
+      "route" | "routes" => Self::Route,
+      _ => Self::Service,
+    }
+  }
+
+  /// The kind in the plural.
+  pub fn plural(self) -> &'static str {
+    match self {
+      Self::Drain => "drains",
+      Self::Policy => "policies",
+      Self::Route => "routes",
+      Self::Service => "services",
+    }
+  }
+
+  /// The kind of an object.
+  pub fn of_object(name: &ObjectName) -> Self {
+    match name {
+      ObjectName::Drain(_) => Self::Drain,
+      ObjectName::Policy(_) => Self::Policy,
+      ObjectName::Route(_) => Self::Route,
+      ObjectName::Service(_) => Self::Service,
+    }
+  }
+
+  /// Takes the name of an object of this kind.
+  pub(super) fn name(self, cursor: &mut Cursor) -> Result<ObjectName> {
+    Ok(match self {
+      Self::Drain => ObjectName::Drain(cursor.value("the name of a box")?),
+      Self::Policy => ObjectName::Policy(cursor.value("the name of a policy")?),
+      Self::Route => ObjectName::Route(cursor.value("the name of a route")?),
+      Self::Service => ObjectName::Service(cursor.value("the name of a service")?),
+    })
+  }
+
+  /// The fields of this kind.
+  pub(super) fn fields(self) -> &'static [&'static str] {
+    match self {
+      Self::Drain => &[],
+      Self::Policy => &["attempts", "deadline_ms", "owner", "queue_length"],
+      Self::Route => &["header", "host", "method", "no", "owner", "path", "repeatable", "service"],
+      Self::Service => &["owner", "policy"],
+    }
+  }
+}
--- /dev/null
+++ b/src/language/mod.rs
@@ -0,0 +1,46 @@
+//! The operators' language: statements that change the configuration or ask about the mesh.
+//!
+//! `docs/operators/language.md` has the grammar.
+
+use super::*;
+
+use crate::{
+  configuration::{Configuration, Drain, Object, ObjectName, Operation, Policy, Route, Service},
+  telemetry::LogLevel,
+};
+
+pub use self::{
+  document::Document,
+  draft::Draft,
+  error::Error,
+  field::Field,
+  kind::Kind,
+  plan::{Author, Plan},
+  question::Question,
+  script::Script,
+  statement::Statement,
+};
+
+use self::{cursor::Cursor, word::Word};
+
+mod cursor;
+mod document;
+mod draft;
+mod error;
+mod field;
+mod kind;
+mod nearest;
+mod plan;
+mod question;
+mod script;
+mod statement;
+mod word;
+
+/// Result of reading or planning statements.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// Largest script in bytes; a whole configuration fits.
+pub const SCRIPT_BYTES_MAX: usize = 1_200_000;
+
+/// Statements in one script.
+pub const STATEMENTS_MAX: usize = 2_000;
--- /dev/null
+++ b/src/language/script.rs
@@ -0,0 +1,76 @@
+use super::*;
+
+/// What an operator states at once: changes that take effect together, or one question.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Script {
+  /// Whether to show what would change, and change nothing.
+  pub dry_run: bool,
+  /// The version that must be the newest one.
+  pub only_at: Option<Version>,
+  /// Why.
+  pub reason: Option<String>,
+  /// The statements. Either all of them are changes, or there is one.
+  pub statements: Vec<Statement>,
+}
+
+impl FromStr for Script {
+  type Err = Error;
+
+  fn from_str(text: &str) -> Result<Self> {
+    if text.len() > SCRIPT_BYTES_MAX {
+      return Err(Error::TooLong);
+    }
+    let words = Word::all(text)?;
+    let end = text.chars().count() + 1;
+    let parts: Vec<&[Word]> =
+      words.split(Word::is_separator).filter(|part| !part.is_empty()).collect();
+    if parts.len() > STATEMENTS_MAX {
+      return Err(Error::TooLong);
+    }
+    let mut first = Cursor::new(parts.first().copied().unwrap_or_default(), end);
+    let dry_run = first.skip("dry");
+    if dry_run {
+      first.keyword("run")?;
+    }
+    let mut only_at = None;
+    if first.skip("if") {
+      first.keyword("version")?;
+      only_at = Some(first.value("the number of a version")?);
+    }
+    let mut reason = None;
+    if first.skip("reason") {
+      reason = Some(first.text("the reason in quotes")?.to_string());
+    }
+    let mut statements = vec![Statement::read(&mut first)?];
+    for part in parts.into_iter().skip(1) {
+      statements.push(Statement::read(&mut Cursor::new(part, end))?);
+    }
+    if statements.len() > 1 && !statements.iter().all(Statement::is_change) {
+      return Err(Error::Mixed);
+    }
+    Ok(Self { dry_run, only_at, reason, statements })
+  }
+}
+
+impl Display for Script {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    if self.dry_run {
+      write!(f, "dry run ")?;
+    }
+    if let Some(version) = self.only_at {
+      write!(f, "if version {version} ")?;
+    }
+    if let Some(reason) = &self.reason {
+      write!(f, "reason {} ", quoted(reason))?;
+    }
+    for (index, statement) in self.statements.iter().enumerate() {
+      let separator = if index == 0 { "" } else { "; " };
+      write!(f, "{separator}{statement}")?;
+    }
+    Ok(())
+  }
+}
+
+fn quoted(text: &str) -> String {
+  format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
+}
--- /dev/null
+++ b/src/language/word.rs
@@ -0,0 +1,107 @@
+use super::*;
+
+use winnow::{
+  ModalResult, Parser,
+  ascii::multispace0,
+  combinator::{alt, delimited, preceded, repeat},
+  stream::{LocatingSlice, Location},
+  token::{any, none_of, one_of, take_till, take_while},
+};
+
+/// One word of a script: a bare word, a quoted text, a JSON document, or `;`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Word {
+  /// The first character, counted from 1.
+  pub(super) column: usize,
+  /// Whether it was written in quotes, and so is no keyword.
+  pub(super) is_quoted: bool,
+  /// The text, without quotes.
+  pub(super) text: String,
+}
+
+type Input<'a> = LocatingSlice<&'a str>;
+
+impl Word {
+  /// Whether this ends a statement.
+  pub(super) fn is_separator(&self) -> bool {
+    !self.is_quoted && self.text == ";"
+  }
+
+  /// The words of a script.
+  pub(super) fn all(script: &str) -> Result<Vec<Self>> {
+    let mut input = LocatingSlice::new(script);
+    let words: ModalResult<Vec<Self>> =
+      repeat(0.., preceded(multispace0, word)).parse_next(&mut input);
+    let rest =
+      preceded(multispace0::<Input, winnow::error::ContextError>, take_while(0.., |_| true))
+        .parse_next(&mut input)
+        .unwrap_or_default();
+    match words {
+      Ok(words) if rest.is_empty() => Ok(words),
+      _ => Err(Error::Unexpected {
+        column: script.chars().count() - rest.chars().count() + 1,
+        expected: "a word, or a text that ends with a quote".into(),
+        found: rest.chars().take(20).collect(),
+        nearest: None,
+      }),
+    }
+  }
+
+  /// The text as the language writes it.
+  pub(super) fn written(text: &str) -> String {
+    let is_bare = !text.is_empty() && text.chars().all(is_bare_character);
+    if is_bare {
+      return text.into();
+    }
+    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
+  }
+}
+
+fn is_bare_character(c: char) -> bool {
+  !c.is_whitespace() && !matches!(c, ';' | '"' | '{' | '}' | '\\')
+}
+
+fn word(input: &mut Input) -> ModalResult<Word> {
+  let start = input.current_token_start();
+  let (is_quoted, text) = alt((
+    ";".map(|text: &str| (false, text.to_string())),
+    quoted.map(|text| (true, text)),
+    document.map(|text| (true, text)),
+    take_while(1.., is_bare_character).map(|text: &str| (false, text.to_string())),
+  ))
+  .parse_next(input)?;
+  Ok(Word { column: start + 1, is_quoted, text })
+}
+
+fn quoted(input: &mut Input) -> ModalResult<String> {
+  let character = alt((preceded('\\', any), none_of(['"', '\\'])));
+  let text = repeat(0.., character).fold(String::new, |mut text, c| {
+    text.push(c);
+    text
+  });
+  delimited('"', text, '"').parse_next(input)
+}
+
+/// A JSON object, up to its closing brace.
+fn document(input: &mut Input) -> ModalResult<String> {
+  let part = alt((
+    document,
+    json_text,
+    (none_of(['{', '}', '"']), take_till(0.., ['{', '}', '"']))
+      .take()
+      .map(|text: &str| text.to_string()),
+  ));
+  let inside = repeat(0.., part).fold(String::new, |mut text, part: String| {
+    text.push_str(&part);
+    text
+  });
+  let inside = delimited(one_of('{'), inside, one_of('}')).parse_next(input)?;
+  Ok(format!("{{{inside}}}"))
+}
+
+/// A JSON text with its quotes and escapes kept.
+fn json_text(input: &mut Input) -> ModalResult<String> {
+  let character = alt((preceded('\\', any).void(), none_of(['"', '\\']).void()));
+  let text: winnow::combinator::Repeat<_, _, _, (), _> = repeat(0.., character);
+  delimited('"', text, '"').take().map(|text: &str| text.to_string()).parse_next(input)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,70 @@
+//! ferryyoke: configuration distribution for a service mesh.
+//!
+//! One daemon runs beside each backend server. It forwards requests, holds the whole
+//! configuration, and passes configuration on to other daemons. Decisions are pure state machines
+//! that take a time, an event and a random seed and return actions; sockets, clocks and the
+//! platform's store sit behind traits. `docs/ARCHITECTURE.md` shows the way through.
+
+use {
+  crate::values::{
+    BoxId, ChangeId, DataHall, Digest, Incarnation, Operator, PolicyName, Region, RequestId,
+    RouteName, ServiceName, Team, Time, Version, text,
+  },
+  bytes::Bytes,
+  clap::{Arg, ArgAction, ArgMatches, Command},
+  futures_util::{FutureExt, SinkExt, StreamExt, future::LocalBoxFuture},
+  http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
+  http_body::Body,
+  http_body_util::{BodyExt, Full, Limited},
+  hyper::body::Incoming,
+  monoio::net::{ListenerOpts, TcpListener, TcpStream},
+  monoio_compat::hyper::{MonoioIo, MonoioTimer},
+  rand::{
+    Rng, SeedableRng,
+    seq::{IndexedRandom, SliceRandom},
+  },
+  rand_chacha::ChaCha8Rng,
+  serde::{Deserialize, Serialize, de::DeserializeOwned},
+  slog::{Drain, Level, Logger, debug, error, info, o, warn},
+  std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    error::Error as StdError,
+    fmt::{self, Display, Formatter},
+    fs,
+    future::Future,
+    io::{self, Read, Write},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    pin::Pin,
+    rc::Rc,
+    str::FromStr,
+    sync::Arc,
+    task::{Context, Poll},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+  },
+};
+
+pub mod administration;
+pub mod commands;
+pub mod configuration;
+pub mod daemon;
+pub mod dev;
+pub mod distribution;
+pub mod fleet;
+pub mod language;
+pub mod links;
+pub mod proxy;
+pub mod requests;
+pub mod settings;
+pub mod standin;
+pub mod store;
+pub mod telemetry;
+pub mod values;
+pub mod web;
+
+/// Milliseconds since 1970 by the machine's clock.
+pub fn unix_ms() -> u64 {
+  let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+  u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/links/credentials.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+use self::{handshake::Agreement, incoming::next_frame};
+
+/// What a daemon opens and takes links with.
+#[derive(Clone, Debug)]
+pub struct Credentials {
+  /// The daemon's box.
+  pub box_id: BoxId,
+  /// The fleet's secret.
+  pub key: FleetKey,
+}
+
+/// An open link: the box at the other end and both directions.
+type Opened = (BoxId, Outgoing, IncomingFrames);
+
+impl Credentials {
+  /// Opens a link to the daemon at `address`. `nonce` must be random.
+  pub async fn dial(&self, address: SocketAddr, nonce: u128) -> Result<Opened> {
+    let stream = TcpStream::connect_addr(address).await?;
+    stream.set_nodelay(true)?;
+    let stream = stream.try_into_poll_io().map_err(|(err, _)| err)?;
+    let url = format!("ws://{address}/link");
+    let config = Some(socket_config());
+    let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, config).await?;
+    let challenge: Challenge = decode(&next_frame(&mut socket).await?)?;
+    check_protocol(challenge.protocol)?;
+    let agreement = Agreement {
+      called_nonce: challenge.nonce,
+      caller: &self.box_id,
+      caller_nonce: nonce,
+      key: &self.key,
+    };
+    let hello = Hello {
+      box_id: self.box_id.clone(),
+      nonce,
+      proof: agreement.proof("caller", &self.box_id),
+      protocol: PROTOCOL,
+    };
+    socket.send(Frame::binary(encode(&hello))).await?;
+    let confirmation: Confirmation = decode(&next_frame(&mut socket).await?)?;
+    agreement.check("called", &confirmation.box_id, &confirmation.proof)?;
+    Ok(split(confirmation.box_id, socket, &agreement, ["to called", "to caller"]))
+  }
+
+  /// Takes a link that another daemon opens. `nonce` must be random.
+  pub async fn accept(&self, stream: TcpStream, nonce: u128) -> Result<Opened> {
+    let stream = stream.try_into_poll_io().map_err(|(err, _)| err)?;
+    let config = Some(socket_config());
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, config).await?;
+    let challenge = Challenge { nonce, protocol: PROTOCOL };
+    socket.send(Frame::binary(encode(&challenge))).await?;
+    let hello: Hello = decode(&next_frame(&mut socket).await?)?;
+    check_protocol(hello.protocol)?;
+    let agreement = Agreement {
+      called_nonce: nonce,
+      caller: &hello.box_id,
+      caller_nonce: hello.nonce,
+      key: &self.key,
+    };
+    agreement.check("caller", &hello.box_id, &hello.proof)?;
+    let confirmation =
+      Confirmation { box_id: self.box_id.clone(), proof: agreement.proof("called", &self.box_id) };
+    socket.send(Frame::binary(encode(&confirmation))).await?;
+    Ok(split(hello.box_id.clone(), socket, &agreement, ["to caller", "to called"]))
+  }
+}
+
+fn check_protocol(found: u32) -> Result {
+  if found == PROTOCOL { Ok(()) } else { Err(Error::Protocol { found }) }
+}
+
+fn split(
+  peer: BoxId,
+  socket: Socket,
+  agreement: &Agreement,
+  [outward, inward]: [&str; 2],
+) -> Opened {
+  let (sink, stream) = socket.split();
+  let outgoing = Outgoing { seal: Seal::new(agreement.derive(outward)), sink };
+  let incoming = IncomingFrames { seal: Seal::new(agreement.derive(inward)), stream };
+  (peer, outgoing, incoming)
+}
--- /dev/null
+++ b/src/links/mod.rs
@@ -0,0 +1,57 @@
+//! Links between daemons: WebSockets that carry sealed CBOR messages.
+//!
+//! Both sides prove that they know the fleet key before anything is believed. Every frame carries a
+//! code over its content and its place in the stream, under a key of this link alone; so a forged,
+//! replayed, reordered or truncated frame ends the link.
+
+use super::*;
+
+use crate::{distribution::Message, settings::FleetKey};
+
+pub use self::{
+  credentials::Credentials, error::Error, incoming::Incoming as IncomingFrames, outgoing::Outgoing,
+  seal::Seal,
+};
+
+use {
+  self::handshake::{Challenge, Confirmation, Hello},
+  monoio::net::tcp::stream_poll::TcpStreamPoll,
+  tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{Message as Frame, protocol::WebSocketConfig},
+  },
+};
+
+mod credentials;
+mod error;
+mod handshake;
+mod incoming;
+mod outgoing;
+mod seal;
+
+/// The version of the protocol on links. Others are refused.
+pub const PROTOCOL: u32 = 1;
+
+/// Largest message in bytes: a snapshot of the largest configuration, with room.
+pub const MESSAGE_BYTES_MAX: usize = 4 << 20;
+
+/// Result of a step on a link.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+type Socket = WebSocketStream<TcpStreamPoll>;
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+  let mut bytes = Vec::new();
+  ciborium::into_writer(value, &mut bytes).expect("writing to memory does not fail");
+  bytes
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+  ciborium::from_reader(bytes).map_err(|err| Error::Garbage { reason: err.to_string() })
+}
+
+fn socket_config() -> WebSocketConfig {
+  WebSocketConfig::default()
+    .max_message_size(Some(MESSAGE_BYTES_MAX))
+    .max_frame_size(Some(MESSAGE_BYTES_MAX))
+}
--- /dev/null
+++ b/src/links/outgoing.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+/// Sends messages on a link.
+pub struct Outgoing {
+  pub(super) seal: Seal,
+  pub(super) sink: futures_util::stream::SplitSink<Socket, Frame>,
+}
+
+impl Outgoing {
+  /// Sends a message; returns the bytes it took.
+  pub async fn send(&mut self, message: &Message) -> Result<usize> {
+    let frame = self.seal.seal(&encode(message));
+    let bytes = frame.len();
+    self.sink.send(Frame::binary(frame)).await?;
+    Ok(bytes)
+  }
+
+  /// Closes the link.
+  pub async fn close(&mut self) {
+    self.sink.close().await.ok();
+  }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! The `ferryyoke` binary.
+
+fn main() -> std::process::ExitCode {
+  ferryyoke::commands::execute()
+}
--- /dev/null
+++ b/src/proxy/carry.rs
@@ -0,0 +1,213 @@
+//! A caller's request from its arrival to its answer.
+
+use super::*;
+
+/// Largest body in bytes of a request that must run at most once.
+const CLAIMED_BODY_BYTES_MAX: usize = 1 << 20;
+
+/// Milliseconds after which a caller comes back to a daemon that has no configuration yet.
+const UNCONFIGURED_RETRY_MS: u64 = 1_000;
+
+/// Milliseconds that a request may take where no policy says otherwise.
+const DEADLINE_DEFAULT_MS: u64 = 30_000;
+
+/// Serves a caller's request.
+pub async fn serve_caller(shared: Rc<Shared>, request: Request<Incoming>) -> Response<AnyBody> {
+  let (head, body) = request.into_parts();
+  let incoming = IncomingRequest::read(&shared, &head);
+  let id = incoming.id.clone();
+  let mut recorder = Recorder::start(&shared, &incoming, &head);
+  let outcome = carry(&shared, &mut recorder, incoming, head, body).await;
+  let mut response = outcome.unwrap_or_else(|refusal| {
+    recorder.record.refusal = Some(format!("{}: {}", refusal.outcome(), refusal.reason));
+    refusal.response(&id)
+  });
+  let version = recorder.record.version;
+  let own_headers = response.headers_mut();
+  headers::set(own_headers, headers::REQUEST_ID, &id);
+  headers::set(own_headers, headers::VERSION, version);
+  if shared.is_stopping() {
+    headers::set(own_headers, "connection", "close");
+  }
+  recorder.finish(response.status());
+  response
+}
+
+async fn carry(
+  shared: &Rc<Shared>,
+  recorder: &mut Recorder,
+  incoming: IncomingRequest,
+  head: http::request::Parts,
+  body: Incoming,
+) -> std::result::Result<Response<AnyBody>, Refusal> {
+  let matched = find_route(shared, &incoming, &head)?;
+  recorder.record.route = Some((matched.route.clone(), matched.service.clone()));
+  let deadline_ms =
+    shared.policy(&matched.service).map_or(DEADLINE_DEFAULT_MS, |policy| policy.deadline_ms);
+  let time_left_ms = incoming.time_left_ms.unwrap_or(deadline_ms).min(deadline_ms);
+  let is_claimed = !matched.repeatable && !head.method.is_safe();
+  let forwarded = Forwarded {
+    class: incoming.class.clone(),
+    deadline: shared.now().time.after(time_left_ms),
+    id: incoming.id.clone(),
+    repeatable: matched.repeatable && head.method.is_idempotent(),
+    service: matched.service,
+    version: recorder.record.version,
+    head: pass_on(head, &incoming),
+  };
+  if is_claimed {
+    return carry_claimed(shared, recorder, incoming, forwarded, body).await;
+  }
+  let body = RequestBody::take(body).await.map_err(|err| broken_body(&err))?;
+  let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
+  answer.map_err(Refusal::from)
+}
+
+fn find_route(
+  shared: &Shared,
+  incoming: &IncomingRequest,
+  head: &http::request::Parts,
+) -> std::result::Result<RouteMatch, Refusal> {
+  if shared.configuration().is_none() {
+    let reason = "this box has no configuration yet";
+    let retry_after_ms = UNCONFIGURED_RETRY_MS;
+    return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms));
+  }
+  if incoming.depth >= IncomingRequest::DEPTH_MAX {
+    let reason = format!(
+      "the request is {} calls deep, which looks like a loop: see the routes that it passed",
+      incoming.depth
+    );
+    return Err(Refusal::wrong(StatusCode::LOOP_DETECTED, reason));
+  }
+  let path = head.uri.path();
+  let router = shared.router();
+  router.find(&head.method, incoming.host.as_deref(), path, &head.headers).ok_or_else(|| {
+    let reason = format!("no route of version {} takes {} {path}", router.version(), head.method);
+    Refusal::wrong(StatusCode::NOT_FOUND, reason)
+  })
+}
+
+/// The head as the backend server gets it.
+fn pass_on(head: http::request::Parts, incoming: &IncomingRequest) -> forwarded::ForwardedHead {
+  let mut passed = head.headers;
+  headers::remove_connection_headers(&mut passed);
+  headers::remove_mesh_headers(&mut passed);
+  headers::set(&mut passed, headers::CALLER_CLASS, &incoming.class);
+  headers::set(&mut passed, headers::DEPTH, incoming.depth + 1);
+  if let Some(host) = incoming.host.as_ref().filter(|_| !passed.contains_key("host")) {
+    headers::set(&mut passed, "host", host);
+  }
+  let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+  let target = path.parse().unwrap_or_default();
+  forwarded::ForwardedHead { headers: passed, method: head.method, target }
+}
+
+fn broken_body(err: &web::Error) -> Refusal {
+  match err {
+    web::Error::TooLarge { .. } => Refusal::wrong(StatusCode::PAYLOAD_TOO_LARGE, err.to_string()),
+    _ => Refusal::wrong(StatusCode::BAD_REQUEST, err.to_string()),
+  }
+}
+
+/// A request that must run at most once. Once claimed, it runs to its end even where the caller goes
+/// away, so that its result is recorded.
+async fn carry_claimed(
+  shared: &Rc<Shared>,
+  recorder: &mut Recorder,
+  incoming: IncomingRequest,
+  forwarded: Forwarded,
+  body: Incoming,
+) -> std::result::Result<Response<AnyBody>, Refusal> {
+  let key = claim_key(&incoming)?;
+  let held = RequestBody::hold(body, CLAIMED_BODY_BYTES_MAX);
+  let RequestBody::Held(body) = held.await.map_err(|err| broken_body(&err))? else {
+    return Err(Refusal::wrong(StatusCode::BAD_REQUEST, "the body was not held"));
+  };
+  let head = &forwarded.head;
+  let content = [format!("{} {}\n", head.method, head.target).as_bytes(), &body[..]].concat();
+  let ticket = ClaimTicket {
+    attempt: shared.make_attempt_id(),
+    content: Digest::of(&content),
+    key,
+    service: forwarded.service.clone(),
+  };
+  let (done, result) = futures_channel::oneshot::channel();
+  let shared = shared.clone();
+  monoio::spawn(async move {
+    let mut attempts = Vec::new();
+    let outcome = held_claim::run(&shared, forwarded, ticket, body, &mut attempts).await;
+    done.send((outcome, attempts)).ok();
+  });
+  let Ok((outcome, attempts)) = result.await else {
+    return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "the run ended without a result"));
+  };
+  recorder.record.attempts = attempts;
+  recorder.record.claim = Some(outcome.claim);
+  outcome.answer
+}
+
+fn claim_key(incoming: &IncomingRequest) -> std::result::Result<RequestKey, Refusal> {
+  let Some(key) = &incoming.key else {
+    let reason = format!("the route runs requests at most once: give a key in `{}`", headers::KEY);
+    return Err(Refusal::wrong(StatusCode::BAD_REQUEST, reason));
+  };
+  key.parse().map_err(|err: crate::values::Error| {
+    Refusal::wrong(StatusCode::BAD_REQUEST, format!("`{}`: {err}", headers::KEY))
+  })
+}
+
+/// Keeps the record of a request, also where the caller goes away before the answer.
+struct Recorder {
+  arrived: Instant,
+  is_finished: bool,
+  record: RequestRecord,
+  shared: Rc<Shared>,
+}
+
+impl Recorder {
+  fn start(shared: &Rc<Shared>, incoming: &IncomingRequest, head: &http::request::Parts) -> Self {
+    const LINE_CHARS_MAX: usize = 200;
+    let line = format!("{} {}", head.method, head.uri.path());
+    let record = RequestRecord {
+      attempts: Vec::new(),
+      box_id: shared.settings.box_id.clone(),
+      claim: None,
+      class: incoming.class.clone(),
+      id: incoming.id.clone(),
+      line: line.chars().take(LINE_CHARS_MAX).collect(),
+      refusal: None,
+      route: None,
+      status: 0,
+      took_us: 0,
+      unix_ms: shared.now().unix_ms,
+      version: shared.router().version(),
+    };
+    Self { arrived: Instant::now(), is_finished: false, record, shared: shared.clone() }
+  }
+
+  fn finish(mut self, status: StatusCode) {
+    self.record.status = status.as_u16();
+    self.is_finished = true;
+  }
+}
+
+impl Drop for Recorder {
+  fn drop(&mut self) {
+    if !self.is_finished {
+      self.record.refusal = Some("the caller went away before the answer".into());
+    }
+    let took = self.arrived.elapsed();
+    self.record.took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    let service = self.record.route.as_ref().map_or("none", |(_, service)| service.as_str());
+    let outcome = match &self.record.refusal {
+      Some(refusal) => refusal.split(':').next().unwrap_or("refused"),
+      None => "answered",
+    };
+    let outcome = if self.is_finished { outcome } else { "caller-gone" };
+    let class = self.record.class.as_str();
+    self.shared.metrics.request(service, class, outcome, took.as_secs_f64());
+    self.shared.log_request(&self.record);
+    self.shared.records.borrow_mut().add(self.record.clone());
+  }
+}
--- /dev/null
+++ b/src/proxy/forward.rs
@@ -0,0 +1,214 @@
+//! Choosing a backend server, trying it, and trying another one where that is safe.
+
+use super::*;
+
+/// Milliseconds after which a caller comes back where no backend server is there.
+const NO_BACKEND_RETRY_MS: u64 = 1_000;
+
+/// Sends a request to backend servers of its service until one answers or none should be tried any
+/// more. Notes every try in `attempts`.
+pub async fn forward(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  mut body: RequestBody,
+  attempts: &mut Vec<Attempt>,
+) -> Answer {
+  let attempts_max = shared.policy(&forwarded.service).map_or(1, |policy| policy.attempts);
+  shared.budget.borrow_mut().earn(&forwarded.service);
+  loop {
+    let choice = choose(shared, forwarded, attempts);
+    let Some(endpoint) = choice.chosen.clone() else {
+      return Err(none_left(forwarded, attempts));
+    };
+    let started = shared.now();
+    let outcome = attempt(shared, forwarded, &mut body, &endpoint).await;
+    let known = match &outcome {
+      Ok(response) => AttemptOutcome::Answered { status: response.status().as_u16() },
+      Err(outcome) => outcome.clone(),
+    };
+    attempts.push(Attempt {
+      box_id: endpoint.peer.box_id,
+      outcome: known.clone(),
+      took_us: shared.elapsed_us(started),
+      verdicts: choice.verdicts,
+    });
+    let is_last = attempts.len() >= attempts_max as usize || !body.is_left();
+    if is_last || !may_retry(shared, forwarded, &known) {
+      return outcome;
+    }
+  }
+}
+
+/// A try may be followed by another one where the request did not run, or may run again; within the
+/// service's budget and the deadline.
+fn may_retry(shared: &Shared, forwarded: &Forwarded, outcome: &AttemptOutcome) -> bool {
+  let safe = match outcome {
+    AttemptOutcome::Answered { .. } => false,
+    AttemptOutcome::NotRun { .. } => true,
+    AttemptOutcome::Unknown { .. } => forwarded.repeatable,
+  };
+  safe
+    && shared.now().time < forwarded.deadline
+    && shared.budget.borrow_mut().spend(&forwarded.service)
+}
+
+fn none_left(forwarded: &Forwarded, attempts: &[Attempt]) -> AttemptOutcome {
+  if let Some(last) = attempts.last() {
+    return last.outcome.clone();
+  }
+  AttemptOutcome::NotRun {
+    reason: format!("no backend server of {} takes work", forwarded.service),
+    retry_after_ms: NO_BACKEND_RETRY_MS,
+  }
+}
+
+fn choose(shared: &Shared, forwarded: &Forwarded, attempts: &[Attempt]) -> Choice {
+  let configuration = shared.configuration();
+  let tried: Vec<&BoxId> = attempts.iter().map(|attempt| &attempt.box_id).collect();
+  let unusable = |endpoint: &Endpoint| {
+    let box_id = &endpoint.peer.box_id;
+    if tried.contains(&box_id) {
+      return Some(Verdict::Tried);
+    }
+    if endpoint.state.is_gone() {
+      return Some(Verdict::Gone);
+    }
+    let drained = configuration.as_ref().is_some_and(|one| one.drains.contains_key(box_id));
+    (drained || endpoint.state == EndpointState::Draining).then_some(Verdict::Draining)
+  };
+  let endpoints = shared.endpoints_of(&forwarded.service);
+  let candidates: Vec<&Endpoint> = endpoints.iter().collect();
+  let now = shared.now().time;
+  shared.balancer.borrow_mut().choose(
+    now,
+    &candidates,
+    &shared.settings.data_hall,
+    unusable,
+    &mut shared.rng.borrow_mut(),
+  )
+}
+
+/// One try at one backend server, with what the balancer learns from it.
+async fn attempt(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  body: &mut RequestBody,
+  endpoint: &Endpoint,
+) -> Answer {
+  let box_id = endpoint.peer.box_id.clone();
+  let under_way = UnderWay::start(shared, &box_id);
+  let started = shared.now();
+  let answer = if box_id == shared.settings.box_id {
+    let body = match body {
+      RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
+      RequestBody::Streamed(body) => RequestBody::Streamed(body.take()),
+    };
+    egress::hand_over(shared, forwarded, body).await
+  } else {
+    send_to_peer(shared, forwarded, body, endpoint).await
+  };
+  let completion = match &answer {
+    Ok(response) => Completion::Served {
+      latency_us: shared.elapsed_us(started),
+      load_percent: headers::parsed(response.headers(), headers::LOAD),
+    },
+    Err(AttemptOutcome::NotRun { retry_after_ms, .. }) if *retry_after_ms > 0 => Completion::Shed,
+    Err(_) => Completion::Failed,
+  };
+  shared.balancer.borrow_mut().completed(shared.now().time, &box_id, completion);
+  answer.map(|response| under_way.until_end_of(response))
+}
+
+async fn send_to_peer(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  body: &mut RequestBody,
+  endpoint: &Endpoint,
+) -> Answer {
+  let address = endpoint.forward_address;
+  let sender = if forwarded.repeatable {
+    shared.peer_pool.checkout(address).await
+  } else {
+    shared.peer_pool.connect(address).await
+  };
+  // Zero tells the balancer that the box could not be reached.
+  let mut sender =
+    sender.map_err(|err| AttemptOutcome::NotRun { reason: err.to_string(), retry_after_ms: 0 })?;
+  let now = shared.now().time;
+  let time_left_ms = forwarded.deadline.since_ms(now);
+  let mut request = forwarded.request(body.for_try(), now);
+  let request_headers = request.headers_mut();
+  let seal = shared.seal(&forwarded.sealed_text(time_left_ms));
+  headers::set(request_headers, headers::CALLER_CLASS, &forwarded.class);
+  headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
+  headers::set(request_headers, headers::SEAL, seal);
+  headers::set(request_headers, headers::SERVICE, &forwarded.service);
+  headers::set(request_headers, headers::VERSION, forwarded.version);
+  // The daemon there answers at the deadline; the grace lets that answer arrive.
+  let left = Duration::from_millis(time_left_ms + Shared::PEER_GRACE_MS);
+  let sent = monoio::time::timeout(left, sender.try_send_request(request)).await;
+  let response = match sent {
+    Ok(Ok(response)) => response,
+    Ok(Err(mut err)) => {
+      if err.take_message().is_some() {
+        let reason = "the box closed the connection before the request was sent".into();
+        return Err(AttemptOutcome::NotRun { reason, retry_after_ms: 0 });
+      }
+      let reason = format!("the connection to the box broke: {}", err.into_error());
+      return Err(AttemptOutcome::Unknown { reason });
+    }
+    Err(_) => {
+      let reason = "the box did not answer before the deadline".into();
+      return Err(AttemptOutcome::Unknown { reason });
+    }
+  };
+  let (head, body) = response.into_parts();
+  if let Some(outcome) = headers::text(&head.headers, headers::OUTCOME) {
+    return Err(refused_by_peer(outcome, &head.headers, body).await);
+  }
+  let pool = shared.peer_pool.clone();
+  let guarded = GuardedBody::new(body, move |whole| {
+    if whole {
+      pool.checkin_when_ready(address, sender);
+    }
+  });
+  Ok(Response::from_parts(head, AnyBody::streamed(guarded)))
+}
+
+/// What the daemon beside the backend server says about a request that it refused.
+async fn refused_by_peer(outcome: &str, headers: &HeaderMap, body: Incoming) -> AttemptOutcome {
+  const BODY_BYTES_MAX: usize = 16_384;
+  let not_run = outcome == "not-run";
+  let retry_after_ms = headers::parsed(headers, headers::RETRY_AFTER_MS).unwrap_or(1);
+  let body = web::collect(body, BODY_BYTES_MAX).await.unwrap_or_default();
+  let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+  let reason = value["reason"].as_str().unwrap_or("the box gave no reason").to_string();
+  if not_run {
+    return AttemptOutcome::NotRun { reason, retry_after_ms };
+  }
+  AttemptOutcome::Unknown { reason }
+}
+
+/// A try counted as under way at a backend server until it is dropped.
+struct UnderWay {
+  box_id: BoxId,
+  shared: Rc<Shared>,
+}
+
+impl UnderWay {
+  fn start(shared: &Rc<Shared>, box_id: &BoxId) -> Self {
+    shared.balancer.borrow_mut().started(shared.now().time, box_id);
+    Self { box_id: box_id.clone(), shared: shared.clone() }
+  }
+
+  /// Keeps counting until the last byte of the answer.
+  fn until_end_of(self, response: Response<AnyBody>) -> Response<AnyBody> {
+    response.map(|body| body.keeping(self))
+  }
+}
+
+impl Drop for UnderWay {
+  fn drop(&mut self) {
+    self.shared.balancer.borrow_mut().ended(self.shared.now().time, &self.box_id);
+  }
+}
--- /dev/null
+++ b/src/proxy/guarded_body.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+/// A body that tells once when it ended, and whether it was whole.
+pub struct GuardedBody {
+  inner: Incoming,
+  on_end: Option<Box<dyn FnOnce(bool)>>,
+}
+
+impl GuardedBody {
+  /// Calls `on_end` with whether the body came whole, at its end or when it is given up.
+  pub fn new(inner: Incoming, on_end: impl FnOnce(bool) + 'static) -> Self {
+    Self { inner, on_end: Some(Box::new(on_end)) }
+  }
+
+  fn end(&mut self, whole: bool) {
+    if let Some(on_end) = self.on_end.take() {
+      on_end(whole);
+    }
+  }
+}
+
+impl Body for GuardedBody {
+  type Data = Bytes;
+  type Error = hyper::Error;
+
+  fn poll_frame(
+    mut self: Pin<&mut Self>,
+    context: &mut Context,
+  ) -> Poll<Option<std::result::Result<http_body::Frame<Bytes>, hyper::Error>>> {
+    let polled = Pin::new(&mut self.inner).poll_frame(context);
+    match &polled {
+      Poll::Ready(None) => self.end(true),
+      Poll::Ready(Some(Err(_))) => self.end(false),
+      _ => {}
+    }
+    polled
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.inner.is_end_stream()
+  }
+
+  fn size_hint(&self) -> http_body::SizeHint {
+    self.inner.size_hint()
+  }
+}
+
+impl Drop for GuardedBody {
+  fn drop(&mut self) {
+    let whole = self.inner.is_end_stream();
+    self.end(whole);
+  }
+}
--- /dev/null
+++ b/src/proxy/headers.rs
@@ -0,0 +1,89 @@
+//! The headers by which daemons, callers and backend servers speak about a request.
+
+use super::*;
+
+/// The caller's class, for fairness and histograms.
+pub const CALLER_CLASS: &str = "x-ferryyoke-caller-class";
+/// How many calls deep the request is.
+pub const DEPTH: &str = "x-ferryyoke-depth";
+/// The key of a request that must run at most once.
+pub const KEY: &str = "idempotency-key";
+/// Requests running and waiting at the backend server, in percent of its slots.
+pub const LOAD: &str = "x-ferryyoke-load-percent";
+/// On a refusal: `not-run` or `unknown`.
+pub const OUTCOME: &str = "x-ferryyoke-outcome";
+/// On an answer: the recorded result of an earlier run under the same key.
+pub const REPLAYED: &str = "x-ferryyoke-replayed";
+/// Between daemons: whether the request may run more than once.
+pub const REPEATABLE: &str = "x-ferryyoke-repeatable";
+/// Names the request through the whole mesh.
+pub const REQUEST_ID: &str = "x-ferryyoke-request-id";
+/// On a refusal: milliseconds after which to come back.
+pub const RETRY_AFTER_MS: &str = "x-ferryyoke-retry-after-ms";
+/// Between daemons: proves that a daemon of the fleet forwarded the request.
+pub const SEAL: &str = "x-ferryyoke-seal";
+/// Between daemons: the service that the request is for.
+pub const SERVICE: &str = "x-ferryyoke-service";
+/// Milliseconds that the request may still take.
+pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
+/// The configuration version that routed the request.
+pub const VERSION: &str = "x-ferryyoke-version";
+
+/// The prefix of all headers that belong to the mesh.
+const PREFIX: &str = "x-ferryyoke-";
+
+/// Headers that speak about one connection only, and are never passed on.
+const CONNECTION_HEADERS: [&str; 9] = [
+  "connection",
+  "expect",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "transfer-encoding",
+  "upgrade",
+];
+
+/// The value of a header as text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+  headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The value of a header, read as its type.
+pub fn parsed<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+  text(headers, name).and_then(|value| value.parse().ok())
+}
+
+/// Sets a header to a value of our own making.
+pub fn set(headers: &mut HeaderMap, name: &'static str, value: impl Display) {
+  if let Ok(value) = HeaderValue::from_str(&value.to_string()) {
+    headers.insert(HeaderName::from_static(name), value);
+  }
+}
+
+/// Removes the headers that speak about one connection only, those that `connection` names too.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+  let named: Vec<HeaderName> = headers
+    .get_all(http::header::CONNECTION)
+    .iter()
+    .filter_map(|value| value.to_str().ok())
+    .flat_map(|value| value.split(','))
+    .filter_map(|name| name.trim().parse().ok())
+    .collect();
+  for name in named {
+    headers.remove(name);
+  }
+  for name in CONNECTION_HEADERS {
+    headers.remove(name);
+  }
+}
+
+/// Removes the headers that belong to the mesh, so that nobody else speaks in its name.
+pub fn remove_mesh_headers(headers: &mut HeaderMap) {
+  let mesh: Vec<HeaderName> =
+    headers.keys().filter(|name| name.as_str().starts_with(PREFIX)).cloned().collect();
+  for name in mesh {
+    headers.remove(name);
+  }
+}
--- /dev/null
+++ b/src/proxy/held_claim.rs
@@ -0,0 +1,183 @@
+//! Runs a request that must run at most once, between taking its claim and recording its result.
+
+use super::*;
+
+/// Largest result in bytes.
+const RESULT_BYTES_MAX: usize = 8 << 20;
+
+/// Largest result in bytes that the claim keeps for repetitions.
+const RECORDED_BYTES_MAX: usize = 65_536;
+
+/// Milliseconds for which a caller's answer waits for its record.
+const RECORD_PATIENCE_MS: u64 = 1_000;
+
+/// Milliseconds for which a record is tried on behind the answer.
+const RECORD_STUBBORN_MS: u64 = 600_000;
+
+/// Milliseconds after which a repetition may ask again.
+const RUNNING_RETRY_MS: u64 = 500;
+
+/// What became of a claimed request.
+pub struct ClaimedOutcome {
+  /// The answer to the caller.
+  pub answer: std::result::Result<Response<AnyBody>, Refusal>,
+  /// What became of the claim, for the record.
+  pub claim: String,
+}
+
+/// Claims the key, runs the request where the claim is held, and records the result.
+pub async fn run(
+  shared: &Rc<Shared>,
+  forwarded: Forwarded,
+  ticket: ClaimTicket,
+  body: Bytes,
+  attempts: &mut Vec<Attempt>,
+) -> ClaimedOutcome {
+  let now = shared.now();
+  let mut claim = Claim::new(ticket, forwarded.deadline, now.unix_ms, shared.make_seed());
+  let step = claim.take();
+  let settlement = drive(shared, &mut claim, step).await;
+  let (name, answer) = match settlement {
+    Settlement::Held(revision) => {
+      let answer = run_held(shared, &forwarded, claim, revision, body, attempts).await;
+      ("held", answer)
+    }
+    Settlement::Mismatch => {
+      let reason = "the key came before with another request: use a new key";
+      ("mismatch", Err(Refusal::wrong(StatusCode::UNPROCESSABLE_ENTITY, reason)))
+    }
+    Settlement::Repeated(state) => ("repeated", repeat(&forwarded, state)),
+    Settlement::NotRun { reason } => {
+      give_back(shared, claim);
+      ("not taken", Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, 1_000)))
+    }
+    Settlement::Recorded | Settlement::Unrecorded { .. } => {
+      ("unsettled", Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "the claim was not settled")))
+    }
+  };
+  ClaimedOutcome { answer, claim: name.into() }
+}
+
+async fn run_held(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  claim: Claim,
+  revision: Revision,
+  body: Bytes,
+  attempts: &mut Vec<Attempt>,
+) -> std::result::Result<Response<AnyBody>, Refusal> {
+  let answer = forward::forward(shared, forwarded, RequestBody::Held(body), attempts).await;
+  let whole = match answer {
+    Ok(response) => hold(response).await,
+    Err(outcome) => Err(outcome),
+  };
+  let state = match &whole {
+    Ok((head, body)) => done(head, body),
+    Err(AttemptOutcome::NotRun { .. }) => ClaimState::Released,
+    Err(outcome) => ClaimState::Unknown { reason: outcome.to_string() },
+  };
+  record(shared, claim, state, revision).await;
+  let (head, body) = whole.map_err(Refusal::from)?;
+  Ok(Response::from_parts(head, web::full(body)))
+}
+
+/// The whole answer of a backend server.
+async fn hold(
+  response: Response<AnyBody>,
+) -> std::result::Result<(http::response::Parts, Bytes), AttemptOutcome> {
+  let (head, body) = response.into_parts();
+  let body = web::collect(body, RESULT_BYTES_MAX).await;
+  let body = body.map_err(|err| AttemptOutcome::Unknown {
+    reason: format!("the answer did not come whole: {err}"),
+  })?;
+  Ok((head, body))
+}
+
+fn done(head: &http::response::Parts, body: &Bytes) -> ClaimState {
+  let text = std::str::from_utf8(body).ok().filter(|text| text.len() <= RECORDED_BYTES_MAX);
+  ClaimState::Done {
+    body: text.map(ToString::to_string),
+    content_type: headers::text(&head.headers, "content-type").map(ToString::to_string),
+    status: head.status.as_u16(),
+  }
+}
+
+/// Records what became of the request. Where the store does not answer, goes on behind the caller's
+/// answer.
+async fn record(shared: &Rc<Shared>, mut claim: Claim, state: ClaimState, revision: Revision) {
+  let now = shared.now();
+  let deadline = now.time.after(RECORD_PATIENCE_MS);
+  let step = claim.record(state.clone(), revision, deadline, now.unix_ms);
+  if drive(shared, &mut claim, step).await == Settlement::Recorded {
+    return;
+  }
+  let shared = shared.clone();
+  monoio::spawn(async move {
+    let now = shared.now();
+    let deadline = now.time.after(RECORD_STUBBORN_MS);
+    let step = claim.record(state, revision, deadline, now.unix_ms);
+    if let Settlement::Unrecorded { reason } = drive(&shared, &mut claim, step).await {
+      warn!(shared.log.logger, "a claim's result could not be recorded"; "reason" => reason);
+    }
+  });
+}
+
+/// Undoes a claim of unknown fate behind the caller's answer, so that a later try may run.
+fn give_back(shared: &Rc<Shared>, mut claim: Claim) {
+  let shared = shared.clone();
+  monoio::spawn(async move {
+    let now = shared.now();
+    let step = claim.release(now.time.after(RECORD_STUBBORN_MS), now.unix_ms);
+    drive(&shared, &mut claim, step).await;
+  });
+}
+
+/// What a repetition of a key hears.
+fn repeat(
+  forwarded: &Forwarded,
+  state: ClaimState,
+) -> std::result::Result<Response<AnyBody>, Refusal> {
+  match state {
+    ClaimState::Done { body, content_type, status } => Ok(replay(body, content_type, status)),
+    ClaimState::Released | ClaimState::Running => {
+      let reason = format!(
+        "a request with this key is running; ask again with the same key, or `why request {}`",
+        forwarded.id
+      );
+      Err(Refusal::running(reason, RUNNING_RETRY_MS))
+    }
+    ClaimState::Unknown { reason } => {
+      let reason = format!("a request with this key may have run ({reason}); it never runs again");
+      Err(Refusal::unknown(StatusCode::CONFLICT, reason))
+    }
+  }
+}
+
+fn replay(body: Option<String>, content_type: Option<String>, status: u16) -> Response<AnyBody> {
+  let mut response = Response::new(web::full(body.unwrap_or_default()));
+  *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+  let own_headers = response.headers_mut();
+  headers::set(own_headers, headers::REPLAYED, "yes");
+  if let Some(content_type) = content_type {
+    headers::set(own_headers, "content-type", content_type);
+  }
+  response
+}
+
+/// Carries out the steps of a claim until it is settled.
+async fn drive(shared: &Shared, claim: &mut Claim, first: ClaimStep) -> Settlement {
+  let mut step = first;
+  loop {
+    step = match step {
+      ClaimStep::Call(request) => {
+        let result = shared.call_store(request).await;
+        claim.answered(shared.now().time, result)
+      }
+      ClaimStep::Settled(settlement) => return settlement,
+      ClaimStep::Wait { pause_ms } => {
+        monoio::time::sleep(Duration::from_millis(pause_ms)).await;
+        claim.resumed()
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,39 @@
+//! Carries requests: from callers, to the daemon beside a backend server, to the backend server.
+//!
+//! A request passes two daemons at most. The first takes it from the caller, routes it, claims its
+//! key, and chooses a backend server; the daemon beside that one holds it until there is a slot and
+//! hands it over. Every request to a backend server goes through the daemon beside it.
+
+use super::*;
+
+use crate::{
+  configuration::Configuration,
+  daemon::Shared,
+  fleet::{Endpoint, EndpointState},
+  requests::{
+    Arrival, Attempt, AttemptOutcome, CallerClass, Choice, Claim, ClaimState, ClaimStep,
+    ClaimTicket, Completion, RequestKey, RequestRecord, RouteMatch, Settlement, Ticket, Verdict,
+  },
+  store::Revision,
+  web::AnyBody,
+};
+
+pub use self::{carry::serve_caller, egress::serve_peer};
+
+use self::{
+  answer::Answer, forwarded::Forwarded, guarded_body::GuardedBody, held_slot::HeldSlot,
+  incoming_request::IncomingRequest, refusal::Refusal, request_body::RequestBody,
+};
+
+mod answer;
+mod carry;
+mod egress;
+mod forward;
+mod forwarded;
+mod guarded_body;
+pub mod headers;
+mod held_claim;
+mod held_slot;
+mod incoming_request;
+mod refusal;
+mod request_body;
--- /dev/null
+++ b/src/proxy/refusal.rs
@@ -0,0 +1,105 @@
+use super::*;
+
+/// Why a caller gets no answer of a backend server.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+  /// What is known of the request.
+  pub fate: Fate,
+  /// Why.
+  pub reason: String,
+  /// Milliseconds after which to come back; nothing where coming back does not help.
+  pub retry_after_ms: Option<u64>,
+  /// The status.
+  pub status: StatusCode,
+}
+
+/// What is known of a request that got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+  /// It truly did not run.
+  NotRun,
+  /// It is running now, under the same key.
+  Running,
+  /// It may have run.
+  Unknown,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+  outcome: &'static str,
+  reason: &'a str,
+  request_id: &'a RequestId,
+  retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+  /// A request that did not run and may be sent again after a pause.
+  pub fn not_run(status: StatusCode, reason: impl Into<String>, retry_after_ms: u64) -> Self {
+    Self { fate: Fate::NotRun, reason: reason.into(), retry_after_ms: Some(retry_after_ms), status }
+  }
+
+  /// A request that did not run and would not run as it is.
+  pub fn wrong(status: StatusCode, reason: impl Into<String>) -> Self {
+    Self { fate: Fate::NotRun, reason: reason.into(), retry_after_ms: None, status }
+  }
+
+  /// A request of which nobody knows whether it ran.
+  pub fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
+    Self { fate: Fate::Unknown, reason: reason.into(), retry_after_ms: None, status }
+  }
+
+  /// A request that runs now under the same key.
+  pub fn running(reason: impl Into<String>, retry_after_ms: u64) -> Self {
+    Self {
+      fate: Fate::Running,
+      reason: reason.into(),
+      retry_after_ms: Some(retry_after_ms),
+      status: StatusCode::CONFLICT,
+    }
+  }
+
+  /// `not-run`, `running` or `unknown`.
+  pub fn outcome(&self) -> &'static str {
+    match self.fate {
+      Fate::NotRun => "not-run",
+      Fate::Running => "running",
+      Fate::Unknown => "unknown",
+    }
+  }
+
+  /// The response that tells all of this.
+  pub fn response(&self, id: &RequestId) -> Response<AnyBody> {
+    let mut response = web::json(
+      self.status,
+      &RefusalBody {
+        outcome: self.outcome(),
+        reason: &self.reason,
+        request_id: id,
+        retry_after_ms: self.retry_after_ms,
+      },
+    );
+    let headers = response.headers_mut();
+    headers::set(headers, headers::OUTCOME, self.outcome());
+    headers::set(headers, headers::REQUEST_ID, id);
+    if let Some(after_ms) = self.retry_after_ms {
+      headers::set(headers, headers::RETRY_AFTER_MS, after_ms);
+      headers::set(headers, "retry-after", after_ms.div_ceil(1_000));
+    }
+    response
+  }
+}
+
+impl From<AttemptOutcome> for Refusal {
+  fn from(outcome: AttemptOutcome) -> Self {
+    match outcome {
+      AttemptOutcome::NotRun { reason, retry_after_ms } => {
+        Self::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms)
+      }
+      AttemptOutcome::Unknown { reason } => Self::unknown(StatusCode::BAD_GATEWAY, reason),
+      AttemptOutcome::Answered { status } => {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        Self::unknown(status, "the answer was lost on the way")
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/requests/mod.rs
@@ -0,0 +1,57 @@
+//! The decisions about requests: routing, choice of a backend server, limits, retries, claims.
+//!
+//! All of it is pure. `crate::proxy` carries the decisions out.
+
+use super::*;
+
+use crate::{
+  configuration::{Configuration, Route},
+  fleet::{Endpoint, EndpointState, EndpointTable},
+  store::{Entry, Key, Refusal, Reply, Revision, StoreRequest},
+};
+
+pub use self::{
+  arrival::Arrival,
+  attempt::Attempt,
+  attempt_outcome::AttemptOutcome,
+  balancer::{Balancer, Choice},
+  caller_class::CallerClass,
+  claim::Claim,
+  claim_record::ClaimRecord,
+  claim_state::ClaimState,
+  claim_step::ClaimStep,
+  claim_ticket::ClaimTicket,
+  completion::Completion,
+  limiter::Limiter,
+  record_book::RecordBook,
+  request_key::RequestKey,
+  request_record::RequestRecord,
+  retry_budget::RetryBudget,
+  route_match::RouteMatch,
+  router::Router,
+  settlement::Settlement,
+  ticket::Ticket,
+  verdict::Verdict,
+};
+
+mod arrival;
+mod attempt;
+mod attempt_outcome;
+mod balancer;
+mod caller_class;
+mod claim;
+mod claim_record;
+mod claim_state;
+mod claim_step;
+mod claim_ticket;
+mod completion;
+mod limiter;
+mod record_book;
+mod request_key;
+mod request_record;
+mod retry_budget;
+mod route_match;
+mod router;
+mod settlement;
+mod ticket;
+mod verdict;
--- /dev/null
+++ b/src/requests/router.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+/// Finds the route of a request in one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+  /// Routes by the first segment of their path, most specific first.
+  by_segment: BTreeMap<String, Vec<(RouteName, Route)>>,
+  version: Version,
+}
+
+impl Router {
+  /// Indexes the routes of a configuration.
+  pub fn new(configuration: &Configuration) -> Self {
+    let mut by_segment: BTreeMap<String, Vec<(RouteName, Route)>> = BTreeMap::new();
+    for (name, route) in &configuration.routes {
+      let segment = first_segment(&route.value.path_prefix);
+      let routes = by_segment.entry(segment.into()).or_default();
+      routes.push((name.clone(), route.value.clone()));
+    }
+    for routes in by_segment.values_mut() {
+      routes.sort_by(|(name, route), (other_name, other)| {
+        other.specificity().cmp(&route.specificity()).then(name.cmp(other_name))
+      });
+    }
+    Self { by_segment, version: configuration.version }
+  }
+
+  /// The most specific route that takes the request.
+  pub fn find(
+    &self,
+    method: &Method,
+    host: Option<&str>,
+    path: &str,
+    headers: &HeaderMap,
+  ) -> Option<RouteMatch> {
+    let takes = |route: &Route| {
+      route.covers_path(path)
+        && route.method.as_ref().is_none_or(|wanted| wanted == method.as_str())
+        && route.host.as_deref().is_none_or(|wanted| host == Some(wanted))
+        && route.headers.iter().all(|(name, value)| {
+          headers.get(name).is_some_and(|found| found.as_bytes() == value.as_bytes())
+        })
+    };
+    let candidates = [first_segment(path), ""];
+    let lists = candidates.iter().filter_map(|segment| self.by_segment.get(*segment));
+    let best = lists
+      .filter_map(|routes| routes.iter().find(|(_, route)| takes(route)))
+      .max_by_key(|(_, route)| route.specificity())?;
+    Some(RouteMatch {
+      repeatable: best.1.repeatable,
+      route: best.0.clone(),
+      service: best.1.service.clone(),
+    })
+  }
+
+  /// The version whose routes these are.
+  pub fn version(&self) -> Version {
+    self.version
+  }
+}
+
+/// `a` of `/a/b`; empty for `/`. A route whose path ends inside a segment matches by borders alone.
+fn first_segment(path: &str) -> &str {
+  path.trim_start_matches('/').split('/').next().unwrap_or_default()
+}
--- /dev/null
+++ b/src/requests/ticket.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::number! {
+  /// Names one request at a limiter.
+  Ticket, "ticket"
+}
--- /dev/null
+++ b/src/settings/backend_server.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// The backend server beside the daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendServer {
+  /// Where it listens.
+  pub address: SocketAddr,
+  /// Connections that it takes at once. At least `slots`.
+  pub connections: u32,
+  /// The path of its health endpoint.
+  pub health_path: String,
+  /// Requests that it runs at once. At least 1.
+  pub slots: u32,
+}
+
+impl BackendServer {
+  pub(super) fn read(node: &Node) -> Option<Self> {
+    node.object(&["address", "connections", "health_path", "slots"]);
+    let address = node.field("address").address();
+    let connections = node.field("connections").number(1, 100_000);
+    let slots = node.field("slots").number(1, 100_000);
+    let health_path: Option<String> =
+      node.field("health_path").text_or("/healthz".into(), "a path that starts with `/`");
+    if let Some((slots, connections)) = slots.zip(connections).filter(|(s, c)| s > c) {
+      let allowed = format!("at least the {slots} slots");
+      node.field("connections").fault_found(connections.to_string(), allowed);
+      return None;
+    }
+    let small = |number: u64| u32::try_from(number).ok();
+    Some(Self {
+      address: address?,
+      connections: connections.and_then(small)?,
+      health_path: health_path?,
+      slots: slots.and_then(small)?,
+    })
+  }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,33 @@
+//! The daemon's settings: one JSON file, checked whole before anything starts.
+
+use super::*;
+
+use crate::{
+  distribution::Profile,
+  fleet::Peer,
+  telemetry::{LogFormat, LogLevel},
+};
+
+pub use self::{
+  addresses::Addresses, backend_server::BackendServer, error::Error, fault::Fault,
+  fleet_key::FleetKey, role::Role, settings::Settings, token::Token,
+};
+
+use self::node::Node;
+
+mod addresses;
+mod backend_server;
+mod error;
+mod fault;
+mod fleet_key;
+mod node;
+mod role;
+#[allow(clippy::module_inception)]
+mod settings;
+mod token;
+
+/// Looks up a variable of the environment.
+pub type Environment = dyn Fn(&str) -> Option<String>;
+
+/// Result of reading settings.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/settings/settings.rs
@@ -0,0 +1,147 @@
+use super::*;
+
+/// What one daemon is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+  /// Where it listens.
+  pub addresses: Addresses,
+  /// The backend server beside it.
+  pub backend_server: BackendServer,
+  /// The box that it runs on.
+  pub box_id: BoxId,
+  /// The data hall that the box stands in.
+  pub data_hall: DataHall,
+  /// The fleet's secret.
+  pub fleet_key: FleetKey,
+  /// How lines of the log look.
+  pub log_format: LogFormat,
+  /// Which lines the log has.
+  pub log_level: LogLevel,
+  /// Boxes of the fleet, as the platform lists them. May be old and incomplete.
+  pub peers: Vec<Peer>,
+  /// What to prefer in distribution.
+  pub profile: Profile,
+  /// The region that the box stands in.
+  pub region: Region,
+  /// The service that the backend server serves.
+  pub service: ServiceName,
+  /// Longest planned stop in milliseconds; what runs longer is cut.
+  pub stop_deadline_ms: u64,
+  /// Where the platform's store listens.
+  pub store_address: SocketAddr,
+  /// Milliseconds to wait for a reply of the store.
+  pub store_timeout_ms: u64,
+  /// Tokens of the administration API. None are needed where it listens on loopback only.
+  pub tokens: Vec<Token>,
+}
+
+impl Settings {
+  const KEYS: [&str; 12] = [
+    "addresses",
+    "backend_server",
+    "box",
+    "data_hall",
+    "fleet_key",
+    "log",
+    "peers",
+    "profile",
+    "region",
+    "service",
+    "stop_deadline_ms",
+    "store",
+  ];
+  const NAME: &str = "a name of 1 to 63 of the characters a-z, A-Z, 0-9, `-`, `_`, `.`";
+
+  /// Reads and checks a settings file.
+  pub fn load(path: &Path) -> Result<Self> {
+    let unreadable =
+      |err: io::Error| Error::Unreadable { path: path.into(), reason: err.to_string() };
+    let text = fs::read_to_string(path).map_err(unreadable)?;
+    Self::parse(&text, &|name| std::env::var(name).ok())
+  }
+
+  /// Reads and checks the text of a settings file, with the environment's variables by name.
+  pub fn parse(text: &str, environment: &Environment) -> Result<Self> {
+    let value: serde_json::Value =
+      serde_json::from_str(text).map_err(|err| Error::Json { reason: err.to_string() })?;
+    let faults = RefCell::default();
+    let settings = Self::read(&Node::root(&value, &faults), environment);
+    let faults = faults.into_inner();
+    match settings.filter(|_| faults.is_empty()) {
+      Some(settings) => Ok(settings),
+      None => Err(Error::Faults(faults)),
+    }
+  }
+
+  fn read(root: &Node, environment: &Environment) -> Option<Self> {
+    let keys: Vec<&str> = Self::KEYS.into_iter().chain(["tokens"]).collect();
+    root.object(&keys);
+    let addresses = Addresses::read(&root.field("addresses"));
+    let backend_server = BackendServer::read(&root.field("backend_server"));
+    let box_id = root.field("box").text(Self::NAME);
+    let data_hall = root.field("data_hall").text(Self::NAME);
+    let fleet_key = FleetKey::read(&root.field("fleet_key"), environment);
+    let (log_format, log_level) = Self::read_log(&root.field("log"));
+    let peers: Option<Vec<Peer>> =
+      root.field("peers").items().iter().map(Self::read_peer).collect();
+    let profile =
+      root.field("profile").text_or(Profile::default(), "\"balanced\", \"frugal\" or \"prompt\"");
+    let region = root.field("region").text(Self::NAME);
+    let service = root.field("service").text(Self::NAME);
+    let stop_deadline_ms = root.field("stop_deadline_ms").number_or(600_000, 1, 86_400_000);
+    let (store_address, store_timeout_ms) = Self::read_store(&root.field("store"));
+    let tokens: Option<Vec<Token>> = root.field("tokens").items().iter().map(Token::read).collect();
+    Self::check_exposure(root, addresses.as_ref(), tokens.as_deref());
+    Some(Self {
+      addresses: addresses?,
+      backend_server: backend_server?,
+      box_id: box_id?,
+      data_hall: data_hall?,
+      fleet_key: fleet_key?,
+      log_format: log_format?,
+      log_level: log_level?,
+      peers: peers?,
+      profile: profile?,
+      region: region?,
+      service: service?,
+      stop_deadline_ms: stop_deadline_ms?,
+      store_address: store_address?,
+      store_timeout_ms: store_timeout_ms?,
+      tokens: tokens?,
+    })
+  }
+
+  /// Administration that others can reach demands tokens.
+  fn check_exposure(root: &Node, addresses: Option<&Addresses>, tokens: Option<&[Token]>) {
+    let reachable = addresses.is_some_and(|one| !one.administration.ip().is_loopback());
+    if reachable && tokens.is_some_and(<[Token]>::is_empty) {
+      root.field("tokens").fault("at least one token, for administration is not on loopback");
+    }
+  }
+
+  fn read_log(node: &Node) -> (Option<LogFormat>, Option<LogLevel>) {
+    if !node.is_present() {
+      return (Some(LogFormat::default()), Some(LogLevel::default()));
+    }
+    node.object(&["format", "level"]);
+    let format = node.field("format").text_or(LogFormat::default(), "\"json\" or \"terminal\"");
+    let level = node
+      .field("level")
+      .text_or(LogLevel::default(), "\"debug\", \"error\", \"info\", \"trace\" or \"warning\"");
+    (format, level)
+  }
+
+  fn read_peer(node: &Node) -> Option<Peer> {
+    node.object(&["address", "box", "data_hall"]);
+    let address = node.field("address").address();
+    let box_id = node.field("box").text(Self::NAME);
+    let data_hall = node.field("data_hall").text(Self::NAME);
+    Some(Peer { address: address?, box_id: box_id?, data_hall: data_hall? })
+  }
+
+  fn read_store(node: &Node) -> (Option<SocketAddr>, Option<u64>) {
+    node.object(&["address", "timeout_ms"]);
+    let address = node.field("address").address();
+    (address, node.field("timeout_ms").number_or(1_000, 1, 60_000))
+  }
+}
--- /dev/null
+++ b/src/settings/token.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+/// A token of the administration API, known by its digest alone.
+#[derive(Clone, Debug)]
+pub struct Token {
+  /// The digest of the token's text.
+  pub digest: Digest,
+  /// Who bears it.
+  pub operator: Operator,
+  /// What its bearer may do.
+  pub role: Role,
+  /// The bearer's team.
+  pub team: Team,
+}
+
+impl Token {
+  pub(super) fn read(node: &Node) -> Option<Self> {
+    node.object(&["digest", "operator", "role", "team"]);
+    let digest = node.field("digest").text("the BLAKE3 digest of the token, in hexadecimal");
+    let operator = node.field("operator").text("a name");
+    let role = node.field("role").text("administrator, editor or reader");
+    let team = node.field("team").text("a name");
+    Some(Self { digest: digest?, operator: operator?, role: role?, team: team? })
+  }
+}
