--- /dev/null
+++ b/src/store/http_store.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+/// A client of the store over HTTP with JSON, on a few kept connections.
+pub struct HttpStore {
+  address: SocketAddr,
+  pool: Rc<web::Pool>,
+  timeout_ms: u64,
+}
+
+impl HttpStore {
+  /// A client of the store at `address` that waits `timeout_ms` for each reply.
+  pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+    Self { address, pool: Rc::new(web::Pool::new(timeout_ms)), timeout_ms }
+  }
+
+  async fn exchange(
+    pool: Rc<web::Pool>,
+    address: SocketAddr,
+    request: StoreRequest,
+  ) -> Result<Reply> {
+    let text = serde_json::to_string(&request).expect("a store request is plain data");
+    let post = Request::post("/v1/call")
+      .header(http::header::HOST, address.to_string())
+      .header(http::header::CONTENT_TYPE, "application/json")
+      .body(web::full(text))
+      .expect("a fixed head");
+    let (status, body) = pool.exchange(address, post, 4 * VALUE_BYTES_MAX).await?;
+    let malformed = |err| Error::Unknown { reason: format!("malformed reply: {err}") };
+    if status == StatusCode::OK {
+      return serde_json::from_slice(&body).map_err(malformed);
+    }
+    if status.is_client_error() {
+      let refusal: Refusal = serde_json::from_slice(&body).map_err(malformed)?;
+      return Err(refusal.into());
+    }
+    Err(Error::Unknown { reason: format!("status {status}") })
+  }
+}
+
+impl Store for HttpStore {
+  fn call(&self, request: StoreRequest) -> LocalFuture<Result<Reply>> {
+    let wait_ms = self.timeout_ms + request.wait_ms();
+    let exchange = Self::exchange(self.pool.clone(), self.address, request);
+    Box::pin(async move {
+      let limited = monoio::time::timeout(Duration::from_millis(wait_ms), exchange);
+      limited
+        .await
+        .unwrap_or_else(|_| Err(Error::Unknown { reason: format!("no reply within {wait_ms} ms") }))
+    })
+  }
+}
+
+impl From<web::Error> for Error {
+  fn from(err: web::Error) -> Self {
+    match err {
+      web::Error::Unreachable { .. } => Refusal::Unreachable { reason: err.to_string() }.into(),
+      web::Error::Broken { .. } | web::Error::TooLarge { .. } => {
+        Self::Unknown { reason: err.to_string() }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/store/lease_id.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::number! {
+  /// Names a lease of the store.
+  LeaseId, "lease id"
+}
--- /dev/null
+++ b/src/store/reply.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+/// What the store answers to a call that it carried out.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "reply")]
+pub enum Reply {
+  /// The changes that a watch waited for; none where its time ran out.
+  Changes {
+    /// The changes, oldest first.
+    events: Vec<Event>,
+    /// The store's revision: the next watch goes on from here.
+    revision: Revision,
+  },
+  /// The lease ended or the key is gone.
+  Done,
+  /// The entry that a read found.
+  Entry {
+    /// The entry; nothing where the key does not exist.
+    entry: Option<Entry>,
+    /// The store's revision.
+    revision: Revision,
+  },
+  /// What a list found.
+  Entries {
+    /// The entries, by key.
+    entries: Vec<Entry>,
+    /// The store's revision.
+    revision: Revision,
+  },
+  /// A lease was made or renewed.
+  Lease {
+    /// The lease.
+    lease: LeaseId,
+  },
+  /// A value was written.
+  Written {
+    /// The revision of the write.
+    revision: Revision,
+  },
+}
--- /dev/null
+++ b/src/telemetry/labels.rs
@@ -0,0 +1,35 @@
+//! The label sets of the metrics.
+
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// Labels of requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RequestLabels {
+  /// The caller's class.
+  pub class: String,
+  /// How the request ended.
+  pub outcome: String,
+  /// The service.
+  pub service: String,
+}
+
+/// Labels of bytes on links.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ByteLabels {
+  /// `received` or `sent`.
+  pub direction: &'static str,
+}
+
+/// Labels of calls to the store.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct StoreLabels {
+  /// `done`, `refused` or `unknown`.
+  pub result: &'static str,
+}
+
+/// Labels of refused links.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct LinkLabels {
+  /// Why.
+  pub reason: &'static str,
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,124 @@
+use super::*;
+
+use {
+  self::labels::{ByteLabels, LinkLabels, RequestLabels, StoreLabels},
+  prometheus_client::{
+    metrics::{
+      counter::Counter,
+      family::Family,
+      gauge::Gauge,
+      histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+  },
+};
+
+/// The daemon's metrics.
+pub struct Metrics {
+  /// Caller classes and services that have labels of their own so far.
+  known: RefCell<BTreeSet<String>>,
+  link_bytes: Family<ByteLabels, Counter>,
+  /// Links refused for a wrong key, an old protocol or garbage.
+  links_refused: Family<LinkLabels, Counter>,
+  registry: Registry,
+  request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram>,
+  store_calls: Family<StoreLabels, Counter>,
+  /// The configuration version in force.
+  pub version: Gauge,
+}
+
+impl Metrics {
+  /// Caller classes and services with labels of their own; more are counted as `other`.
+  const LABELS_MAX: usize = 256;
+
+  /// Metrics that all start at zero.
+  pub fn new() -> Self {
+    let mut registry = Registry::with_prefix("ferryyoke");
+    let request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram> =
+      Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.000_1, 2.0, 18)));
+    let link_bytes = Family::default();
+    let links_refused = Family::default();
+    let store_calls = Family::default();
+    let version: Gauge = Gauge::default();
+    registry.register(
+      "request_seconds",
+      "Seconds to the head of the answer, by service and caller class",
+      request_seconds.clone(),
+    );
+    registry.register("link_bytes", "Bytes on links between daemons", link_bytes.clone());
+    registry.register("links_refused", "Links refused, by reason", links_refused.clone());
+    registry.register("store_calls", "Calls to the store, by result", store_calls.clone());
+    registry.register("configuration_version", "The version in force", version.clone());
+    Self {
+      known: RefCell::default(),
+      link_bytes,
+      links_refused,
+      registry,
+      request_seconds,
+      store_calls,
+      version,
+    }
+  }
+
+  /// A request ended.
+  pub fn request(&self, service: &str, class: &str, outcome: &str, seconds: f64) {
+    let labels = RequestLabels {
+      class: self.bounded(class),
+      outcome: outcome.into(),
+      service: self.bounded(service),
+    };
+    self.request_seconds.get_or_create(&labels).observe(seconds);
+  }
+
+  /// Callers choose their class, so the number of label values is bounded here.
+  fn bounded(&self, value: &str) -> String {
+    let mut known = self.known.borrow_mut();
+    if known.contains(value) {
+      return value.into();
+    }
+    if known.len() >= Self::LABELS_MAX {
+      return "other".into();
+    }
+    known.insert(value.into());
+    value.into()
+  }
+
+  /// Bytes came over a link.
+  pub fn link_received(&self, bytes: usize) {
+    self.link_bytes.get_or_create(&ByteLabels { direction: "received" }).inc_by(bytes as u64);
+  }
+
+  /// Bytes went over a link.
+  pub fn link_sent(&self, bytes: usize) {
+    self.link_bytes.get_or_create(&ByteLabels { direction: "sent" }).inc_by(bytes as u64);
+  }
+
+  /// A link was refused. Returns how many were refused for this reason before.
+  pub fn link_refused(&self, reason: &'static str) -> u64 {
+    self.links_refused.get_or_create(&LinkLabels { reason }).inc()
+  }
+
+  /// The store was called.
+  pub fn store_called<T>(&self, result: &store::Result<T>) {
+    let result = match result {
+      Ok(_) => "done",
+      Err(store::Error::Refused(_)) => "refused",
+      Err(store::Error::Unknown { .. }) => "unknown",
+    };
+    self.store_calls.get_or_create(&StoreLabels { result }).inc();
+  }
+
+  /// All metrics in the text format that monitors read.
+  pub fn encode(&self) -> String {
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &self.registry)
+      .expect("writing to a string does not fail");
+    text
+  }
+}
+
+impl Default for Metrics {
+  fn default() -> Self {
+    Self::new()
+  }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,14 @@
+//! Logs and metrics.
+
+use super::*;
+
+pub use self::{
+  log::Log, log_format::LogFormat, log_level::LogLevel, metrics::Metrics, quota::Quota,
+};
+
+mod labels;
+mod log;
+mod log_format;
+mod log_level;
+mod metrics;
+mod quota;
--- /dev/null
+++ b/src/values/data_hall.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::name! {
+  /// A data hall: the zone that a box stands in.
+  DataHall, "data hall"
+}
--- /dev/null
+++ b/src/values/digest.rs
@@ -0,0 +1,98 @@
+use super::*;
+
+/// A BLAKE3 digest, written as 64 hexadecimal digits; 32 plain bytes in compact encodings.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+  /// The digest of `bytes`.
+  pub fn of(bytes: &[u8]) -> Self {
+    Self(blake3::hash(bytes).into())
+  }
+
+  /// The bytes.
+  pub fn as_bytes(&self) -> &[u8] {
+    &self.0
+  }
+
+  /// The first eight bytes as a number, where the whole would be too long.
+  pub fn prefix(&self) -> u64 {
+    let (first, _) = self.0.split_at(8);
+    u64::from_be_bytes(first.try_into().expect("eight bytes"))
+  }
+
+  /// The first eight digits, for people.
+  pub fn short(&self) -> String {
+    self.to_string()[..8].into()
+  }
+}
+
+impl Display for Digest {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    blake3::Hash::from(self.0).to_hex().fmt(f)
+  }
+}
+
+impl fmt::Debug for Digest {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    f.write_str(&self.short())
+  }
+}
+
+impl FromStr for Digest {
+  type Err = Error;
+
+  fn from_str(text: &str) -> Result<Self> {
+    let hash = blake3::Hash::from_hex(text)
+      .map_err(|_| Error::Digest { found: text.chars().take(80).collect() })?;
+    Ok(Self(hash.into()))
+  }
+}
+
+impl Serialize for Digest {
+  fn serialize<S: serde::Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+    if serializer.is_human_readable() {
+      return serializer.collect_str(self);
+    }
+    serializer.serialize_bytes(&self.0)
+  }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+  fn deserialize<D: serde::Deserializer<'de>>(
+    deserializer: D,
+  ) -> std::result::Result<Self, D::Error> {
+    if deserializer.is_human_readable() {
+      let text = String::deserialize(deserializer)?;
+      return text.parse().map_err(serde::de::Error::custom);
+    }
+    deserializer.deserialize_bytes(BytesVisitor)
+  }
+}
+
+struct BytesVisitor;
+
+impl serde::de::Visitor<'_> for BytesVisitor {
+  type Value = Digest;
+
+  fn expecting(&self, f: &mut Formatter) -> fmt::Result {
+    f.write_str("32 bytes")
+  }
+
+  fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> std::result::Result<Digest, E> {
+    let bytes = bytes.try_into().map_err(|_| E::invalid_length(bytes.len(), &self))?;
+    Ok(Digest(bytes))
+  }
+}
+
+impl From<blake3::Hasher> for Digest {
+  fn from(hasher: blake3::Hasher) -> Self {
+    Self(hasher.finalize().into())
+  }
+}
+
+impl From<[u8; 32]> for Digest {
+  fn from(bytes: [u8; 32]) -> Self {
+    Self(bytes)
+  }
+}
--- /dev/null
+++ b/src/values/mod.rs
@@ -0,0 +1,30 @@
+//! Newtypes for ids, sizes and times, each with `Display` and `FromStr`.
+
+use super::*;
+
+pub use self::{
+  box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest, error::Error,
+  incarnation::Incarnation, operator::Operator, policy_name::PolicyName, region::Region,
+  request_id::RequestId, route_name::RouteName, service_name::ServiceName, team::Team, time::Time,
+  version::Version,
+};
+
+mod box_id;
+mod change_id;
+mod data_hall;
+mod digest;
+mod error;
+mod incarnation;
+mod operator;
+mod policy_name;
+mod region;
+mod request_id;
+mod route_name;
+mod service_name;
+mod team;
+pub(crate) mod text;
+mod time;
+mod version;
+
+/// Result of reading one value from text.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/values/service_name.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::name! {
+  /// The name of a service.
+  ServiceName, "service"
+}
--- /dev/null
+++ b/src/values/team.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::name! {
+  /// A team that owns objects of the configuration.
+  Team, "team"
+}
--- /dev/null
+++ b/src/web/any_body.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// The body of any message that the daemon sends. It stays on the daemon's one thread.
+pub struct AnyBody {
+  inner: Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>,
+  /// Dropped with the body.
+  kept: Vec<Box<dyn std::any::Any>>,
+}
+
+impl AnyBody {
+  /// A body that streams through.
+  pub fn streamed<B>(body: B) -> Self
+  where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<BodyError>,
+  {
+    Self { inner: Box::pin(body.map_err(Into::into)), kept: Vec::new() }
+  }
+
+  /// Keeps `guard` until the body is gone.
+  #[must_use]
+  pub fn keeping(mut self, guard: impl std::any::Any) -> Self {
+    self.kept.push(Box::new(guard));
+    self
+  }
+}
+
+impl Body for AnyBody {
+  type Data = Bytes;
+  type Error = BodyError;
+
+  fn poll_frame(
+    mut self: Pin<&mut Self>,
+    context: &mut Context,
+  ) -> Poll<Option<std::result::Result<http_body::Frame<Bytes>, BodyError>>> {
+    self.inner.as_mut().poll_frame(context)
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.inner.is_end_stream()
+  }
+
+  fn size_hint(&self) -> http_body::SizeHint {
+    self.inner.size_hint()
+  }
+}
--- /dev/null
+++ b/src/web/mod.rs
@@ -0,0 +1,62 @@
+//! HTTP plumbing on monoio: bodies, a pool of client connections, and a server loop.
+
+use super::*;
+
+pub use self::{any_body::AnyBody, error::Error, listener::Listener, pool::Pool, server::Server};
+
+mod any_body;
+mod error;
+mod listener;
+mod pool;
+mod server;
+
+/// Result of an exchange.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// What breaks a body.
+pub type BodyError = Box<dyn StdError + Send + Sync>;
+
+/// An HTTP connection on which requests are sent.
+pub type Sender = hyper::client::conn::http1::SendRequest<AnyBody>;
+
+/// A body without a byte.
+pub fn empty() -> AnyBody {
+  full(Bytes::new())
+}
+
+/// A body that is held whole.
+pub fn full(bytes: impl Into<Bytes>) -> AnyBody {
+  AnyBody::streamed(Full::new(bytes.into()))
+}
+
+/// Reads a body of at most `bytes_max` bytes whole.
+pub async fn collect<B>(body: B, bytes_max: usize) -> Result<Bytes>
+where
+  B: Body<Data = Bytes>,
+  B::Error: Into<BodyError>,
+{
+  match Limited::new(body, bytes_max).collect().await {
+    Ok(collected) => Ok(collected.to_bytes()),
+    Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(Error::TooLarge { bytes_max }),
+    Err(err) => Err(Error::Broken { reason: err.to_string() }),
+  }
+}
+
+/// A JSON response.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<AnyBody> {
+  let text = serde_json::to_string(value).expect("plain data");
+  let mut response = Response::new(full(text));
+  *response.status_mut() = status;
+  let json = HeaderValue::from_static("application/json");
+  response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+  response
+}
+
+/// A response of plain text.
+pub fn text(status: StatusCode, text: impl Into<String>) -> Response<AnyBody> {
+  let mut response = Response::new(full(text.into()));
+  *response.status_mut() = status;
+  let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+  response.headers_mut().insert(http::header::CONTENT_TYPE, plain);
+  response
+}
