--- /dev/null
+++ b/crates/ferryyoke-bench/src/commands/mod.rs
@@ -0,0 +1,77 @@
+//! The commands of the tool.
+
+use super::*;
+
+mod convergence;
+
+/// Carries out the command that the process was given.
+pub fn execute(mut words: Vec<OsString>) -> std::process::ExitCode {
+  if words.get(1).is_some_and(|word| word == AS_FERRYYOKE) {
+    words.remove(1);
+    return ferryyoke::commands::execute(words.into_iter());
+  }
+  let matches = arguments().get_matches_from(words);
+  let done = block_on(dispatch(&matches));
+  match done.map_err(Error::from).flatten() {
+    Ok(()) => std::process::ExitCode::SUCCESS,
+    Err(err) => {
+      eprintln!("error: {err}");
+      std::process::ExitCode::FAILURE
+    }
+  }
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result {
+  match matches.subcommand() {
+    Some(("convergence", matches)) => convergence::measure(matches).await,
+    _ => unreachable!("the parser demands a known command"),
+  }
+}
+
+fn arguments() -> Command {
+  Command::new("ferryyoke-bench")
+    .about("Measures ferryyoke; every result is a JSON line")
+    .subcommand_required(true)
+    .arg_required_else_help(true)
+    .subcommand(convergence::arguments())
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+  Arg::new(name)
+    .long(name)
+    .value_name("N")
+    .default_value(default)
+    .help(help)
+    .value_parser(clap::value_parser!(usize))
+}
+
+fn profile() -> Arg {
+  Arg::new("profile")
+    .long("profile")
+    .value_name("P")
+    .default_value("prompt")
+    .help("The profile of distribution")
+    .value_parser(["balanced", "frugal", "prompt"])
+}
+
+/// Results are always JSON lines; the flag is there for those who say so.
+fn json() -> Arg {
+  Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON lines (always on)")
+}
+
+fn get(matches: &ArgMatches, name: &str) -> usize {
+  *matches.get_one(name).expect("it has a default")
+}
+
+fn get_profile(matches: &ArgMatches) -> &str {
+  matches.get_one::<String>("profile").expect("it has a default")
+}
+
+/// This program, which can act as a daemon.
+fn executable() -> Result<PathBuf> {
+  Ok(std::env::current_exe()?)
+}
+
+fn print(line: &serde_json::Value) {
+  println!("{line}");
+}
--- /dev/null
+++ b/crates/ferryyoke-bench/src/fleet.rs
@@ -0,0 +1,156 @@
+use super::*;
+
+/// A fleet of daemon processes on loopback, with a store and backend servers.
+pub struct Fleet {
+  /// The process of all backend servers.
+  pub backend_servers: Process,
+  /// The boxes.
+  pub boxes: Vec<FleetBox>,
+  pub(super) directory: tempfile::TempDir,
+  pub(super) executable: PathBuf,
+  pub(super) pool: Rc<web::Pool>,
+  /// The store's process.
+  pub store: Process,
+  /// Where the store listens.
+  pub store_address: SocketAddr,
+}
+
+impl Fleet {
+  /// Longest wait for the fleet to come to some state.
+  const PATIENCE: Duration = Duration::from_mins(1);
+  /// Longest wait for one answer.
+  pub(super) const TIMEOUT_MS: u64 = 5_000;
+
+  /// The first configuration: the policies, services and routes of the test fleet.
+  pub const CONFIGURATION: &'static str = "
+    create policy plain attempts 3 deadline_ms 10000 queue_length 24;
+    create policy long attempts 2 deadline_ms 600000 queue_length 24;
+    create service archive policy plain;
+    create service certification policy plain;
+    create service intake policy long;
+    create route archive path /archive service archive;
+    create route certify path /certify service certification repeatable no;
+    create route intake path /intake service intake";
+
+  /// Waits until every daemon holds a configuration.
+  pub async fn wait_until_ready(&self) -> Result {
+    let started = Instant::now();
+    for one in &self.boxes {
+      while one.scrape().await.is_err() || one.state("export").await?.document.is_none() {
+        self.check_patience(started, &format!("{} to be ready", one.box_id))?;
+        monoio::time::sleep(Duration::from_millis(20)).await;
+      }
+    }
+    Ok(())
+  }
+
+  /// Makes the first configuration, and waits until it and all backend servers are known everywhere.
+  pub async fn configure(&self) -> Result<Version> {
+    self.wait_until_ready().await?;
+    let version = self.change(0, Self::CONFIGURATION).await?;
+    self.wait_for_version(version).await?;
+    let started = Instant::now();
+    for one in &self.boxes {
+      while self.live_seen_by(one).await? < self.boxes.len() {
+        self.check_patience(started, &format!("{} to know all endpoints", one.box_id))?;
+        monoio::time::sleep(Duration::from_millis(50)).await;
+      }
+    }
+    Ok(version)
+  }
+
+  /// Backend servers that a daemon takes for live.
+  pub async fn live_seen_by(&self, one: &FleetBox) -> Result<usize> {
+    let answer = one.state("fleet").await?;
+    let column = answer.table.columns.iter().position(|column| column == "state").unwrap_or(0);
+    Ok(answer.table.rows.iter().filter(|row| row[column].as_str() == Some("live")).count())
+  }
+
+  /// States a change to a box, and returns the version that it made.
+  pub async fn change(&self, index: usize, text: &str) -> Result<Version> {
+    let answer = self.boxes[index].state(text).await?;
+    let version = answer.version.filter(|_| answer.outcome == AnswerOutcome::Done);
+    version.ok_or_else(|| Error::Unexpected(format!("`{text}`: {}", answer.message)))
+  }
+
+  /// Waits until every running daemon applies a version. Returns when the last one did, in
+  /// milliseconds since 1970 by its own record.
+  pub async fn wait_for_version(&self, version: Version) -> Result<u64> {
+    let started = Instant::now();
+    let mut last_unix_ms = 0;
+    for one in self.boxes.iter().filter(|one| one.daemon.is_some()) {
+      loop {
+        let scrape = one.scrape().await.unwrap_or_default();
+        if scrape.version() >= version {
+          last_unix_ms = last_unix_ms.max(scrape.applied_unix_ms());
+          break;
+        }
+        self.check_patience(started, &format!("{} to apply version {version}", one.box_id))?;
+        monoio::time::sleep(Duration::from_millis(5)).await;
+      }
+    }
+    Ok(last_unix_ms)
+  }
+
+  fn check_patience(&self, started: Instant, what: &str) -> Result {
+    if started.elapsed() < Self::PATIENCE {
+      return Ok(());
+    }
+    let directory = self.directory.path().display();
+    Err(Error::Unexpected(format!("waited in vain for {what}; logs were in {directory}")))
+  }
+
+  /// Sets the faults of the store.
+  pub async fn set_store_faults(&self, faults: &StoreFaults) -> Result {
+    let text = serde_json::to_string(faults).map_err(|err| Error::Unexpected(err.to_string()))?;
+    self.post_to_store("/fault", text).await.map(drop)
+  }
+
+  /// Keeps the store's content for [`Fleet::restore_store`].
+  pub async fn save_store(&self) -> Result {
+    self.post_to_store("/save", String::new()).await.map(drop)
+  }
+
+  /// Brings the store back to the content that was kept.
+  pub async fn restore_store(&self) -> Result {
+    self.post_to_store("/restore", String::new()).await.map(drop)
+  }
+
+  /// Calls that the store took so far.
+  pub async fn store_calls(&self) -> Result<u64> {
+    let body = self.post_to_store("/calls", String::new()).await?;
+    let calls: BTreeMap<String, u64> =
+      serde_json::from_slice(&body).map_err(|err| Error::Unexpected(err.to_string()))?;
+    Ok(calls.values().sum())
+  }
+
+  async fn post_to_store(&self, path: &str, text: String) -> Result<Bytes> {
+    let request = Request::post(path).header("host", self.store_address.to_string());
+    let request =
+      request.body(web::full(text)).map_err(|err| Error::Unexpected(err.to_string()))?;
+    let (_, body) = self.pool.exchange(self.store_address, request, 1 << 20).await?;
+    Ok(body)
+  }
+
+  /// Kills the store; its content is lost.
+  pub fn kill_store(&mut self) -> Result {
+    self.store.kill()
+  }
+
+  /// Starts a fresh store at the same address.
+  pub fn start_store(&mut self) -> Result {
+    let words = ["stand-in", "store", "--listen", &self.store_address.to_string()];
+    let log = self.directory.path().join("store-2.log");
+    self.store = Process::start(&self.executable, &words.map(String::from), &log)?;
+    Ok(())
+  }
+
+  /// The metrics of every running daemon, summed over a prefix.
+  pub async fn sum(&self, prefix: &str) -> Result<f64> {
+    let mut sum = 0.0;
+    for one in self.boxes.iter().filter(|one| one.daemon.is_some()) {
+      sum += one.scrape().await?.sum(prefix);
+    }
+    Ok(sum)
+  }
+}
--- /dev/null
+++ b/crates/ferryyoke-bench/src/fleet_builder.rs
@@ -0,0 +1,203 @@
+use super::*;
+
+/// Describes a fleet of processes before it starts.
+#[derive(Clone, Debug)]
+pub struct FleetBuilder {
+  boxes: usize,
+  data_halls: usize,
+  executable: PathBuf,
+  log_level: &'static str,
+  profile: String,
+  services: Vec<String>,
+  slots: u32,
+}
+
+/// Ports of one box, held until its processes start.
+struct Ports([TcpListener; 5]);
+
+impl FleetBuilder {
+  /// A fleet of daemons that run `executable`, which must act as `ferryyoke` on demand.
+  pub fn new(executable: impl Into<PathBuf>) -> Self {
+    Self {
+      boxes: 6,
+      data_halls: 3,
+      executable: executable.into(),
+      log_level: "info",
+      profile: "prompt".into(),
+      services: vec!["archive".into(), "certification".into(), "intake".into()],
+      slots: 12,
+    }
+  }
+
+  /// Sets how many boxes there are.
+  #[must_use]
+  pub fn boxes(self, boxes: usize) -> Self {
+    Self { boxes, ..self }
+  }
+
+  /// Sets how many data halls the boxes stand in, by turns.
+  #[must_use]
+  pub fn data_halls(self, data_halls: usize) -> Self {
+    Self { data_halls, ..self }
+  }
+
+  /// Sets which lines the daemons log.
+  #[must_use]
+  pub fn log_level(self, log_level: &'static str) -> Self {
+    Self { log_level, ..self }
+  }
+
+  /// Sets the profile of distribution.
+  #[must_use]
+  pub fn profile(self, profile: &str) -> Self {
+    Self { profile: profile.into(), ..self }
+  }
+
+  /// Sets the services that the boxes serve, by turns.
+  #[must_use]
+  pub fn services(self, services: &[&str]) -> Self {
+    Self { services: services.iter().map(ToString::to_string).collect(), ..self }
+  }
+
+  /// Sets how many requests each backend server runs at once.
+  #[must_use]
+  pub fn slots(self, slots: u32) -> Self {
+    Self { slots, ..self }
+  }
+
+  /// Starts the store, the backend servers and the daemons.
+  pub fn start(self) -> Result<Fleet> {
+    let mut fleet = self.prepare()?;
+    for one in &mut fleet.boxes {
+      one.start()?;
+    }
+    Ok(fleet)
+  }
+
+  /// Starts the store and the backend servers, and writes the settings of the daemons.
+  pub fn prepare(self) -> Result<Fleet> {
+    let directory = tempfile::tempdir()?;
+    let store_port = TcpListener::bind("127.0.0.1:0")?;
+    let store_address = store_port.local_addr()?;
+    let ports: Vec<Ports> = (0..self.boxes).map(|_| Ports::take()).collect::<Result<_>>()?;
+    let peers = self.peers(&ports)?;
+    let mut boxes = Vec::new();
+    for (index, ports) in ports.iter().enumerate() {
+      let one = self.fleet_box(index, ports, directory.path())?;
+      let settings = self.settings(index, ports, &peers, store_address)?;
+      fs::write(one.settings_path(), settings.to_string())?;
+      boxes.push(one);
+    }
+    drop((ports, store_port));
+    let store = self.start_store(directory.path(), store_address)?;
+    let backend_servers = self.start_backend_servers(directory.path(), &boxes)?;
+    Ok(Fleet {
+      backend_servers,
+      boxes,
+      directory,
+      executable: self.executable,
+      pool: Rc::new(web::Pool::new(Fleet::TIMEOUT_MS)),
+      store,
+      store_address,
+    })
+  }
+
+  fn box_id(index: usize) -> String {
+    format!("box-{index:03}")
+  }
+
+  fn data_hall(&self, index: usize) -> String {
+    format!("hall-{}", index % self.data_halls)
+  }
+
+  fn service(&self, index: usize) -> String {
+    self.services[index % self.services.len()].clone()
+  }
+
+  fn peers(&self, ports: &[Ports]) -> Result<Vec<serde_json::Value>> {
+    let peer = |(index, ports): (usize, &Ports)| {
+      Ok(serde_json::json!({
+        "address": ports.address(Ports::LINKS)?,
+        "box": Self::box_id(index),
+        "data_hall": self.data_hall(index),
+      }))
+    };
+    ports.iter().enumerate().map(peer).collect()
+  }
+
+  fn fleet_box(&self, index: usize, ports: &Ports, directory: &Path) -> Result<FleetBox> {
+    Ok(FleetBox {
+      administration: ports.address(Ports::ADMINISTRATION)?,
+      backend_server: ports.address(Ports::BACKEND_SERVER)?,
+      box_id: Self::box_id(index),
+      callers: ports.address(Ports::CALLERS)?,
+      daemon: None,
+      directory: directory.into(),
+      executable: self.executable.clone(),
+      pool: Rc::new(web::Pool::new(Fleet::TIMEOUT_MS)),
+      service: self.service(index),
+    })
+  }
+
+  fn settings(
+    &self,
+    index: usize,
+    ports: &Ports,
+    peers: &[serde_json::Value],
+    store: SocketAddr,
+  ) -> Result<serde_json::Value> {
+    Ok(serde_json::json!({
+      "addresses": {
+        "administration": ports.address(Ports::ADMINISTRATION)?,
+        "callers": ports.address(Ports::CALLERS)?,
+        "forward": ports.address(Ports::FORWARD)?,
+        "links": ports.address(Ports::LINKS)?,
+      },
+      "backend_server": {
+        "address": ports.address(Ports::BACKEND_SERVER)?, "connections": 130, "slots": self.slots,
+      },
+      "box": Self::box_id(index),
+      "data_hall": self.data_hall(index),
+      "fleet_key": { "environment": "FERRYYOKE_FLEET_KEY" },
+      "log": { "level": self.log_level },
+      "peers": peers,
+      "profile": self.profile,
+      "region": format!("region-{}", index % self.data_halls / 2),
+      "service": self.service(index),
+      "stop_deadline_ms": 60_000,
+      "store": { "address": store },
+    }))
+  }
+
+  fn start_store(&self, directory: &Path, address: SocketAddr) -> Result<Process> {
+    let words = ["stand-in", "store", "--listen", &address.to_string()].map(String::from);
+    Process::start(&self.executable, &words, &directory.join("store.log"))
+  }
+
+  fn start_backend_servers(&self, directory: &Path, boxes: &[FleetBox]) -> Result<Process> {
+    let mut words = vec!["stand-in".to_string(), "backend-servers".into()];
+    for one in boxes {
+      words.push("--server".into());
+      words.push(format!("{}={}", one.box_id, one.backend_server));
+    }
+    Process::start(&self.executable, &words, &directory.join("backend-servers.log"))
+  }
+}
+
+impl Ports {
+  const ADMINISTRATION: usize = 0;
+  const BACKEND_SERVER: usize = 1;
+  const CALLERS: usize = 2;
+  const FORWARD: usize = 3;
+  const LINKS: usize = 4;
+
+  /// Ports that the kernel chooses.
+  fn take() -> Result<Self> {
+    let one = || TcpListener::bind("127.0.0.1:0");
+    Ok(Self([one()?, one()?, one()?, one()?, one()?]))
+  }
+
+  fn address(&self, index: usize) -> Result<SocketAddr> {
+    Ok(self.0[index].local_addr()?)
+  }
+}
--- /dev/null
+++ b/crates/ferryyoke-bench/src/lib.rs
@@ -0,0 +1,53 @@
+//! The load and experiment tool of ferryyoke. It is not shipped.
+//!
+//! [`Fleet`] starts a fleet of real daemon processes on loopback, with the stand-ins of the platform
+//! beside it. The commands measure such fleets, or drive the decisions directly, and print JSON
+//! lines.
+
+use {
+  bytes::Bytes,
+  clap::{Arg, ArgAction, ArgMatches, Command},
+  ferryyoke::{
+    administration::{Answer, AnswerOutcome, StatementRequest},
+    commands::{block_on, query},
+    proxy::headers,
+    standin::{BackendFaults, Journal, StoreFaults},
+    unix_ms,
+    values::Version,
+    web,
+  },
+  http::{Request, StatusCode},
+  std::{
+    collections::BTreeMap,
+    error::Error as StdError,
+    ffi::OsString,
+    fmt::{self, Display, Formatter},
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Stdio},
+    rc::Rc,
+    time::{Duration, Instant},
+  },
+};
+
+pub use self::{
+  commands::execute, error::Error, fleet::Fleet, fleet_box::FleetBox, fleet_builder::FleetBuilder,
+  process::Process, sample::Sample, scrape::Scrape,
+};
+
+mod commands;
+mod error;
+mod fleet;
+mod fleet_box;
+mod fleet_builder;
+mod process;
+mod sample;
+mod scrape;
+
+/// Result of a measurement.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// The word that makes this binary act as `ferryyoke`, so that it can start daemons of the very
+/// code it was built with.
+pub const AS_FERRYYOKE: &str = "as-ferryyoke";
--- /dev/null
+++ b/crates/ferryyoke-bench/src/process.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// A process that this tool started. It is killed when dropped.
+pub struct Process {
+  child: Child,
+}
+
+impl Process {
+  /// Starts `executable`, acting as `ferryyoke`, with its log in `log`.
+  pub fn start(executable: &Path, words: &[String], log: &Path) -> Result<Self> {
+    let log = fs::File::create(log)?;
+    let child = std::process::Command::new(executable)
+      .arg(AS_FERRYYOKE)
+      .args(words)
+      .env("FERRYYOKE_FLEET_KEY", "the key of a fleet on loopback")
+      .stdin(Stdio::null())
+      .stdout(log.try_clone()?)
+      .stderr(log)
+      .spawn()?;
+    Ok(Self { child })
+  }
+
+  /// The process id.
+  pub fn id(&self) -> u32 {
+    self.child.id()
+  }
+
+  /// Sends a signal by name, such as `KILL`, `STOP`, `CONT` or `TERM`.
+  pub fn signal(&self, name: &str) -> Result {
+    let id = self.id().to_string();
+    let status = std::process::Command::new("kill").args([&format!("-{name}"), &id]).status()?;
+    if status.success() { Ok(()) } else { Err(Error::Unexpected(format!("kill -{name} {id}"))) }
+  }
+
+  /// Kills the process and waits for its end.
+  pub fn kill(&mut self) -> Result {
+    self.child.kill()?;
+    self.child.wait()?;
+    Ok(())
+  }
+
+  /// The exit code, once the process ended.
+  pub fn exit_code(&mut self) -> Result<Option<i32>> {
+    Ok(self.child.try_wait()?.and_then(|status| status.code()))
+  }
+
+  /// Microseconds of processor time so far.
+  pub fn cpu_us(&self) -> Result<u64> {
+    /// The kernel counts in these, on every platform that this tool runs on.
+    const US_PER_TICK: u64 = 10_000;
+    let stat = fs::read_to_string(format!("/proc/{}/stat", self.id()))?;
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<u64>().ok());
+    let (user, system) = (ticks(11).unwrap_or(0), ticks(12).unwrap_or(0));
+    Ok((user + system) * US_PER_TICK)
+  }
+
+  /// A size from the kernel's status of the process in kilobytes, such as `VmRSS` or `VmHWM`.
+  pub fn memory_kb(&self, name: &str) -> Result<u64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+    let line = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+    let number = line.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+    number.ok_or_else(|| Error::Unexpected(format!("no {name} of process {}", self.id())))
+  }
+}
+
+impl Drop for Process {
+  fn drop(&mut self) {
+    self.child.kill().ok();
+    self.child.wait().ok();
+  }
+}
--- a/src/administration/changes.rs
+++ b/src/administration/changes.rs
@@ -159,7 +159,7 @@
     tail: Vec::new(),
     version: held.version,
   };
-  let value = serde_json::to_string(&head).expect("a head is plain data");
+  let value = to_json(&head);
   let key = keys::head();
   let request = match known {
     Some((_, revision)) => StoreRequest::CompareAndSwap { key, revision, value },
--- a/src/administration/mod.rs
+++ b/src/administration/mod.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 use crate::{
-  configuration::{Change, Configuration, Head, Object, ObjectName, Operation, Summary},
+  configuration::{Change, Configuration, Head, Object, ObjectName, Summary},
   daemon::{Daemon, Shared},
   distribution::{
     Acceptance, AcceptanceStep, Archive, Outcome, Question as FleetQuestion, Report, keys,
--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -150,7 +150,7 @@
   let fields = fields(object);
   filters.iter().all(|(field, wanted)| match fields.get(field) {
     Some(Value::String(text)) => text == wanted,
-    Some(other) => other.to_string() == *wanted,
+    Some(other) => serde_json::from_str::<Value>(wanted).is_ok_and(|wanted| wanted == *other),
     None => false,
   })
 }
--- a/src/administration/why.rs
+++ b/src/administration/why.rs
@@ -9,18 +9,14 @@
   let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
   let name = ObjectName::Route(route.clone());
   let mut table = Table::new(&["fact", "value"]);
-  match held.revision(&name) {
-    Some(revision) => {
-      table.add([json!("route"), json!(name.to_string())]);
-      table.add([json!("changed last in version"), json!(revision)]);
-      add_author(&mut table, daemon, revision);
-    }
-    None => {
-      let known: Vec<&str> = held.routes.keys().map(RouteName::as_str).collect();
-      let what =
-        format!("there is no {name} in version {}: see {}", held.version, known.join(", "));
-      return Err(Error::Unknown { what });
-    }
+  if let Some(revision) = held.revision(&name) {
+    table.add([json!("route"), json!(name.to_string())]);
+    table.add([json!("changed last in version"), json!(revision)]);
+    add_author(&mut table, daemon, revision);
+  } else {
+    let known: Vec<&str> = held.routes.keys().map(RouteName::as_str).collect();
+    let what = format!("there is no {name} in version {}: see {}", held.version, known.join(", "));
+    return Err(Error::Unknown { what });
   }
   let question = FleetQuestion::Held { box_id: box_id.clone() };
   let inquired = daemon.distribution.ask(question).await;
@@ -122,7 +118,7 @@
   add("arrived", format!("at unix_ms {}", record.unix_ms));
   match &record.route {
     Some((route, service)) => {
-      add("routed", format!("by route {route} of version {} to service {service}", record.version))
+      add("routed", format!("by route {route} of version {} to service {service}", record.version));
     }
     None => add("routed", format!("by no route of version {}", record.version)),
   }
--- a/src/commands/arguments.rs
+++ b/src/commands/arguments.rs
@@ -29,9 +29,9 @@
 }
 
 fn completions() -> Command {
-  Command::new("completions").about("Print completions for a shell").arg(
-    Arg::new("shell").required(true).value_parser(clap::value_parser!(clap_complete::Shell)),
-  )
+  Command::new("completions")
+    .about("Print completions for a shell")
+    .arg(Arg::new("shell").required(true).value_parser(clap::value_parser!(clap_complete::Shell)))
 }
 
 fn dev() -> Command {
@@ -101,11 +101,26 @@
     .value_name("ADDR")
     .required(true)
     .value_parser(clap::value_parser!(SocketAddr));
-  let name = Arg::new("name").long("name").value_name("NAME").required(true);
+  let server = Arg::new("server")
+    .long("server")
+    .value_name("NAME=ADDR")
+    .help("A backend server; may be given again")
+    .action(ArgAction::Append)
+    .required(true)
+    .value_parser(named_address);
   Command::new("stand-in")
     .about("Run a stand-in of the platform, for tests and measurements")
     .hide(true)
     .subcommand_required(true)
-    .subcommand(Command::new("backend-server").arg(listen.clone()).arg(name))
+    .subcommand(Command::new("backend-servers").arg(server))
     .subcommand(Command::new("store").arg(listen))
 }
+
+/// A backend server's name with its address.
+pub(super) type NamedAddress = (String, SocketAddr);
+
+fn named_address(text: &str) -> std::result::Result<NamedAddress, String> {
+  let (name, address) = text.split_once('=').ok_or("give NAME=ADDR")?;
+  let address: SocketAddr = address.parse().map_err(|_| "the address is no IP number and port")?;
+  Ok((name.into(), address))
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -30,9 +30,9 @@
 /// Exit code of wrong usage or settings.
 const USAGE: u8 = 2;
 
-/// Carries out the command that the process was given and returns its exit code.
-pub fn execute() -> std::process::ExitCode {
-  let matches = match arguments().try_get_matches() {
+/// Carries out the command in `words`, the program's name first, and returns the exit code.
+pub fn execute(words: impl Iterator<Item = std::ffi::OsString>) -> std::process::ExitCode {
+  let matches = match arguments().try_get_matches_from(words) {
     Ok(matches) => matches,
     Err(err) => {
       err.print().ok();
@@ -51,10 +51,11 @@
 fn dispatch(matches: &ArgMatches) -> Result {
   match matches.subcommand() {
     Some(("check", matches)) => check::check(path(matches, "settings")),
-    Some(("completions", matches)) => completions(matches),
-    Some(("dev", matches)) => {
-      block_on(dev::run(matches.get_flag("once")))?.map_err(Error::Dev)
+    Some(("completions", matches)) => {
+      completions(matches);
+      Ok(())
     }
+    Some(("dev", matches)) => block_on(dev::run(matches.get_flag("once")))?.map_err(Error::Dev),
     Some(("query", matches)) => query::query(matches),
     Some(("run", matches)) => run::run(path(matches, "settings")),
     Some(("stand-in", matches)) => standins::serve(matches),
@@ -62,10 +63,9 @@
   }
 }
 
-fn completions(matches: &ArgMatches) -> Result {
+fn completions(matches: &ArgMatches) {
   let shell = matches.get_one::<clap_complete::Shell>("shell").expect("the parser demands it");
   clap_complete::generate(*shell, &mut arguments(), "ferryyoke", &mut io::stdout());
-  Ok(())
 }
 
 fn path<'a>(matches: &'a ArgMatches, name: &str) -> &'a Path {
--- a/src/commands/query.rs
+++ b/src/commands/query.rs
@@ -34,7 +34,11 @@
       address: *matches.get_one("admin").expect("it has a default"),
       change_id: matches.get_one("change-id").cloned(),
       is_json: matches.get_one::<String>("output").is_some_and(|output| output == "json"),
-      text: if text == "-" { io::read_to_string(io::stdin()).map_err(Error::Input)? } else { text.clone() },
+      text: if text == "-" {
+        io::read_to_string(io::stdin()).map_err(Error::Input)?
+      } else {
+        text.clone()
+      },
       token: Self::read_token(matches)?,
     })
   }
@@ -51,13 +55,12 @@
 
   async fn carry_out(&self) -> Result {
     let watched = self.text.trim().strip_prefix("watch ");
-    match watched {
-      Some(text) => self.watch(text).await,
-      None => {
-        let answer = self.state(&self.text).await?;
-        self.print(&answer);
-        if answer.outcome == AnswerOutcome::Done { Ok(()) } else { Err(Error::Refused) }
-      }
+    if let Some(text) = watched {
+      self.watch(text).await
+    } else {
+      let answer = self.state(&self.text).await?;
+      self.print(&answer);
+      if answer.outcome == AnswerOutcome::Done { Ok(()) } else { Err(Error::Refused) }
     }
   }
 
@@ -103,7 +106,7 @@
   request: &StatementRequest,
 ) -> Result<Answer> {
   let failed = |reason: String| Error::Query { address, reason };
-  let text = serde_json::to_string(request).expect("a request is plain data");
+  let text = to_json(request);
   let mut post = Request::post("/v1/statements").header(http::header::HOST, address.to_string());
   if let Some(token) = token {
     post = post.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
--- a/src/commands/standins.rs
+++ b/src/commands/standins.rs
@@ -2,20 +2,38 @@
 
 use super::*;
 
-/// Serves a stand-in until the process ends.
+/// Serves stand-ins until the process ends.
 pub fn serve(matches: &ArgMatches) -> Result {
-  let (kind, matches) = matches.subcommand().expect("the parser demands it");
-  let address = *matches.get_one::<SocketAddr>("listen").expect("the parser demands it");
   block_on(async {
-    let key = "listen";
-    let failed = |source| daemon::Error::Listen { address, key, source };
-    let listener = web::Listener::bind(address).map_err(failed)?;
-    if kind == "store" {
-      standin::StoreServer::start(listener).map_err(failed)?;
-    } else {
-      let name = matches.get_one::<String>("name").expect("the parser demands it");
-      standin::BackendServer::start(listener, name).map_err(failed)?;
+    match matches.subcommand() {
+      Some(("backend-servers", matches)) => start_backend_servers(matches)?,
+      Some(("store", matches)) => start_store(matches)?,
+      _ => unreachable!("the parser demands a known command"),
     }
     std::future::pending::<Result>().await
   })?
 }
+
+fn start_backend_servers(matches: &ArgMatches) -> Result {
+  let servers = matches.get_many::<arguments::NamedAddress>("server").unwrap_or_default();
+  for (name, address) in servers {
+    let listener = bind(*address)?;
+    standin::BackendServer::start(listener, name).map_err(|err| cannot_listen(*address, err))?;
+  }
+  Ok(())
+}
+
+fn start_store(matches: &ArgMatches) -> Result {
+  let address = *matches.get_one::<SocketAddr>("listen").expect("the parser demands it");
+  let listener = bind(address)?;
+  standin::StoreServer::start(listener).map_err(|err| cannot_listen(address, err))?;
+  Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<web::Listener> {
+  web::Listener::bind(address).map_err(|err| cannot_listen(address, err))
+}
+
+fn cannot_listen(address: SocketAddr, source: io::Error) -> Error {
+  Error::Daemon(daemon::Error::Listen { address, key: "stand-in", source })
+}
--- a/src/configuration/configuration.rs
+++ b/src/configuration/configuration.rs
@@ -73,7 +73,7 @@
 
   /// The whole as JSON. Equal configurations give equal text.
   pub fn encode(&self) -> String {
-    serde_json::to_string(self).expect("a configuration is plain data")
+    to_json(self)
   }
 
   /// The object of that name.
--- a/src/configuration/head.rs
+++ b/src/configuration/head.rs
@@ -47,9 +47,10 @@
   /// the snapshot.
   #[must_use]
   pub fn with_snapshot(&self, change: AcceptedChange) -> Self {
-    let mut next = self.with(change.clone());
-    next.snapshot_digest = change.digest;
-    next.snapshot_version = change.version();
+    let (digest, version) = (change.digest, change.version());
+    let mut next = self.with(change);
+    next.snapshot_digest = digest;
+    next.snapshot_version = version;
     next.tail.clear();
     next
   }
@@ -59,9 +60,7 @@
     if self.tail.len() >= Self::TAIL_MAX {
       return true;
     }
-    let encoded = |change: &AcceptedChange| {
-      serde_json::to_string(change).expect("a change is plain data").len()
-    };
+    let encoded = |change: &AcceptedChange| to_json(change).len();
     let bytes: usize = self.tail.iter().map(encoded).sum();
     bytes + encoded(change) > Self::TAIL_BYTES_MAX
   }
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -18,15 +18,12 @@
 pub async fn watch(shared: Rc<Shared>, distribution: Rc<DistributionLoop>) {
   let mut failures = 0;
   loop {
-    let state = match look(&shared).await {
-      Some(state) => {
-        failures = 0;
-        Some(state)
-      }
-      None => {
-        failures += 1;
-        (failures >= FAILURES_MAX).then_some(EndpointState::Draining)
-      }
+    let state = if let Some(state) = look(&shared).await {
+      failures = 0;
+      Some(state)
+    } else {
+      failures += 1;
+      (failures >= FAILURES_MAX).then_some(EndpointState::Draining)
     };
     if let Some(state) = state.filter(|_| !shared.is_stopping()) {
       distribution.handle(Event::EndpointState(state));
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,15 +5,12 @@
 use crate::{
   administration,
   configuration::{Configuration, Policy},
-  distribution::{
-    Acceptance, AcceptanceStep, Action, Distributor, Event, Identity, LinkId, Message, Moment,
-    Outcome, Question, Report,
-  },
+  distribution::{Action, Distributor, Event, Identity, LinkId, Message, Moment, Question, Report},
   fleet::{Endpoint, EndpointState, Peer},
   links::{Credentials, IncomingFrames, Outgoing},
   proxy,
   requests::{Balancer, Limiter, RecordBook, RequestRecord, RetryBudget, Router, Ticket},
-  settings::{FleetKey, Settings},
+  settings::Settings,
   store::{HttpStore, Reply, Store, StoreRequest},
   telemetry::{Log, Metrics},
   web::{Listener, Server},
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -96,7 +96,9 @@
     if let Some(queue) = queue {
       self.limiter.borrow_mut().set_queue_max(queue as usize);
     }
-    self.metrics.version.set(i64::try_from(configuration.version.0).unwrap_or(i64::MAX));
+    let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+    self.metrics.version.set(gauge(configuration.version.0));
+    self.metrics.applied_unix_ms.set(gauge(self.now().unix_ms));
     info!(self.log.logger, "a configuration is in force"; "version" => configuration.version.0);
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
@@ -114,9 +116,9 @@
     self.configuration.borrow().clone()
   }
 
-  /// Microseconds since a moment, to the millisecond of the clock.
-  pub fn elapsed_us(&self, since: Moment) -> u64 {
-    self.now().time.since_ms(since.time) * 1_000
+  /// Microseconds since the daemon started, for measuring.
+  pub fn elapsed_us(&self) -> u64 {
+    self.clock.elapsed_us()
   }
 
   /// The backend servers of a service.
--- a/src/daemon/system_clock.rs
+++ b/src/daemon/system_clock.rs
@@ -19,6 +19,10 @@
 }
 
 impl Clock for SystemClock {
+  fn elapsed_us(&self) -> u64 {
+    u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+  }
+
   fn now(&self) -> Moment {
     let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
     Moment { time: Time(elapsed_ms), unix_ms: unix_ms() }
--- a/src/dev/mesh.rs
+++ b/src/dev/mesh.rs
@@ -75,10 +75,11 @@
 
   /// Waits until every box is ready, and gives the deployment its first configuration.
   pub async fn settle(&self) -> Result {
-    self.wait_for("every box to hold a configuration", || {
-      self.boxes.iter().all(|one| one.daemon.shared.configuration().is_some())
-    })
-    .await?;
+    self
+      .wait_for("every box to hold a configuration", || {
+        self.boxes.iter().all(|one| one.daemon.shared.configuration().is_some())
+      })
+      .await?;
     let answer = self.boxes[0].state(Self::CONFIGURATION).await?;
     let version = accepted(&answer)?;
     self.wait_for_version(version).await?;
@@ -88,9 +89,10 @@
   fn all_are_live(&self) -> bool {
     let knows_all = |one: &DevBox| {
       let distributor = one.daemon.distribution.distributor();
-      let live = distributor.endpoints().iter().filter(|endpoint| {
-        endpoint.state == crate::fleet::EndpointState::Live
-      });
+      let live = distributor
+        .endpoints()
+        .iter()
+        .filter(|endpoint| endpoint.state == crate::fleet::EndpointState::Live);
       live.count() == self.boxes.len()
     };
     self.boxes.iter().all(knows_all)
@@ -98,12 +100,14 @@
 
   /// Waits until every box applies a version.
   pub async fn wait_for_version(&self, version: Version) -> Result {
-    self.wait_for(&format!("every box to apply version {version}"), || {
-      self.boxes.iter().all(|one| {
-        one.daemon.shared.configuration().is_some_and(|held| held.version >= version)
+    self
+      .wait_for(&format!("every box to apply version {version}"), || {
+        self
+          .boxes
+          .iter()
+          .all(|one| one.daemon.shared.configuration().is_some_and(|held| held.version >= version))
       })
-    })
-    .await
+      .await
   }
 
   /// Waits for a condition.
--- a/src/distribution/acceptance.rs
+++ b/src/distribution/acceptance.rs
@@ -13,19 +13,29 @@
   /// The newest configuration that this box holds, to start from.
   held: Option<Arc<Configuration>>,
   /// The revision of the head for which a write of unknown fate was sent.
-  in_doubt: Option<Option<Revision>>,
+  in_doubt: Option<Expected>,
   phase: Phase,
   rng: ChaCha8Rng,
   tries: u32,
 }
 
+/// What the head must be for a write of it to take effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Expected {
+  /// Not there.
+  Absent,
+  /// Of that revision.
+  At(Revision),
+}
+
 /// A version ready to be written.
 #[derive(Clone, Debug)]
 struct Proposal {
   /// What the former snapshot's changes are archived as.
   archive: Option<(Key, String)>,
   head: Head,
-  revision: Option<Revision>,
+  /// What the head must be when it is written.
+  expected: Expected,
   /// The whole configuration, where the head names it as its snapshot.
   snapshot: Option<(Key, String)>,
 }
@@ -90,25 +100,24 @@
     if let Some(version) = head.version_of(&self.change.id) {
       return AcceptanceStep::Done(Outcome::Accepted { version });
     }
-    if self.in_doubt.is_some_and(|revision| revision != Some(entry.revision)) {
+    if self.in_doubt.is_some_and(|doubted| doubted != Expected::At(entry.revision)) {
       self.in_doubt = None;
     }
     if let Some(refusal) = self.behind(head.version) {
       return refusal;
     }
-    match self.base_from_held(&head) {
-      Some(base) => self.propose(&base, Some((head, entry.revision))),
-      None => {
-        let key = keys::snapshot(head.snapshot_version, &head.snapshot_digest);
-        self.phase = Phase::ReadingSnapshot { head, revision: entry.revision };
-        AcceptanceStep::Call(StoreRequest::Read { key })
-      }
+    if let Some(base) = self.base_from_held(&head) {
+      self.propose(&base, Some((head, entry.revision)))
+    } else {
+      let key = keys::snapshot(head.snapshot_version, &head.snapshot_digest);
+      self.phase = Phase::ReadingSnapshot { head, revision: entry.revision };
+      AcceptanceStep::Call(StoreRequest::Read { key })
     }
   }
 
   /// The store knows no version yet.
   fn start_history(&mut self) -> AcceptanceStep {
-    if self.in_doubt.is_some_and(|revision| revision.is_some()) {
+    if self.in_doubt.is_some_and(|doubted| doubted != Expected::Absent) {
       self.in_doubt = None;
     }
     if let Some(refusal) = self.behind(Version(0)) {
@@ -207,11 +216,11 @@
   }
 
   fn write_head(&mut self, proposal: Proposal) -> AcceptanceStep {
-    let value = serde_json::to_string(&proposal.head).expect("a head is plain data");
+    let value = to_json(&proposal.head);
     let key = keys::head();
-    let request = match proposal.revision {
-      Some(revision) => StoreRequest::CompareAndSwap { key, revision, value },
-      None => StoreRequest::Create { key, lease: None, value },
+    let request = match proposal.expected {
+      Expected::At(revision) => StoreRequest::CompareAndSwap { key, revision, value },
+      Expected::Absent => StoreRequest::Create { key, lease: None, value },
     };
     self.phase = Phase::WritingHead(proposal);
     AcceptanceStep::Call(request)
@@ -228,7 +237,7 @@
       Err(store::Error::Refused(Refusal::Exists | Refusal::RevisionMoved)) => self.resumed(),
       Err(err) => {
         if matches!(err, store::Error::Unknown { .. }) {
-          self.in_doubt = Some(proposal.revision);
+          self.in_doubt = Some(proposal.expected);
         }
         self.again(now, err)
       }
@@ -270,11 +279,13 @@
         version: base.version,
       };
       let head = empty.with_snapshot(accepted);
-      return Ok(Self { archive: None, head, revision: None, snapshot: Some(snapshot) });
+      let expected = Expected::Absent;
+      return Ok(Self { archive: None, expected, head, snapshot: Some(snapshot) });
     };
+    let expected = Expected::At(revision);
     if !head.wants_snapshot(&accepted) {
       let head = head.with(accepted);
-      return Ok(Self { archive: None, head, revision: Some(revision), snapshot: None });
+      return Ok(Self { archive: None, expected, head, snapshot: None });
     }
     let (snapshot, _) = snapshot_of(base, &accepted)?;
     let archive = Archive {
@@ -284,8 +295,8 @@
     };
     Ok(Self {
       archive: Some((keys::archive(&archive), archive.encode())),
+      expected,
       head: head.with_snapshot(accepted),
-      revision: Some(revision),
       snapshot: Some(snapshot),
     })
   }
--- a/src/distribution/archive.rs
+++ b/src/distribution/archive.rs
@@ -15,7 +15,7 @@
 impl Archive {
   /// The archive as JSON.
   pub fn encode(&self) -> String {
-    serde_json::to_string(self).expect("an archive is plain data")
+    to_json(self)
   }
 
   /// The last version that the archive leads to.
--- a/src/distribution/distributor/asking.rs
+++ b/src/distribution/distributor/asking.rs
@@ -2,9 +2,9 @@
 
 /// Inquiries of the operators' side, gathered over the links.
 impl Distributor {
-  pub(super) fn asked(&mut self, question: Question, token: u64) {
+  pub(super) fn asked(&mut self, question: &Question, token: u64) {
     let asker = Asker::Operator(token);
-    self.inquire(asker, Inquiries::HOPS_MAX, question);
+    self.inquire(&asker, Inquiries::HOPS_MAX, question);
   }
 
   pub(super) fn neighbour_asked(
@@ -12,21 +12,21 @@
     link: LinkId,
     hops: u8,
     id: InquiryId,
-    question: Question,
+    question: &Question,
   ) {
-    if let Question::Floor { box_id } = &question {
+    if let Question::Floor { box_id } = question {
       let version = self.floor_for(box_id);
       let reports = vec![Report::Floor { version }];
       self.send(link, Message::Answer { id, reports });
       return;
     }
-    self.inquire(Asker::Neighbour(link, id), hops, question);
+    self.inquire(&Asker::Neighbour(link, id), hops, question);
   }
 
-  fn inquire(&mut self, asker: Asker, hops: u8, question: Question) {
-    let targets = if hops == 0 { BTreeSet::new() } else { self.targets(&asker, &question) };
+  fn inquire(&mut self, asker: &Asker, hops: u8, question: &Question) {
+    let targets = if hops == 0 { BTreeSet::new() } else { self.targets(asker, question) };
     let consulting = matches!(question, Question::Request { .. });
-    let own = self.own_reports(&question);
+    let own = self.own_reports(question);
     let started =
       self.inquiries.start(self.now.time, asker.clone(), hops, targets.clone(), consulting, own);
     let Some(id) = started else {
@@ -113,14 +113,16 @@
 
   pub(super) fn finish_inquiries(&mut self) {
     for ended in self.inquiries.ended(self.now.time) {
-      self.answer(ended.asker, ended.missing, ended.reports);
+      self.answer(&ended.asker, ended.missing, ended.reports);
     }
   }
 
-  fn answer(&mut self, asker: Asker, missing: usize, reports: Vec<Report>) {
+  fn answer(&mut self, asker: &Asker, missing: usize, reports: Vec<Report>) {
     match asker {
-      Asker::Neighbour(link, id) => self.send(link, Message::Answer { id, reports }),
-      Asker::Operator(token) => self.act(Action::Answer { missing, reports, token }),
+      Asker::Neighbour(link, id) => self.send(*link, Message::Answer { id: *id, reports }),
+      Asker::Operator(token) => {
+        self.act(Action::Answer { missing, reports, token: *token });
+      }
     }
   }
 }
--- a/src/distribution/distributor/linking.rs
+++ b/src/distribution/distributor/linking.rs
@@ -52,22 +52,22 @@
     }
   }
 
-  pub(super) fn link_opened(&mut self, link: LinkId, outbound: bool, peer: BoxId) {
+  pub(super) fn link_opened(&mut self, link: LinkId, outbound: bool, peer: &BoxId) {
     self.links.insert(link, Link::new(self.now.time, peer.clone(), LinkRole::Pending));
     if !outbound {
       return;
     }
-    if self.upstream.is_connecting(&peer) {
+    if self.upstream.is_connecting(peer) {
       self.upstream.asked(self.now.time, link);
       self.subscribe(link);
       return;
     }
-    if self.is_asking_floor(&peer) {
+    if self.is_asking_floor(peer) {
       let question = Question::Floor { box_id: self.own.peer.box_id.clone() };
       self.send(link, Message::Ask { hops: 0, id: InquiryId::default(), question });
       return;
     }
-    if self.is_relay() && self.relays.has(&peer) {
+    if self.is_relay() && self.relays.has(peer) {
       self.set_role(link, LinkRole::Mesh);
       self.subscribe(link);
       return;
@@ -127,7 +127,7 @@
 
   /// A neighbour asks to be served. A relay serves up to its limit; any other daemon serves only
   /// one that found no relay, and only with a configuration to give.
-  pub(super) fn subscription_asked(&mut self, link: LinkId, subscribe: Subscribe) {
+  pub(super) fn subscription_asked(&mut self, link: LinkId, subscribe: &Subscribe) {
     let Some(known) = self.links.get(&link) else {
       return;
     };
@@ -139,7 +139,7 @@
     let is_new = known.role == LinkRole::Pending;
     let relays = self.relays.clone();
     let floor = self.floor_for(&peer);
-    if is_new && !self.may_serve(&subscribe) {
+    if is_new && !self.may_serve(subscribe) {
       self.send(link, Message::Redirect { floor, relays });
       return;
     }
@@ -148,7 +148,7 @@
     self.note_version(link, subscribe.version);
     self.send(link, Message::Welcome { floor, relays });
     self.sync_endpoints_unless(link, subscribe.endpoints);
-    self.news_received(link, vec![subscribe.endpoint]);
+    self.news_received(link, vec![subscribe.endpoint.clone()]);
     self.push_update(link);
   }
 
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -2,7 +2,11 @@
 
 use super::*;
 
-use super::{election::Step, inquiry::Asker, watcher::Seen};
+use super::{
+  election::{Hall, Step},
+  inquiry::Asker,
+  watcher::Seen,
+};
 
 mod asking;
 mod floor;
@@ -103,12 +107,12 @@
   pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Action> {
     self.now = now;
     match event {
-      Event::Asked { question, token } => self.asked(question, token),
+      Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
       Event::EndpointState(state) => self.change_state(state),
       Event::LinkClosed { link } => self.link_closed(link),
       Event::LinkFailed { box_id } => self.link_failed(&box_id),
-      Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, peer),
+      Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, &peer),
       Event::Received { link, message } => self.received(link, message),
       Event::StoreAnswered { call, result } => self.store_answered(call, &result),
       Event::Tick => self.tick(),
@@ -142,13 +146,13 @@
     known.heard_at = self.now.time;
     match message {
       Message::Answer { id, reports } => self.inquiry_answered(link, id, reports),
-      Message::Ask { hops, id, question } => self.neighbour_asked(link, hops, id, question),
+      Message::Ask { hops, id, question } => self.neighbour_asked(link, hops, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
       Message::News(endpoints) => self.news_received(link, endpoints),
       Message::Redirect { floor, relays } => self.redirected(link, floor, relays),
       Message::Refused { reason } => self.update_refused(link, reason),
       Message::Relays(relays) => self.relays_received(link, relays),
-      Message::Subscribe(subscribe) => self.subscription_asked(link, *subscribe),
+      Message::Subscribe(subscribe) => self.subscription_asked(link, &subscribe),
       Message::Update(update) => self.update_received(link, update),
       Message::Welcome { floor, relays } => self.welcomed(link, floor, relays),
     }
--- a/src/distribution/distributor/news.rs
+++ b/src/distribution/distributor/news.rs
@@ -86,12 +86,13 @@
         continue;
       };
       let dirty = std::mem::take(&mut known.dirty);
-      let endpoints = dirty.iter().filter_map(|id| self.endpoints.get(id)).cloned().collect();
-      self.send_news(link, endpoints);
+      let endpoints: Vec<Endpoint> =
+        dirty.iter().filter_map(|id| self.endpoints.get(id)).cloned().collect();
+      self.send_news(link, &endpoints);
     }
   }
 
-  fn send_news(&mut self, link: LinkId, endpoints: Vec<Endpoint>) {
+  fn send_news(&mut self, link: LinkId, endpoints: &[Endpoint]) {
     for batch in endpoints.chunks(Self::NEWS_BATCH) {
       self.send(link, Message::News(batch.to_vec()));
     }
@@ -108,8 +109,8 @@
       link.mismatches = 0;
       link.synced_at = Some(now);
     }
-    let all = self.endpoints.iter().cloned().collect();
-    self.send_news(link, all);
+    let all: Vec<Endpoint> = self.endpoints.iter().cloned().collect();
+    self.send_news(link, &all);
   }
 
   /// Counts how often a neighbour's table differed, and sends the whole once it stays so.
--- a/src/distribution/distributor/storing.rs
+++ b/src/distribution/distributor/storing.rs
@@ -3,24 +3,23 @@
 /// Relay slots and the watch on the store.
 impl Distributor {
   pub(super) fn tick_election(&mut self) {
-    let boxes = self.data_hall_size();
-    let wanted = Relays::wanted(boxes);
-    let data_hall = &self.own.peer.data_hall;
+    let hall = self.hall();
+    let wanted = Relays::wanted(hall.boxes);
     let vacant = self.own.state != EndpointState::Leaving
-      && self.relays.free_slot(data_hall, wanted).is_some();
+      && self.relays.free_slot(&hall.own.data_hall, wanted).is_some();
     let call = self.next_call();
-    let step = self.election.tick(
-      self.now.time,
-      vacant,
-      boxes,
-      &self.identity.timing,
-      &self.own.peer,
-      call,
-      &mut self.rng,
-    );
+    let step = self.election.tick(self.now.time, vacant, call, &hall, &mut self.rng);
     self.election_steps(step.into_iter().collect());
   }
 
+  fn hall(&self) -> Hall {
+    Hall {
+      boxes: self.data_hall_size(),
+      lease_ttl_ms: self.identity.timing.lease_ttl_ms,
+      own: self.own.peer.clone(),
+    }
+  }
+
   fn election_steps(&mut self, steps: Vec<Step>) {
     for step in steps {
       match step {
@@ -79,16 +78,9 @@
   }
 
   pub(super) fn store_answered(&mut self, call: u64, result: &store::Result<Reply>) {
-    let wanted = Relays::wanted(self.data_hall_size());
     let next_call = self.next_call();
-    let steps = self.election.answered(
-      self.now.time,
-      (call, result),
-      wanted,
-      &self.identity.timing,
-      &self.own.peer,
-      next_call,
-    );
+    let hall = self.hall();
+    let steps = self.election.answered(self.now.time, call, result, next_call, &hall);
     if let Some(steps) = steps {
       self.election_steps(steps);
       return;
--- a/src/distribution/election.rs
+++ b/src/distribution/election.rs
@@ -40,6 +40,16 @@
   },
 }
 
+/// What an election knows of its data hall.
+pub(super) struct Hall {
+  /// Boxes of the data hall.
+  pub(super) boxes: usize,
+  /// The life of a lease in milliseconds.
+  pub(super) lease_ttl_ms: u64,
+  /// The daemon's own box.
+  pub(super) own: Peer,
+}
+
 /// What an election asks for.
 pub(super) enum Step {
   /// Call the store.
@@ -66,27 +76,25 @@
     }
   }
 
-  /// Lets time pass. `boxes` is the size of the data hall.
+  /// Lets time pass. `vacant` tells whether the data hall has a slot that nobody is known to hold.
   pub(super) fn tick(
     &mut self,
     now: Time,
     vacant: bool,
-    boxes: usize,
-    timing: &Timing,
-    own: &Peer,
     call: u64,
+    hall: &Hall,
     rng: &mut ChaCha8Rng,
   ) -> Option<Step> {
     match &mut self.phase {
       Phase::Holding { lease, renewal: renewal @ None, renewed_at, .. }
-        if now.since_ms(*renewed_at) >= timing.lease_ttl_ms / 3 =>
+        if now.since_ms(*renewed_at) >= hall.lease_ttl_ms / 3 =>
       {
         *renewal = Some(call);
         *renewed_at = now;
         Some(Step::Call(StoreRequest::RenewLease { lease: *lease }))
       }
       Phase::Idle if vacant => {
-        let spread_ms = Self::SPREAD_MIN_MS.max(Self::SPREAD_PER_BOX_MS * boxes as u64);
+        let spread_ms = Self::SPREAD_MIN_MS.max(Self::SPREAD_PER_BOX_MS * hall.boxes as u64);
         let delay_ms = rng.random_range(0..=spread_ms << self.failures.min(4));
         self.phase = Phase::Waiting { until: now.after(delay_ms) };
         None
@@ -97,7 +105,7 @@
       }
       Phase::Waiting { until } if now >= *until => {
         self.phase = Phase::Listing { call };
-        Some(Step::Call(StoreRequest::List { prefix: keys::relays_of(&own.data_hall) }))
+        Some(Step::Call(StoreRequest::List { prefix: keys::relays_of(&hall.own.data_hall) }))
       }
       _ => None,
     }
@@ -107,19 +115,17 @@
   pub(super) fn answered(
     &mut self,
     now: Time,
-    answer: (u64, &store::Result<Reply>),
-    wanted: u32,
-    timing: &Timing,
-    own: &Peer,
+    call: u64,
+    result: &store::Result<Reply>,
     next_call: u64,
+    hall: &Hall,
   ) -> Option<Vec<Step>> {
-    let (call, result) = answer;
     match std::mem::take(&mut self.phase) {
       Phase::Listing { call: own_call } if own_call == call => {
-        Some(self.listed(now, result, wanted, timing, own, next_call))
+        Some(self.listed(now, result, next_call, hall))
       }
       Phase::Granting { call: own_call, since, slot } if own_call == call => {
-        Some(self.granted(since, result, slot, own, next_call))
+        Some(self.granted(since, result, slot, next_call, hall))
       }
       Phase::Creating { call: own_call, lease, since, slot } if own_call == call => {
         Some(self.created(since, result, lease, slot))
@@ -138,10 +144,8 @@
     &mut self,
     now: Time,
     result: &store::Result<Reply>,
-    wanted: u32,
-    timing: &Timing,
-    own: &Peer,
     call: u64,
+    hall: &Hall,
   ) -> Vec<Step> {
     let Ok(Reply::Entries { entries, .. }) = result else {
       self.failures += 1;
@@ -156,12 +160,12 @@
         relays.set(slot, Some(peer));
       }
     }
-    let Some(slot) = relays.free_slot(&own.data_hall, wanted) else {
+    let Some(slot) = relays.free_slot(&hall.own.data_hall, Relays::wanted(hall.boxes)) else {
       self.failures = 0;
       return vec![seen];
     };
     self.phase = Phase::Granting { call, since: now, slot };
-    vec![seen, Step::Call(StoreRequest::GrantLease { ttl_ms: timing.lease_ttl_ms })]
+    vec![seen, Step::Call(StoreRequest::GrantLease { ttl_ms: hall.lease_ttl_ms })]
   }
 
   fn granted(
@@ -169,8 +173,8 @@
     since: Time,
     result: &store::Result<Reply>,
     slot: RelaySlot,
-    own: &Peer,
     call: u64,
+    hall: &Hall,
   ) -> Vec<Step> {
     let Ok(Reply::Lease { lease }) = result else {
       self.failures += 1;
@@ -178,7 +182,7 @@
     };
     let key = keys::relay(&slot);
     self.phase = Phase::Creating { call, lease: *lease, since, slot };
-    let value = serde_json::to_string(own).expect("a peer is plain data");
+    let value = to_json(&hall.own);
     vec![Step::Call(StoreRequest::Create { key, lease: Some(*lease), value })]
   }
 
--- a/src/distribution/watcher.rs
+++ b/src/distribution/watcher.rs
@@ -23,7 +23,6 @@
     call: u64,
   },
   Watching {
-    after: Revision,
     call: u64,
   },
 }
@@ -101,7 +100,7 @@
     }
     match self.phase {
       Phase::Listing { call: own } if own == call => {}
-      Phase::Watching { call: own, .. } if own == call => {}
+      Phase::Watching { call: own } if own == call => {}
       _ => return None,
     }
     match result {
@@ -131,7 +130,7 @@
 
   fn watch(&mut self, after: Revision, call: u64) -> StoreRequest {
     self.failures = 0;
-    self.phase = Phase::Watching { after, call };
+    self.phase = Phase::Watching { call };
     StoreRequest::Watch { after, prefix: keys::watched(), wait_ms: Self::WATCH_MS }
   }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,20 +12,17 @@
   },
   bytes::Bytes,
   clap::{Arg, ArgAction, ArgMatches, Command},
-  futures_util::{FutureExt, SinkExt, StreamExt, future::LocalBoxFuture},
+  futures_util::{FutureExt, SinkExt, StreamExt},
   http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
   http_body::Body,
   http_body_util::{BodyExt, Full, Limited},
   hyper::body::Incoming,
   monoio::net::{ListenerOpts, TcpListener, TcpStream},
   monoio_compat::hyper::{MonoioIo, MonoioTimer},
-  rand::{
-    Rng, SeedableRng,
-    seq::{IndexedRandom, SliceRandom},
-  },
+  rand::{Rng, SeedableRng, seq::IndexedRandom},
   rand_chacha::ChaCha8Rng,
   serde::{Deserialize, Serialize, de::DeserializeOwned},
-  slog::{Drain, Level, Logger, debug, error, info, o, warn},
+  slog::{Drain, Level, Logger, debug, info, o, warn},
   std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -33,7 +30,7 @@
     fmt::{self, Display, Formatter},
     fs,
     future::Future,
-    io::{self, Read, Write},
+    io::{self, Read},
     net::SocketAddr,
     path::{Path, PathBuf},
     pin::Pin,
@@ -63,6 +60,11 @@
 pub mod values;
 pub mod web;
 
+/// Plain data as JSON. Equal data gives equal text.
+fn to_json(value: &impl Serialize) -> String {
+  serde_json::to_string(value).expect("plain data has a JSON form")
+}
+
 /// Milliseconds since 1970 by the machine's clock.
 pub fn unix_ms() -> u64 {
   let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -1,4 +1,4 @@
-//! Links between daemons: WebSockets that carry sealed CBOR messages.
+//! Links between daemons: `WebSockets` that carry sealed CBOR messages.
 //!
 //! Both sides prove that they know the fleet key before anything is believed. Every frame carries a
 //! code over its content and its place in the stream, under a key of this link alone; so a forged,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,5 @@
 //! The `ferryyoke` binary.
 
 fn main() -> std::process::ExitCode {
-  ferryyoke::commands::execute()
+  ferryyoke::commands::execute(std::env::args_os())
 }
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -159,7 +159,7 @@
 
 /// Keeps the record of a request, also where the caller goes away before the answer.
 struct Recorder {
-  arrived: Instant,
+  arrived_us: u64,
   is_finished: bool,
   record: RequestRecord,
   shared: Rc<Shared>,
@@ -183,7 +183,8 @@
       unix_ms: shared.now().unix_ms,
       version: shared.router().version(),
     };
-    Self { arrived: Instant::now(), is_finished: false, record, shared: shared.clone() }
+    let arrived_us = shared.elapsed_us();
+    Self { arrived_us, is_finished: false, record, shared: shared.clone() }
   }
 
   fn finish(mut self, status: StatusCode) {
@@ -197,8 +198,8 @@
     if !self.is_finished {
       self.record.refusal = Some("the caller went away before the answer".into());
     }
-    let took = self.arrived.elapsed();
-    self.record.took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    let took_us = self.shared.elapsed_us() - self.arrived_us;
+    self.record.took_us = took_us;
     let service = self.record.route.as_ref().map_or("none", |(_, service)| service.as_str());
     let outcome = match &self.record.refusal {
       Some(refusal) => refusal.split(':').next().unwrap_or("refused"),
@@ -206,7 +207,12 @@
     };
     let outcome = if self.is_finished { outcome } else { "caller-gone" };
     let class = self.record.class.as_str();
-    self.shared.metrics.request(service, class, outcome, took.as_secs_f64());
+    self.shared.metrics.request(
+      service,
+      class,
+      outcome,
+      Duration::from_micros(took_us).as_secs_f64(),
+    );
     self.shared.log_request(&self.record);
     self.shared.records.borrow_mut().add(self.record.clone());
   }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -20,7 +20,7 @@
     let Some(endpoint) = choice.chosen.clone() else {
       return Err(none_left(forwarded, attempts));
     };
-    let started = shared.now();
+    let started_us = shared.elapsed_us();
     let outcome = attempt(shared, forwarded, &mut body, &endpoint).await;
     let known = match &outcome {
       Ok(response) => AttemptOutcome::Answered { status: response.status().as_u16() },
@@ -29,7 +29,7 @@
     attempts.push(Attempt {
       box_id: endpoint.peer.box_id,
       outcome: known.clone(),
-      took_us: shared.elapsed_us(started),
+      took_us: shared.elapsed_us() - started_us,
       verdicts: choice.verdicts,
     });
     let is_last = attempts.len() >= attempts_max as usize || !body.is_left();
@@ -97,7 +97,7 @@
 ) -> Answer {
   let box_id = endpoint.peer.box_id.clone();
   let under_way = UnderWay::start(shared, &box_id);
-  let started = shared.now();
+  let started_us = shared.elapsed_us();
   let answer = if box_id == shared.settings.box_id {
     let body = match body {
       RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
@@ -109,7 +109,7 @@
   };
   let completion = match &answer {
     Ok(response) => Completion::Served {
-      latency_us: shared.elapsed_us(started),
+      latency_us: shared.elapsed_us() - started_us,
       load_percent: headers::parsed(response.headers(), headers::LOAD),
     },
     Err(AttemptOutcome::NotRun { retry_after_ms, .. }) if *retry_after_ms > 0 => Completion::Shed,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,7 +7,6 @@
 use super::*;
 
 use crate::{
-  configuration::Configuration,
   daemon::Shared,
   fleet::{Endpoint, EndpointState},
   requests::{
--- a/src/requests/claim.rs
+++ b/src/requests/claim.rs
@@ -125,8 +125,9 @@
     match self.phase.clone() {
       Phase::Creating => self.created(now, result),
       Phase::Reading => self.read(now, result),
-      Phase::Recording { record, .. } => self.recorded(now, result, record),
-      Phase::Releasing { record } => self.recorded(now, result, record),
+      Phase::Recording { record, .. } | Phase::Releasing { record } => {
+        self.recorded(now, result, record)
+      }
       Phase::Retaking => self.retaken(now, result),
       Phase::Verifying { record } => self.verified(now, result, record),
       Phase::Waiting { .. } => self.resumed(),
@@ -222,7 +223,7 @@
 
   fn again(&mut self, now: Time, phase: Phase, reason: &str) -> ClaimStep {
     if now >= self.deadline {
-      return self.give_up(&phase, reason);
+      return Self::give_up(&phase, reason);
     }
     let base_ms = (10 << self.tries.min(5)).min(Self::BACKOFF_MAX_MS);
     self.tries += 1;
@@ -231,7 +232,7 @@
   }
 
   /// Whatever the store did, this daemon has not sent the request and will not.
-  fn give_up(&mut self, phase: &Phase, reason: &str) -> ClaimStep {
+  fn give_up(phase: &Phase, reason: &str) -> ClaimStep {
     if matches!(phase, Phase::Recording { .. } | Phase::Releasing { .. } | Phase::Verifying { .. })
     {
       return unrecorded(reason);
@@ -241,7 +242,7 @@
 }
 
 fn encode(record: &ClaimRecord) -> String {
-  serde_json::to_string(record).expect("a claim record is plain data")
+  to_json(record)
 }
 
 fn settled(settlement: Settlement) -> ClaimStep {
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::{
   configuration::{Configuration, Route},
-  fleet::{Endpoint, EndpointState, EndpointTable},
+  fleet::Endpoint,
   store::{Entry, Key, Refusal, Reply, Revision, StoreRequest},
 };
 
--- a/src/standin/store_faults.rs
+++ b/src/standin/store_faults.rs
@@ -3,6 +3,7 @@
 /// The faults that the stand-in store shows on command.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[allow(clippy::struct_excessive_bools)]
 pub struct StoreFaults {
   /// Refuse every connection's call with a status that says nothing.
   pub down: bool,
--- a/src/standin/store_server.rs
+++ b/src/standin/store_server.rs
@@ -67,11 +67,11 @@
     Time(u64::try_from(self.clock.elapsed().as_millis()).unwrap_or(u64::MAX))
   }
 
-  fn set_faults(&mut self, faults: StoreFaults) {
-    if faults.lapse_leases {
+  fn set_faults(&mut self, mut faults: StoreFaults) {
+    if std::mem::take(&mut faults.lapse_leases) {
       self.keyspace.lapse_leases();
     }
-    self.faults = StoreFaults { lapse_leases: false, ..faults };
+    self.faults = faults;
     self.wake();
   }
 
--- a/src/store/http_store.rs
+++ b/src/store/http_store.rs
@@ -18,7 +18,7 @@
     address: SocketAddr,
     request: StoreRequest,
   ) -> Result<Reply> {
-    let text = serde_json::to_string(&request).expect("a store request is plain data");
+    let text = to_json(&request);
     let post = Request::post("/v1/call")
       .header(http::header::HOST, address.to_string())
       .header(http::header::CONTENT_TYPE, "application/json")
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,6 +15,8 @@
 
 /// The daemon's metrics.
 pub struct Metrics {
+  /// When the configuration in force was applied, in milliseconds since 1970.
+  pub applied_unix_ms: Gauge,
   /// Caller classes and services that have labels of their own so far.
   known: RefCell<BTreeSet<String>>,
   link_bytes: Family<ByteLabels, Counter>,
@@ -48,8 +50,15 @@
     registry.register("link_bytes", "Bytes on links between daemons", link_bytes.clone());
     registry.register("links_refused", "Links refused, by reason", links_refused.clone());
     registry.register("store_calls", "Calls to the store, by result", store_calls.clone());
+    let applied_unix_ms: Gauge = Gauge::default();
+    registry.register(
+      "configuration_applied_unix_ms",
+      "When the version in force was applied, in milliseconds since 1970",
+      applied_unix_ms.clone(),
+    );
     registry.register("configuration_version", "The version in force", version.clone());
     Self {
+      applied_unix_ms,
       known: RefCell::default(),
       link_bytes,
       links_refused,
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -44,7 +44,7 @@
 
 /// A JSON response.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<AnyBody> {
-  let text = serde_json::to_string(value).expect("plain data");
+  let text = to_json(value);
   let mut response = Response::new(full(text));
   *response.status_mut() = status;
   let json = HeaderValue::from_static("application/json");
