Fuzz distribution against an oracle, and check the command line and language

Cause: nothing proved that a fleet stays whole under faults.

Found by the fuzz, and mended: - All relays of a data hall lost their leases at once, and every box went on trusting its old list of relays, in which no slot was free; the fleet stood still for good. A daemon now counts a slot as vacant unless the daemon that serves it says that it is a relay. - A watch that skips a change on all relays held it back until the minutely reading. The daemon that accepted a change now tells its relay, which reads the head. Found by a test of the parser: braces nested half a million deep exhausted the stack; the document parser no longer recurses.

Ruled out: ageing the list of relays by the store's confirmation, for then every box would call the store while it is down.

--- a/src/administration/changes.rs
+++ b/src/administration/changes.rs
@@ -38,7 +38,7 @@
   if script.dry_run {
     return dry_run(daemon, &held, &change);
   }
-  accept(shared, held, change).await
+  accept(daemon, held, change).await
 }
 
 fn make_change_id(shared: &Shared) -> ChangeId {
@@ -66,12 +66,14 @@
   Ok(Answer::table(message, questions::difference(held, &next)).at(held.version))
 }
 
-async fn accept(shared: &Rc<Shared>, held: Arc<Configuration>, change: Change) -> Result<Answer> {
+async fn accept(daemon: &Rc<Daemon>, held: Arc<Configuration>, change: Change) -> Result<Answer> {
+  let shared = &daemon.shared;
   let id = change.id.clone();
   let deadline = shared.now().time.after(PATIENCE_MS);
   let acceptance = Acceptance::new(change, Some(held), deadline, shared.make_seed());
   match drive(shared, acceptance).await {
     Outcome::Accepted { version } => {
+      daemon.distribution.handle(Event::Accepted { version });
       info!(shared.log.logger, "a change was accepted"; "version" => version.0);
       prune(shared);
       Ok(Answer::done(format!("accepted as version {version} (change {id})")).at(version))
--- a/src/administration/mod.rs
+++ b/src/administration/mod.rs
@@ -6,7 +6,7 @@
   configuration::{Change, Configuration, Head, Object, ObjectName, Summary},
   daemon::{Daemon, Shared},
   distribution::{
-    Acceptance, AcceptanceStep, Archive, Outcome, Question as FleetQuestion, Report, keys,
+    Acceptance, AcceptanceStep, Archive, Event, Outcome, Question as FleetQuestion, Report, keys,
   },
   fleet::Endpoint,
   language::{Author, Document, Kind, Plan, Question, Script, Statement},
--- a/src/distribution/beat.rs
+++ b/src/distribution/beat.rs
@@ -9,6 +9,9 @@
   /// The fingerprint of the sender's endpoint table.
   #[serde(rename = "e")]
   pub endpoints: u64,
+  /// Whether the sender holds a relay slot.
+  #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+  pub is_relay: bool,
   /// Milliseconds since the store last confirmed the sender's version; nothing where it never did.
   #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
   pub store_age_ms: Option<u64>,
--- a/src/distribution/distributor/linking.rs
+++ b/src/distribution/distributor/linking.rs
@@ -146,7 +146,8 @@
     let role = if subscribe.relay { LinkRole::Mesh } else { LinkRole::Downstream };
     self.set_role(link, role);
     self.note_version(link, subscribe.version);
-    self.send(link, Message::Welcome { floor, relays });
+    let is_relay = self.is_relay();
+    self.send(link, Message::Welcome { floor, is_relay, relays });
     self.sync_endpoints_unless(link, subscribe.endpoints);
     self.news_received(link, vec![subscribe.endpoint.clone()]);
     self.push_update(link);
@@ -177,10 +178,11 @@
     }
   }
 
-  pub(super) fn welcomed(&mut self, link: LinkId, floor: Version, relays: Relays) {
-    let Some(known) = self.links.get(&link) else {
+  pub(super) fn welcomed(&mut self, link: LinkId, floor: Version, is_relay: bool, relays: Relays) {
+    let Some(known) = self.links.get_mut(&link) else {
       return;
     };
+    known.is_relay = is_relay;
     let peer = known.peer.clone();
     self.floor_heard(peer.clone(), floor);
     self.learn_relays(relays);
@@ -189,10 +191,9 @@
     }
     self.upstream.welcomed(link);
     self.set_role(link, LinkRole::Upstream);
-    let is_relayed = self.relays.has(&peer);
     self.own.relay = Some(peer);
     self.announce();
-    if is_relayed {
+    if is_relay {
       // Those who came here for want of a relay can go to one now.
       self.redirect_subscribers();
     }
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -107,6 +107,7 @@
   pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Action> {
     self.now = now;
     match event {
+      Event::Accepted { version } => self.accepted(version, None),
       Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
       Event::EndpointState(state) => self.change_state(state),
@@ -145,6 +146,7 @@
     };
     known.heard_at = self.now.time;
     match message {
+      Message::Accepted { version } => self.accepted(version, Some(link)),
       Message::Answer { id, reports } => self.inquiry_answered(link, id, reports),
       Message::Ask { hops, id, question } => self.neighbour_asked(link, hops, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
@@ -154,7 +156,9 @@
       Message::Relays(relays) => self.relays_received(link, relays),
       Message::Subscribe(subscribe) => self.subscription_asked(link, &subscribe),
       Message::Update(update) => self.update_received(link, update),
-      Message::Welcome { floor, relays } => self.welcomed(link, floor, relays),
+      Message::Welcome { floor, is_relay, relays } => {
+        self.welcomed(link, floor, is_relay, relays);
+      }
     }
   }
 
--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -12,6 +12,7 @@
     Beat {
       applied_unix_ms: applied.map_or(0, |provenance| provenance.applied_unix_ms),
       endpoints: self.endpoints.fingerprint(),
+      is_relay: self.is_relay(),
       store_age_ms: self.store_age_ms(),
       version: self.catalog.held(),
     }
@@ -41,6 +42,7 @@
       return;
     };
     known.applied_unix_ms = beat.applied_unix_ms;
+    known.is_relay = beat.is_relay;
     let role = known.role;
     let peer = known.peer.clone();
     if self.upstream.link() == Some(link) {
--- a/src/distribution/distributor/storing.rs
+++ b/src/distribution/distributor/storing.rs
@@ -5,13 +5,21 @@
   pub(super) fn tick_election(&mut self) {
     let hall = self.hall();
     let wanted = Relays::wanted(hall.boxes);
-    let vacant = self.own.state != EndpointState::Leaving
-      && self.relays.free_slot(&hall.own.data_hall, wanted).is_some();
+    let has_room = self.relays.free_slot(&hall.own.data_hall, wanted).is_some();
+    let vacant =
+      self.own.state != EndpointState::Leaving && (has_room || !self.is_served_by_relay());
     let call = self.next_call();
     let step = self.election.tick(self.now.time, vacant, call, &hall, &mut self.rng);
     self.election_steps(step.into_iter().collect());
   }
 
+  /// Whether this daemon is a relay, or subscribed to one that says it is. The list of relays may be
+  /// old, so it alone does not tell that there still are any.
+  fn is_served_by_relay(&self) -> bool {
+    let upstream = self.upstream.link().and_then(|link| self.links.get(&link));
+    self.is_relay() || upstream.is_some_and(|link| link.is_relay)
+  }
+
   fn hall(&self) -> Hall {
     Hall {
       boxes: self.data_hall_size(),
@@ -40,6 +48,10 @@
         self.relays.set(slot, peer);
       }
     }
+    let has_relay = self.relays.of(&own).next().is_some();
+    if has_relay && self.upstream.link().is_some() && !self.is_served_by_relay() {
+      self.drop_upstream();
+    }
   }
 
   fn step_up(&mut self, slot: RelaySlot) {
@@ -77,6 +89,24 @@
     }
   }
 
+  /// The store has a newer version. A relay reads it, for its watch may have skipped the change; a
+  /// subscriber tells its relay.
+  pub(super) fn accepted(&mut self, version: Version, from: Option<LinkId>) {
+    if self.catalog.version() >= Some(version) {
+      return;
+    }
+    if self.is_relay() {
+      let call = self.next_call();
+      if let Some(request) = self.watcher.reread(call, version) {
+        self.call_store(request);
+      }
+      return;
+    }
+    if let Some(upstream) = self.upstream.link().filter(|upstream| Some(*upstream) != from) {
+      self.send(upstream, Message::Accepted { version });
+    }
+  }
+
   pub(super) fn store_answered(&mut self, call: u64, result: &store::Result<Reply>) {
     let next_call = self.next_call();
     let hall = self.hall();
--- a/src/distribution/event.rs
+++ b/src/distribution/event.rs
@@ -3,6 +3,11 @@
 /// What happens to a [`Distributor`].
 #[derive(Clone, Debug)]
 pub enum Event {
+  /// This daemon brought a change into the store.
+  Accepted {
+    /// The version that the change made.
+    version: Version,
+  },
   /// The operators' side asks the fleet. Ends with [`Action::Answer`].
   Asked {
     /// The question.
--- a/src/distribution/link.rs
+++ b/src/distribution/link.rs
@@ -9,6 +9,8 @@
   pub dirty: BTreeSet<BoxId>,
   /// When the last message came.
   pub heard_at: Time,
+  /// Whether the peer said that it holds a relay slot.
+  pub is_relay: bool,
   /// Beats in a row whose endpoint fingerprint differed.
   pub mismatches: u32,
   /// The box at the other end.
@@ -36,6 +38,7 @@
       applied_unix_ms: 0,
       dirty: BTreeSet::new(),
       heard_at: now,
+      is_relay: false,
       mismatches: 0,
       peer,
       refusal: None,
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -4,6 +4,11 @@
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Message {
+  /// The store has a version that the sender does not hold yet.
+  Accepted {
+    /// The version.
+    version: Version,
+  },
   /// Answers an inquiry.
   Answer {
     /// The asker's id of the inquiry.
@@ -46,6 +51,8 @@
   Welcome {
     /// The highest version that the sender knows the receiver's box, or itself, to have held.
     floor: Version,
+    /// Whether the sender holds a relay slot.
+    is_relay: bool,
     /// The relays that the sender knows.
     relays: Relays,
   },
--- a/src/distribution/watcher.rs
+++ b/src/distribution/watcher.rs
@@ -6,8 +6,12 @@
   failures: u32,
   /// The newest head seen, with its revision.
   head: Option<(Revision, Head)>,
+  /// The outstanding read of the head alone.
+  head_call: Option<u64>,
   listed_at: Time,
   phase: Phase,
+  /// The version for which the head was last read alone.
+  reread_for: Version,
   /// The outstanding read of a snapshot.
   snapshot_call: Option<u64>,
 }
@@ -75,6 +79,18 @@
     StoreRequest::List { prefix: keys::watched() }
   }
 
+  /// Reads the head because of a newer version that the watch may have skipped, at most once for
+  /// each version.
+  pub(super) fn reread(&mut self, call: u64, version: Version) -> Option<StoreRequest> {
+    let known = self.head().map(|head| head.version);
+    if known >= Some(version) || self.reread_for >= version {
+      return None;
+    }
+    self.reread_for = version;
+    self.head_call = Some(call);
+    Some(StoreRequest::Read { key: keys::head() })
+  }
+
   /// Asks for the snapshot that the head names.
   pub(super) fn read_snapshot(&mut self, call: u64) -> Option<StoreRequest> {
     if self.snapshot_call.is_some() {
@@ -98,6 +114,10 @@
       self.snapshot_call = None;
       return Some((Self::snapshot_read(result), None));
     }
+    if self.head_call == Some(call) {
+      self.head_call = None;
+      return Some((self.head_read(result), None));
+    }
     match self.phase {
       Phase::Listing { call: own } if own == call => {}
       Phase::Watching { call: own } if own == call => {}
@@ -172,6 +192,14 @@
     }
   }
 
+  fn head_read(&mut self, result: &store::Result<Reply>) -> Seen {
+    let mut seen = Seen::default();
+    if let Ok(Reply::Entry { entry: Some(entry), .. }) = result {
+      self.note(&entry.key, Some(entry), &mut seen);
+    }
+    seen
+  }
+
   fn snapshot_read(result: &store::Result<Reply>) -> Seen {
     let Ok(Reply::Entry { entry: Some(entry), .. }) = result else {
       return Seen::default();
--- a/src/language/word.rs
+++ b/src/language/word.rs
@@ -5,7 +5,7 @@
   ascii::multispace0,
   combinator::{alt, delimited, preceded, repeat},
   stream::{LocatingSlice, Location},
-  token::{any, none_of, one_of, take_till, take_while},
+  token::{any, none_of, take_till, take_while},
 };
 
 /// One word of a script: a bare word, a quoted text, a JSON document, or `;`.
@@ -82,26 +82,40 @@
   delimited('"', text, '"').parse_next(input)
 }
 
-/// A JSON object, up to its closing brace.
+/// A JSON object, up to its closing brace. Its pieces are read one after another, not one inside
+/// the other, so that no depth of braces exhausts the stack.
 fn document(input: &mut Input) -> ModalResult<String> {
-  let part = alt((
-    document,
-    json_text,
-    (none_of(['{', '}', '"']), take_till(0.., ['{', '}', '"']))
-      .take()
-      .map(|text: &str| text.to_string()),
-  ));
-  let inside = repeat(0.., part).fold(String::new, |mut text, part: String| {
-    text.push_str(&part);
-    text
-  });
-  let inside = delimited(one_of('{'), inside, one_of('}')).parse_next(input)?;
-  Ok(format!("{{{inside}}}"))
+  let mut text = String::new();
+  let mut depth = 0_usize;
+  loop {
+    let piece = document_piece(depth).parse_next(input)?;
+    match piece {
+      "{" => depth += 1,
+      "}" => depth -= 1,
+      _ => {}
+    }
+    text.push_str(piece);
+    if depth == 0 {
+      return Ok(text);
+    }
+  }
+}
+
+/// A brace, a JSON text with its quotes, or what lies between; only an opening brace at depth 0.
+fn document_piece<'a>(
+  depth: usize,
+) -> impl Parser<Input<'a>, &'a str, winnow::error::ErrMode<winnow::error::ContextError>> {
+  move |input: &mut Input<'a>| {
+    if depth == 0 {
+      return "{".parse_next(input);
+    }
+    alt(("{", "}", json_text, take_till(1.., ['{', '}', '"']))).parse_next(input)
+  }
 }
 
 /// A JSON text with its quotes and escapes kept.
-fn json_text(input: &mut Input) -> ModalResult<String> {
+fn json_text<'a>(input: &mut Input<'a>) -> ModalResult<&'a str> {
   let character = alt((preceded('\\', any).void(), none_of(['"', '\\']).void()));
   let text: winnow::combinator::Repeat<_, _, _, (), _> = repeat(0.., character);
-  delimited('"', text, '"').take().map(|text: &str| text.to_string()).parse_next(input)
+  delimited('"', text, '"').take().parse_next(input)
 }
--- /dev/null
+++ b/tests/check.rs
@@ -0,0 +1,145 @@
+//! `ferryyoke check`: every fault of a settings file, with its place.
+
+mod support;
+
+use {serde_json::json, support::command::Test};
+
+#[test]
+fn good_settings_pass() {
+  Test::new().check_with("/box", json!("archive-1")).stdout_contains("the settings are good").run();
+}
+
+#[test]
+fn no_file() {
+  Test::new()
+    .arguments(&["check", "--settings", "/nowhere/settings.json"])
+    .status(2)
+    .stderr_contains("/nowhere/settings.json cannot be read")
+    .run();
+}
+
+#[test]
+fn a_directory() {
+  Test::new()
+    .arguments(&["check", "--settings", "/"])
+    .status(2)
+    .stderr_contains("the settings file / cannot be read")
+    .run();
+}
+
+#[test]
+fn broken_json() {
+  Test::new()
+    .check("{ \"box\": ")
+    .status(2)
+    .stderr_contains("not JSON")
+    .stderr_contains("line 1")
+    .run();
+}
+
+#[test]
+fn a_wrong_type() {
+  Test::new()
+    .check_with("/box", json!(7))
+    .status(2)
+    .stderr_contains("$.box: found 7, allowed is a name")
+    .run();
+}
+
+#[test]
+fn an_unknown_key() {
+  Test::new()
+    .check_with("/backend_server/slot", json!(12))
+    .status(2)
+    .stderr_contains("$.backend_server.slot: found an unknown key")
+    .run();
+}
+
+#[test]
+fn a_port_out_of_range() {
+  Test::new()
+    .check_with("/addresses/callers", json!("127.0.0.1:70000"))
+    .status(2)
+    .stderr_contains("$.addresses.callers: found \"127.0.0.1:70000\"")
+    .stderr_contains("a port from 1 to 65535")
+    .run();
+}
+
+#[test]
+fn port_zero() {
+  Test::new()
+    .check_with("/addresses/callers", json!("127.0.0.1:0"))
+    .status(2)
+    .stderr_contains("$.addresses.callers")
+    .run();
+}
+
+#[test]
+fn a_zero_limit() {
+  Test::new()
+    .check_with("/backend_server/slots", json!(0))
+    .status(2)
+    .stderr_contains("$.backend_server.slots: found 0, allowed is a whole number from 1")
+    .run();
+}
+
+#[test]
+fn a_name_for_an_address() {
+  Test::new()
+    .check_with("/store/address", json!("store.example:9000"))
+    .status(2)
+    .stderr_contains("$.store.address: found \"store.example:9000\", allowed is an IP number")
+    .run();
+}
+
+#[test]
+fn two_listeners_on_one_port() {
+  Test::new()
+    .check_with("/addresses/links", json!("127.0.0.1:7000"))
+    .status(2)
+    .stderr_contains("$.addresses.links")
+    .stderr_contains("another address than that of callers")
+    .run();
+}
+
+#[test]
+fn more_slots_than_connections() {
+  Test::new()
+    .check_with("/backend_server/slots", json!(131))
+    .status(2)
+    .stderr_contains("$.backend_server.connections: found 130, allowed is at least the 131 slots")
+    .run();
+}
+
+#[test]
+fn administration_for_all_without_tokens() {
+  Test::new()
+    .check_with("/addresses/administration", json!("10.0.0.1:7003"))
+    .status(2)
+    .stderr_contains("$.tokens")
+    .run();
+}
+
+#[test]
+fn a_short_secret_is_not_shown() {
+  let output = Test::new()
+    .check_with("/fleet_key", json!({ "environment": "PATH_OF_NOTHING" }))
+    .status(2)
+    .stderr_contains("the unset variable PATH_OF_NOTHING")
+    .run();
+  assert!(!String::from_utf8_lossy(&output.stderr).contains("long enough"));
+}
+
+#[test]
+fn all_faults_at_once() {
+  let settings = json!({ "box": 1, "colour": "red", "peers": [{ "box": "b" }] });
+  Test::new()
+    .check(&settings.to_string())
+    .status(2)
+    .stderr_contains("$.addresses: found nothing")
+    .stderr_contains("$.box: found 1")
+    .stderr_contains("$.colour: found an unknown key")
+    .stderr_contains("$.peers[0].address: found nothing")
+    .stderr_contains("$.store.address: found nothing")
+    .run();
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,22 @@
+//! What the fuzz tests share: a small world of pure state machines, and the oracle beside it.
+
+#![allow(dead_code)]
+
+pub mod command;
+pub mod oracle;
+pub mod world;
+
+use arbtest::{arbitrary::Unstructured, arbtest};
+
+/// Bytes of randomness of one history.
+const HISTORY_BYTES: u64 = 4_096;
+
+/// Runs `property` on `count` histories, the same ones every time.
+pub fn histories(
+  count: u64,
+  mut property: impl FnMut(&mut Unstructured) -> arbtest::arbitrary::Result<()>,
+) {
+  for seed in 1..=count {
+    arbtest(&mut property).seed(seed << 32 | HISTORY_BYTES).run();
+  }
+}
--- /dev/null
+++ b/tests/support/world.rs
@@ -0,0 +1,622 @@
+//! A fleet of distribution state machines in virtual time, with faulty links and a faulty store.
+
+use {
+  super::oracle::Oracle,
+  ferryyoke::{
+    configuration::{Change, Head, Object, ObjectName, Operation, Policy, Route, Service},
+    distribution::{
+      Acceptance, AcceptanceStep, Action, Distributor, Event, Identity, LinkId, Message, Moment,
+      Outcome, Profile, Update, keys,
+    },
+    fleet::{Endpoint, EndpointState, Peer},
+    standin::Keyspace,
+    store::{self, Refusal, Reply, StoreRequest},
+    values::{BoxId, Incarnation, Time, Version},
+  },
+  rand::{Rng, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+  std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Milliseconds for which a box waits for the store.
+const STORE_TIMEOUT_MS: u64 = 1_000;
+
+/// Who called the store.
+#[derive(Clone, Copy, Debug)]
+enum Caller {
+  /// An operator's change, by its place in the list.
+  Change(usize),
+  /// The distributor of a box in one of its lives, by the number of its call.
+  Distributor { call: u64, index: usize, life: u64 },
+}
+
+#[derive(Debug)]
+enum Happening {
+  Answer { caller: Caller, result: store::Result<Reply> },
+  Event { event: Event, index: usize, life: u64 },
+  Execute { answers: bool, caller: Caller, request: StoreRequest },
+  Resume { change: usize },
+  Tick { index: usize, life: u64 },
+}
+
+/// One box of the world.
+pub struct SimBox {
+  /// The state machine; nothing while the box is down.
+  pub distributor: Option<Distributor>,
+  /// Until when the box stands still.
+  frozen_until: u64,
+  pub life: u64,
+  pub peer: Peer,
+  /// Whether the backend server beside it can work.
+  pub state: EndpointState,
+}
+
+struct Connection {
+  /// The boxes and lives at both ends.
+  ends: [(usize, u64, LinkId); 2],
+  /// Whether something was lost on it, so that nothing comes through any more.
+  is_broken: bool,
+  /// When the last message arrives at each end.
+  last_at: [u64; 2],
+}
+
+struct SimChange {
+  acceptance: Acceptance,
+  /// The box, in one of its lives, that the change was stated to.
+  at: (usize, u64),
+  id: ferryyoke::values::ChangeId,
+  is_ended: bool,
+}
+
+struct Waiting {
+  caller: Caller,
+  deadline: u64,
+  request: StoreRequest,
+}
+
+/// The faults that are on.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+  /// Pairs of boxes that do not reach each other.
+  pub blocked: Vec<(usize, usize)>,
+  /// Share of store answers that are lost after the call took effect, in percent.
+  pub lost_answers: u8,
+  /// Whether watches report nothing.
+  pub silent_watches: bool,
+  /// Whether watches leave out or repeat changes.
+  pub skipping_watches: bool,
+  /// Whether the store is down.
+  pub store_down: bool,
+  /// Milliseconds that the store takes more.
+  pub store_slow_ms: u64,
+}
+
+pub struct World {
+  pub boxes: Vec<SimBox>,
+  changes: Vec<SimChange>,
+  connections: Vec<Connection>,
+  pub faults: Faults,
+  pub keyspace: Keyspace,
+  /// What the boxes logged, for whoever looks into a failed history.
+  pub log: Vec<String>,
+  last_link: LinkId,
+  pub now: u64,
+  pub oracle: Oracle,
+  queue: BTreeMap<(u64, u64), Happening>,
+  rng: ChaCha8Rng,
+  sequence: u64,
+  pub store_calls: u64,
+  waiting: Vec<Waiting>,
+}
+
+impl World {
+  /// A world of `boxes` boxes in `data_halls` data halls, all of them starting.
+  pub fn new(boxes: usize, data_halls: usize, seed: u64) -> Self {
+    let peer = |index: usize| Peer {
+      address: ([127, 0, 0, 1], 1 + u16::try_from(index).expect("few boxes")).into(),
+      box_id: format!("box-{index}").parse().expect("a name"),
+      data_hall: format!("hall-{}", index % data_halls).parse().expect("a name"),
+    };
+    let boxes = (0..boxes).map(|index| SimBox {
+      distributor: None,
+      frozen_until: 0,
+      life: 0,
+      peer: peer(index),
+      state: EndpointState::Live,
+    });
+    let mut world = Self {
+      boxes: boxes.collect(),
+      changes: Vec::new(),
+      connections: Vec::new(),
+      faults: Faults::default(),
+      keyspace: Keyspace::default(),
+      log: Vec::new(),
+      last_link: LinkId::default(),
+      now: 1,
+      oracle: Oracle::new(),
+      queue: BTreeMap::new(),
+      rng: ChaCha8Rng::seed_from_u64(seed),
+      sequence: 0,
+      store_calls: 0,
+      waiting: Vec::new(),
+    };
+    for index in 0..world.boxes.len() {
+      world.start(index);
+    }
+    world
+  }
+
+  fn later(&mut self, delay_ms: u64, happening: Happening) {
+    self.sequence += 1;
+    self.queue.insert((self.now + delay_ms, self.sequence), happening);
+  }
+
+  fn moment(&self) -> Moment {
+    Moment { time: Time(self.now), unix_ms: 1_000_000 + self.now }
+  }
+
+  /// Starts a box with empty memory.
+  pub fn start(&mut self, index: usize) {
+    if self.boxes[index].distributor.is_some() {
+      return;
+    }
+    let seeds = self.boxes.iter().map(|one| one.peer.clone()).collect();
+    let (now, seed) = (self.moment(), self.rng.random());
+    let one = &mut self.boxes[index];
+    one.life += 1;
+    one.frozen_until = 0;
+    let endpoint = Endpoint {
+      forward_address: one.peer.address,
+      incarnation: Incarnation(now.unix_ms),
+      peer: one.peer.clone(),
+      region: "region".parse().expect("a name"),
+      relay: None,
+      sequence: 0,
+      service: "service-0".parse().expect("a name"),
+      slots: 12,
+      state: one.state,
+    };
+    let identity = Identity { endpoint, seeds, timing: Profile::Prompt.timing() };
+    one.distributor = Some(Distributor::new(now, seed, identity));
+    let life = one.life;
+    self.later(1, Happening::Tick { index, life });
+  }
+
+  /// Kills a box. Its neighbours hear of it, or not for long.
+  pub fn crash(&mut self, index: usize, silently: bool) {
+    self.boxes[index].distributor = None;
+    let life = self.boxes[index].life;
+    for at in 0..self.connections.len() {
+      let ends = self.connections[at].ends;
+      let side = ends.iter().position(|end| end.0 == index && end.1 == life);
+      if let Some(side) = side {
+        self.connections[at].is_broken = true;
+        if !silently {
+          self.notify_closed(ends[1 - side]);
+        }
+      }
+    }
+  }
+
+  /// The backend server beside a box says what it can do; leaving ends this life of the box.
+  pub fn set_state(&mut self, index: usize, state: EndpointState) {
+    let life = self.boxes[index].life;
+    if state != EndpointState::Leaving {
+      self.boxes[index].state = state;
+    }
+    self.handle(index, life, Event::EndpointState(state));
+  }
+
+  /// Lets a box stand still for some time. What comes meanwhile is handled afterwards.
+  pub fn freeze(&mut self, index: usize, duration_ms: u64) {
+    self.boxes[index].frozen_until = self.now + duration_ms;
+  }
+
+  /// Cuts one of the open links.
+  pub fn cut_link(&mut self, choice: usize) {
+    let open: Vec<usize> =
+      (0..self.connections.len()).filter(|at| !self.connections[*at].is_broken).collect();
+    if open.is_empty() {
+      return;
+    }
+    let connection = &mut self.connections[open[choice % open.len()]];
+    connection.is_broken = true;
+    let ends = connection.ends;
+    self.notify_closed(ends[0]);
+    self.notify_closed(ends[1]);
+  }
+
+  fn notify_closed(&mut self, (index, life, link): (usize, u64, LinkId)) {
+    let delay_ms = self.rng.random_range(1..50);
+    self.later(delay_ms, Happening::Event { event: Event::LinkClosed { link }, index, life });
+  }
+
+  /// Tells a box something on one of its links that its peer never said.
+  pub fn forge(&mut self, index: usize, message: Message) {
+    let life = self.boxes[index].life;
+    let own = self
+      .connections
+      .iter()
+      .filter(|one| !one.is_broken)
+      .find_map(|one| one.ends.iter().find(|end| end.0 == index && end.1 == life));
+    if let Some((.., link)) = own {
+      let event = Event::Received { link: *link, message };
+      self.later(1, Happening::Event { event, index, life });
+    }
+  }
+
+  /// The update that a box would send to one that holds nothing, with its content bent.
+  pub fn bent_update(&mut self, index: usize) -> Option<Update> {
+    let catalog = self.boxes[index].distributor.as_ref()?.catalog();
+    let update = catalog.update_for(None)?;
+    let Update::Snapshot { changes, configuration, digest, history } = update else {
+      return None;
+    };
+    let mut bent = (*configuration).clone();
+    bent.version = Version(bent.version.0 + self.rng.random_range(0..3));
+    bent.services.pop_first();
+    Some(Update::Snapshot { changes, configuration: Arc::new(bent), digest, history })
+  }
+
+  /// An operator states a change to a box. Without a configuration there, nothing happens.
+  pub fn state_change(&mut self, index: usize, operations: Vec<Operation>) {
+    let Some(distributor) = &self.boxes[index].distributor else {
+      return;
+    };
+    let Some(held) = distributor.catalog().configuration().cloned() else {
+      return;
+    };
+    let id = format!("change-{}", self.changes.len()).parse().expect("a name");
+    let change = Change {
+      base: held.version,
+      id,
+      only_at: None,
+      operations,
+      operator: "operator".parse().expect("a name"),
+      reason: String::new(),
+      statement: "a change".into(),
+      team: "team".parse().expect("a name"),
+      unix_ms: self.now,
+    };
+    self.oracle.stated(&change);
+    let id = change.id.clone();
+    let life = self.boxes[index].life;
+    let deadline = Time(self.now + 5_000);
+    let mut acceptance = Acceptance::new(change, Some(held), deadline, self.rng.random());
+    let step = acceptance.resumed();
+    self.changes.push(SimChange { acceptance, at: (index, life), id, is_ended: false });
+    self.carry_change(self.changes.len() - 1, step);
+  }
+
+  fn carry_change(&mut self, change: usize, step: AcceptanceStep) {
+    match step {
+      AcceptanceStep::Call(request) => self.call_store(Caller::Change(change), request),
+      AcceptanceStep::Done(outcome) => {
+        self.changes[change].is_ended = true;
+        let id = self.changes[change].id.clone();
+        match outcome {
+          Outcome::Accepted { version } => {
+            self.oracle.acknowledged(&id, version);
+            let (index, life) = self.changes[change].at;
+            self.handle(index, life, Event::Accepted { version });
+          }
+          Outcome::Refused(_) => self.oracle.refused(&id),
+          Outcome::Unknown { .. } => {}
+        }
+      }
+      AcceptanceStep::Wait { pause_ms } => self.later(pause_ms, Happening::Resume { change }),
+    }
+  }
+
+  fn call_store(&mut self, caller: Caller, request: StoreRequest) {
+    self.store_calls += 1;
+    let unknown = || Err(store::Error::Unknown { reason: "no answer".into() });
+    if self.faults.store_down {
+      let result = if self.rng.random_bool(0.5) {
+        Err(Refusal::Unreachable { reason: "down".into() }.into())
+      } else {
+        unknown()
+      };
+      return self.later(20, Happening::Answer { caller, result });
+    }
+    let delay_ms = self.rng.random_range(1..5) + self.faults.store_slow_ms;
+    let loses = self.rng.random_range(0..100) < self.faults.lost_answers;
+    let too_slow = delay_ms >= STORE_TIMEOUT_MS;
+    if loses || too_slow {
+      let timeout_ms = STORE_TIMEOUT_MS + request.wait_ms();
+      self.later(timeout_ms, Happening::Answer { caller, result: unknown() });
+    }
+    let answers = !loses && !too_slow;
+    self.later(delay_ms, Happening::Execute { answers, caller, request });
+  }
+
+  fn execute(&mut self, answers: bool, caller: Caller, request: StoreRequest) {
+    if let StoreRequest::Watch { wait_ms, .. } = &request {
+      let deadline = self.now + wait_ms;
+      if answers {
+        self.waiting.push(Waiting { caller, deadline, request });
+        self.wake_watches();
+      }
+      return;
+    }
+    let before = self.keyspace.revision();
+    let result = self.keyspace.call(Time(self.now), &request).map_err(store::Error::Refused);
+    self.note_write(&request, &result);
+    if answers {
+      self.later(1, Happening::Answer { caller, result });
+    }
+    if self.keyspace.revision() != before {
+      self.wake_watches();
+    }
+  }
+
+  /// Tells the oracle when the head was written.
+  fn note_write(&mut self, request: &StoreRequest, result: &store::Result<Reply>) {
+    use StoreRequest::{CompareAndSwap, Create};
+    let (CompareAndSwap { key, value, .. } | Create { key, value, .. }) = request else {
+      return;
+    };
+    if result.is_ok() && *key == keys::head() {
+      let head: Head = serde_json::from_str(value).expect("a head");
+      self.oracle.head_written(&head);
+    }
+  }
+
+  fn wake_watches(&mut self) {
+    let waiting = std::mem::take(&mut self.waiting);
+    for one in waiting {
+      let result = self.keyspace.call(Time(self.now), &one.request);
+      let has_changes = matches!(&result, Ok(Reply::Changes { events, .. }) if !events.is_empty());
+      let is_over = self.now >= one.deadline;
+      let reports = (has_changes && !self.faults.silent_watches) || is_over || result.is_err();
+      if !reports {
+        self.waiting.push(one);
+        continue;
+      }
+      let result = result.map(|reply| self.bend(reply)).map_err(store::Error::Refused);
+      self.later(1, Happening::Answer { caller: one.caller, result });
+    }
+  }
+
+  fn bend(&mut self, reply: Reply) -> Reply {
+    let Reply::Changes { mut events, revision } = reply else {
+      return reply;
+    };
+    if self.faults.skipping_watches {
+      if self.rng.random_bool(0.5) {
+        events.clear();
+      } else {
+        let again = events.clone();
+        events.extend(again);
+      }
+    }
+    Reply::Changes { events, revision }
+  }
+
+  /// Lets time pass until `until`.
+  pub fn run_until(&mut self, until: u64) {
+    while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
+      let ((at, _), happening) = entry.remove_entry();
+      self.now = at.max(self.now);
+      self.happen(happening);
+    }
+    self.now = until;
+  }
+
+  fn happen(&mut self, happening: Happening) {
+    match happening {
+      Happening::Answer { caller: Caller::Change(change), result } => {
+        if !self.changes[change].is_ended {
+          let step = self.changes[change].acceptance.answered(Time(self.now), result);
+          self.carry_change(change, step);
+        }
+      }
+      Happening::Answer { caller: Caller::Distributor { call, index, life }, result } => {
+        self.handle(index, life, Event::StoreAnswered { call, result });
+      }
+      Happening::Event { event, index, life } => self.handle(index, life, event),
+      Happening::Execute { answers, caller, request } => self.execute(answers, caller, request),
+      Happening::Resume { change } => {
+        let step = self.changes[change].acceptance.resumed();
+        self.carry_change(change, step);
+      }
+      Happening::Tick { index, life } => {
+        if self.boxes[index].life == life && self.boxes[index].distributor.is_some() {
+          self.later(Distributor::TICK_MS, Happening::Tick { index, life });
+          if index == 0 {
+            self.expire_store();
+          }
+          self.handle(index, life, Event::Tick);
+        }
+      }
+    }
+  }
+
+  fn expire_store(&mut self) {
+    self.keyspace.expire(Time(self.now));
+    self.wake_watches();
+  }
+
+  fn handle(&mut self, index: usize, life: u64, event: Event) {
+    let one = &mut self.boxes[index];
+    if one.life != life || one.distributor.is_none() {
+      return;
+    }
+    if one.frozen_until > self.now {
+      if !matches!(event, Event::Tick) {
+        let delay_ms = one.frozen_until - self.now;
+        self.later(delay_ms, Happening::Event { event, index, life });
+      }
+      return;
+    }
+    let moment = Moment { time: Time(self.now), unix_ms: 1_000_000 + self.now };
+    let distributor = one.distributor.as_mut().expect("the box is up");
+    for action in distributor.handle(moment, event) {
+      self.perform(index, life, action);
+    }
+  }
+
+  fn perform(&mut self, index: usize, life: u64, action: Action) {
+    match action {
+      Action::Answer { .. } | Action::EndpointsChanged => {}
+      Action::Log(text) => self.log.push(format!("{} box-{index}.{life}: {text}", self.now)),
+      Action::Apply(configuration) => self.oracle.applied(index, &configuration),
+      Action::CallStore { call, request } => {
+        self.call_store(Caller::Distributor { call, index, life }, request);
+      }
+      Action::CloseLink { link } => self.close(index, link),
+      Action::Consult { id, .. } => {
+        let event = Event::Consulted { id, reports: Vec::new() };
+        self.later(1, Happening::Event { event, index, life });
+      }
+      Action::OpenLink(peer) => self.open(index, life, &peer.box_id),
+      Action::Send { link, message } => self.send(index, link, message),
+    }
+  }
+
+  fn is_blocked(&self, one: usize, other: usize) -> bool {
+    self.faults.blocked.iter().any(|pair| *pair == (one, other) || *pair == (other, one))
+  }
+
+  fn open(&mut self, index: usize, life: u64, target: &BoxId) {
+    let other = self.boxes.iter().position(|one| one.peer.box_id == *target);
+    let reachable = other
+      .filter(|other| self.boxes[*other].distributor.is_some() && !self.is_blocked(index, *other));
+    let Some(other) = reachable else {
+      let event = Event::LinkFailed { box_id: target.clone() };
+      return self.later(5, Happening::Event { event, index, life });
+    };
+    let links = [self.last_link.next(), self.last_link.next().next()];
+    self.last_link = links[1];
+    let other_life = self.boxes[other].life;
+    let ends = [(index, life, links[0]), (other, other_life, links[1])];
+    let delay_ms = self.rng.random_range(1..10);
+    let arrives = self.now + delay_ms;
+    self.connections.push(Connection { ends, is_broken: false, last_at: [arrives, arrives] });
+    for (side, (at, at_life, link)) in ends.into_iter().enumerate() {
+      let peer = self.boxes[ends[1 - side].0].peer.box_id.clone();
+      let event = Event::LinkOpened { link, outbound: side == 0, peer };
+      self.later(delay_ms, Happening::Event { event, index: at, life: at_life });
+    }
+  }
+
+  fn connection_of(&self, index: usize, link: LinkId) -> Option<(usize, usize)> {
+    let at = self
+      .connections
+      .iter()
+      .rposition(|one| one.ends.iter().any(|end| end.0 == index && end.2 == link))?;
+    let side = usize::from(self.connections[at].ends[1].2 == link);
+    Some((at, side))
+  }
+
+  fn close(&mut self, index: usize, link: LinkId) {
+    if let Some((at, side)) = self.connection_of(index, link) {
+      let is_broken = std::mem::replace(&mut self.connections[at].is_broken, true);
+      if !is_broken {
+        self.notify_closed(self.connections[at].ends[1 - side]);
+      }
+    }
+  }
+
+  fn send(&mut self, index: usize, link: LinkId, message: Message) {
+    let Some((at, side)) = self.connection_of(index, link) else {
+      return;
+    };
+    let other = self.connections[at].ends[1 - side];
+    if self.is_blocked(index, other.0) {
+      self.connections[at].is_broken = true;
+    }
+    if self.connections[at].is_broken {
+      return;
+    }
+    let arrives = self.now + self.rng.random_range(1..10);
+    let arrives = arrives.max(self.connections[at].last_at[1 - side]);
+    self.connections[at].last_at[1 - side] = arrives;
+    let event = Event::Received { link: other.2, message };
+    let delay_ms = arrives - self.now;
+    self.later(delay_ms, Happening::Event { event, index: other.0, life: other.1 });
+  }
+
+  /// Ends all faults and brings every box back.
+  pub fn heal(&mut self) {
+    self.faults = Faults::default();
+    for index in 0..self.boxes.len() {
+      self.start(index);
+    }
+  }
+
+  /// What a failed history left, for the message.
+  fn describe(&self) -> String {
+    let status = |one: &SimBox| match &one.distributor {
+      Some(distributor) => format!("{} {:?}", one.peer.box_id, distributor.status()),
+      None => format!("{} down", one.peer.box_id),
+    };
+    let boxes: Vec<String> = self.boxes.iter().map(status).collect();
+    format!("{}\n{}", self.log.join("\n"), boxes.join("\n"))
+  }
+
+  /// Checks that every box holds the newest version and knows every endpoint as it is.
+  pub fn check_converged(&self) {
+    let newest = self.oracle.newest();
+    for one in &self.boxes {
+      let distributor = one.distributor.as_ref().expect("every box is up");
+      let id = &one.peer.box_id;
+      let held = distributor.catalog().version();
+      assert_eq!(held, Some(newest), "{id} did not converge\n{}", self.describe());
+      for other in &self.boxes {
+        let known = distributor.endpoints().get(&other.peer.box_id).map(|known| known.state);
+        let about = &other.peer.box_id;
+        assert_eq!(known, Some(other.state), "{id}, about {about}\n{}", self.describe());
+      }
+    }
+  }
+
+  /// Relays and the store's calls a second while nothing happens.
+  pub fn relays(&self) -> usize {
+    let holds = |one: &&SimBox| {
+      one.distributor.as_ref().is_some_and(|distributor| distributor.status().slot.is_some())
+    };
+    self.boxes.iter().filter(holds).count()
+  }
+}
+
+/// The step that puts a policy.
+pub fn put_policy() -> Operation {
+  let policy = Policy { attempts: 2, deadline_ms: 1_000, owner: team(), queue_length: 8 };
+  Operation::Put(Object::Policy("plain".parse().expect("a name"), policy))
+}
+
+/// The step that puts a service.
+pub fn put_service(number: u8) -> Operation {
+  let service = Service { owner: team(), policy: "plain".parse().expect("a name") };
+  let name = format!("service-{number}").parse().expect("a name");
+  Operation::Put(Object::Service(name, service))
+}
+
+/// The step that deletes a service.
+pub fn delete_service(number: u8) -> Operation {
+  Operation::Delete(ObjectName::Service(format!("service-{number}").parse().expect("a name")))
+}
+
+/// The step that puts a route to a service.
+pub fn put_route(number: u8, service: u8) -> Operation {
+  let route = Route {
+    headers: BTreeMap::new(),
+    host: None,
+    method: None,
+    owner: team(),
+    path_prefix: format!("/route-{number}"),
+    repeatable: true,
+    service: format!("service-{service}").parse().expect("a name"),
+  };
+  Operation::Put(Object::Route(format!("route-{number}").parse().expect("a name"), route))
+}
+
+/// The step that deletes a route.
+pub fn delete_route(number: u8) -> Operation {
+  Operation::Delete(ObjectName::Route(format!("route-{number}").parse().expect("a name")))
+}
+
+fn team() -> ferryyoke::values::Team {
+  "team".parse().expect("a name")
+}
