Let a restarted box wait until it knows how far it has been

Cause: a fresh daemon took any configuration two seconds after its start. A box that had held version 2 and restarted among two boxes that had missed it, without the store, went back to 1.

Asking the majority, nine at most, costs nine short links a start.

Change: a daemon without memory takes a configuration once the majority of the others, nine at most, told how far they and it have been, or once the store confirms the version. A fresh relay tells its data hall of itself, so that the others do not ask the store. The virtual store can be cut off box by box, and forged deltas join the fuzz.

--- a/src/distribution/distributor/floor.rs
+++ b/src/distribution/distributor/floor.rs
@@ -3,47 +3,53 @@
 /// How a fresh daemon learns how far its box, and the fleet, have been.
 ///
 /// A restarted daemon holds nothing, so it asks some boxes which version they know its box, or
-/// themselves, to have held. It takes no configuration before.
+/// themselves, to have held. It takes no configuration before enough of them answered, or before
+/// the store itself confirms the newest version.
 #[derive(Clone, Debug)]
 pub(super) struct Floor {
-  /// Boxes that answered.
-  heard: BTreeSet<BoxId>,
   /// Boxes that are being asked.
   asking: BTreeSet<BoxId>,
-  /// Boxes whose answers suffice.
-  needed: usize,
   /// The newest update that came too early, with the link it came by.
   pub(super) early: Option<(LinkId, Update)>,
+  /// Boxes that answered.
+  heard: BTreeSet<BoxId>,
+  /// Boxes whose answers suffice without the store.
+  needed: usize,
   started_at: Time,
 }
 
 impl Floor {
   /// Boxes asked at once.
-  const ASKING_MAX: usize = 2;
-  /// Boxes whose answers suffice.
-  const ENOUGH: usize = 3;
-  /// Longest wait, for a fleet of which nobody else answers.
-  const WAIT_MS: u64 = 2_000;
+  const ASKING_MAX: usize = 3;
+  /// Boxes whose answers suffice in a fleet of any size. In a small one it is the majority.
+  const ENOUGH: usize = 9;
+  /// Milliseconds for which other boxes are asked although the store confirms the version.
+  const WAIT_MS: u64 = 1_000;
 
   pub(super) fn new(now: Time, identity: &Identity) -> Self {
     let own = &identity.endpoint.peer.box_id;
     let others = identity.seeds.iter().filter(|peer| peer.box_id != *own).count();
+    let majority = if others == 0 { 0 } else { others / 2 + 1 };
     Self {
       asking: BTreeSet::new(),
       early: None,
       heard: BTreeSet::new(),
-      needed: others.min(Self::ENOUGH),
+      needed: majority.min(Self::ENOUGH),
       started_at: now,
     }
   }
 
-  pub(super) fn is_known(&self, now: Time) -> bool {
-    self.heard.len() >= self.needed || now.since_ms(self.started_at) >= Self::WAIT_MS
+  fn is_heard_enough(&self) -> bool {
+    self.heard.len() >= self.needed
+  }
+
+  fn has_waited(&self, now: Time) -> bool {
+    now.since_ms(self.started_at) >= Self::WAIT_MS
   }
 
   /// A box to ask, where one more is needed.
   fn next(&mut self, now: Time, identity: &Identity, rng: &mut ChaCha8Rng) -> Option<Peer> {
-    if self.is_known(now) || self.asking.len() >= Self::ASKING_MAX {
+    if self.is_heard_enough() || self.asking.len() >= Self::ASKING_MAX {
       return None;
     }
     let own = &identity.endpoint.peer.box_id;
@@ -60,11 +66,26 @@
 }
 
 impl Distributor {
+  /// Milliseconds since the store's word within which a relay's version counts as confirmed.
+  const CONFIRMED_MS: u64 = 15_000;
+
+  /// Whether this daemon may take a configuration.
+  pub(super) fn is_floor_known(&self) -> bool {
+    self.floor.is_heard_enough()
+      || (self.floor.has_waited(self.now.time) && self.is_store_confirmed())
+  }
+
+  fn is_store_confirmed(&self) -> bool {
+    let upstream = self.upstream.link().and_then(|link| self.links.get(&link));
+    let age_ms = upstream.and_then(|link| link.store_age_ms);
+    self.is_relay_that_listed() || age_ms.is_some_and(|age_ms| age_ms <= Self::CONFIRMED_MS)
+  }
+
   pub(super) fn tick_floor(&mut self) {
     if self.catalog.version().is_some() {
       return;
     }
-    if self.floor.is_known(self.now.time) {
+    if self.is_floor_known() {
       if let Some((link, update)) = self.floor.early.take() {
         self.update_received(link, update);
       }
--- a/src/distribution/distributor/linking.rs
+++ b/src/distribution/distributor/linking.rs
@@ -67,6 +67,11 @@
       self.send(link, Message::Ask { hops: 0, id: InquiryId::default(), question });
       return;
     }
+    if self.announcing.remove(peer) {
+      // The box closes the link once it has read this.
+      self.send(link, Message::Relays(self.relays.clone()));
+      return;
+    }
     if self.is_relay() && self.relays.has(peer) {
       self.set_role(link, LinkRole::Mesh);
       self.subscribe(link);
@@ -77,6 +82,7 @@
 
   pub(super) fn link_failed(&mut self, box_id: &BoxId) {
     self.floor_asked_ended(box_id);
+    self.announcing.remove(box_id);
     if self.upstream.is_connecting(box_id) {
       self.upstream.fail(self.now.time, &mut self.rng);
     }
@@ -206,7 +212,41 @@
     }
   }
 
+  /// A fresh relay tells its data hall of itself, so that the others need not ask the store.
+  pub(super) fn announce_relay(&mut self) {
+    let own = self.own.peer.clone();
+    let linked: BTreeSet<&BoxId> =
+      self.links.values().filter(|link| link.is_settled()).map(|link| &link.peer).collect();
+    let present = self.endpoints.present().map(|endpoint| &endpoint.peer);
+    let known: BTreeSet<Peer> = self
+      .identity
+      .seeds
+      .iter()
+      .chain(present)
+      .filter(|peer| peer.data_hall == own.data_hall && peer.box_id != own.box_id)
+      .filter(|peer| !linked.contains(&peer.box_id))
+      .cloned()
+      .collect();
+    for peer in known {
+      self.announcing.insert(peer.box_id.clone());
+      self.act(Action::OpenLink(peer));
+    }
+  }
+
+  /// A box that has no relay hears of one.
+  fn relay_announced(&mut self, link: LinkId, relays: Relays) {
+    if !self.is_served_by_relay() {
+      self.learn_relays(relays);
+      self.upstream.encouraged(self.now.time, &mut self.rng);
+    }
+    self.close_link(link);
+  }
+
   pub(super) fn relays_received(&mut self, link: LinkId, relays: Relays) {
+    if self.links.get(&link).is_some_and(|known| known.role == LinkRole::Pending) {
+      self.relay_announced(link, relays);
+      return;
+    }
     if self.upstream.link() != Some(link) {
       return;
     }
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug)]
 pub struct Distributor {
   actions: Vec<Action>,
+  /// Boxes that are being told of a relay that they may not know.
+  announcing: BTreeSet<BoxId>,
   /// When the last beats went out.
   beat_at: Time,
   catalog: Catalog,
@@ -75,6 +77,7 @@
     let own = identity.endpoint.clone();
     let mut distributor = Self {
       actions: Vec::new(),
+      announcing: BTreeSet::new(),
       beat_at: now.time,
       catalog: Catalog::default(),
       confirmed_at: None,
--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -43,6 +43,7 @@
     };
     known.applied_unix_ms = beat.applied_unix_ms;
     known.is_relay = beat.is_relay;
+    known.store_age_ms = beat.store_age_ms;
     let role = known.role;
     let peer = known.peer.clone();
     if self.upstream.link() == Some(link) {
@@ -86,7 +87,7 @@
   /// Takes in an update from a neighbour.
   pub(super) fn update_received(&mut self, link: LinkId, update: Update) {
     let fresh = self.catalog.version().is_none();
-    if fresh && !self.floor.is_known(self.now.time) {
+    if fresh && !self.is_floor_known() {
       let early = self.floor.early.as_ref().map(|(_, early)| early.version());
       if early.is_none_or(|early| update.version() > early) {
         self.floor.early = Some((link, update));
--- a/src/distribution/distributor/storing.rs
+++ b/src/distribution/distributor/storing.rs
@@ -15,7 +15,7 @@
 
   /// Whether this daemon is a relay, or subscribed to one that says it is. The list of relays may be
   /// old, so it alone does not tell that there still are any.
-  fn is_served_by_relay(&self) -> bool {
+  pub(super) fn is_served_by_relay(&self) -> bool {
     let upstream = self.upstream.link().and_then(|link| self.links.get(&link));
     self.is_relay() || upstream.is_some_and(|link| link.is_relay)
   }
@@ -66,6 +66,7 @@
     }
     self.announce();
     self.tell_relays();
+    self.announce_relay();
   }
 
   pub(super) fn step_down(&mut self, slot: &RelaySlot) {
@@ -160,8 +161,8 @@
   /// Goes on to the store's newest version, by the changes since the held one where the head still
   /// has them, and by the snapshot otherwise.
   pub(super) fn take_head(&mut self) {
-    let listed = self.store_was_listed();
-    if !self.is_relay() || !listed || !self.floor.is_known(self.now.time) {
+    let is_fresh = self.catalog.version().is_none();
+    if !self.is_relay_that_listed() || (is_fresh && !self.is_floor_known()) {
       return;
     }
     let Some(head) = self.watcher.head().cloned() else {
@@ -182,8 +183,9 @@
     self.take_from_store(Self::delta_of(&head, base));
   }
 
-  fn store_was_listed(&self) -> bool {
-    self.watcher.is_listed()
+  /// Whether this daemon is a relay that has read the store whole.
+  pub(super) fn is_relay_that_listed(&self) -> bool {
+    self.is_relay() && self.watcher.is_listed()
   }
 
   /// A store without any version stands for the empty configuration.
--- a/src/distribution/link.rs
+++ b/src/distribution/link.rs
@@ -21,6 +21,8 @@
   pub role: LinkRole,
   /// The last update sent, and when.
   pub sent: Option<(Version, Time)>,
+  /// Milliseconds since the store confirmed the peer's version, as of its last beat.
+  pub store_age_ms: Option<u64>,
   /// When the whole endpoint table was last sent.
   pub synced_at: Option<Time>,
   /// Unsound updates that came by this link.
@@ -44,6 +46,7 @@
       refusal: None,
       role,
       sent: None,
+      store_age_ms: None,
       synced_at: None,
       unsound: 0,
       version: None,
--- a/src/distribution/upstream.rs
+++ b/src/distribution/upstream.rs
@@ -29,6 +29,8 @@
   const BACKOFF_MIN_MS: u64 = 50;
   /// Tries beyond the known relays after which any daemon with a configuration will do.
   const DESPERATE_AFTER: usize = 4;
+  /// Milliseconds over which boxes spread that hear of a relay at once.
+  const ENCOURAGED_SPREAD_MS: u64 = 100;
   /// Longest wait for a connection and for the answer to a subscription.
   const PATIENCE_MS: u64 = 2_000;
 
@@ -110,6 +112,14 @@
     self.phase = Phase::Asking { link, since: now };
   }
 
+  /// There is a relay to try: a pause ends early, at a moment that differs from box to box.
+  pub(super) fn encouraged(&mut self, now: Time, rng: &mut ChaCha8Rng) {
+    if let Phase::Idle { next_at } = &mut self.phase {
+      self.failures = 0;
+      *next_at = now.after(rng.random_range(0..=Self::ENCOURAGED_SPREAD_MS)).min(*next_at);
+    }
+  }
+
   /// The subscription stands.
   pub(super) fn welcomed(&mut self, link: LinkId) {
     self.phase = Phase::Subscribed { link };
--- a/tests/distribution_fuzz.rs
+++ b/tests/distribution_fuzz.rs
@@ -57,7 +57,7 @@
 fn fault(u: &mut Unstructured, world: &mut World) -> Result<()> {
   let index = u.choose_index(world.boxes.len())?;
   let other = u.choose_index(world.boxes.len())?;
-  match u.int_in_range(0..=17)? {
+  match u.int_in_range(0..=20)? {
     0 | 1 => world.crash(index, u.arbitrary()?),
     2 | 3 => world.start(index),
     4 => world.freeze(index, u.int_in_range(100..=9_000)?),
@@ -73,6 +73,13 @@
       world.faults.silent_watches = u.arbitrary()?;
       world.faults.skipping_watches = u.arbitrary()?;
     }
+    17 => world.faults.store_cut.push(index),
+    18 => world.faults.store_cut.clear(),
+    19 => {
+      if let Some(update) = world.bent_delta(index) {
+        world.forge(index, Message::Update(update));
+      }
+    }
     14 => world.set_state(index, EndpointState::Draining),
     15 => world.set_state(index, EndpointState::Live),
     16 => {
--- /dev/null
+++ b/tests/distribution_rest.rs
@@ -0,0 +1,54 @@
+//! What a fleet costs: at rest, per change, and when all of it starts at once.
+
+mod support;
+
+use support::world::{World, put_policy, put_service};
+
+/// Virtual milliseconds within which a fleet settles.
+const SETTLE_MS: u64 = 30_000;
+
+/// Virtual milliseconds over which a fleet is watched.
+const WATCH_MS: u64 = 60_000;
+
+fn settled(boxes: usize, data_halls: usize) -> World {
+  let mut world = World::new(boxes, data_halls, 7);
+  world.run_until(SETTLE_MS / 2);
+  world.state_change(0, vec![put_policy(), put_service(0)]);
+  world.run_until(SETTLE_MS);
+  world.check_converged();
+  world
+}
+
+#[test]
+fn a_fleet_at_rest_sends_no_news() {
+  for boxes in [6, 40, 120] {
+    let mut world = settled(boxes, 3);
+    let before = world.news_sent;
+    world.run_until(SETTLE_MS + WATCH_MS);
+    assert_eq!(world.news_sent, before, "{boxes} boxes sent news at rest");
+  }
+}
+
+/// Every relay watches with one waiting call and renews one lease; nobody else calls the store.
+#[test]
+fn calls_to_the_store_at_rest_grow_with_relays_and_not_with_boxes() {
+  let calls_per_relay = |boxes: usize| {
+    let mut world = settled(boxes, 3);
+    let before = world.store_calls;
+    world.run_until(SETTLE_MS + WATCH_MS);
+    (world.store_calls - before) / world.relays() as u64
+  };
+  let (few, many) = (calls_per_relay(6), calls_per_relay(60));
+  assert!(few < 80 && many < 80, "{few} and {many} calls a relay and minute");
+}
+
+#[test]
+fn a_fleet_that_starts_at_once_calls_the_store_a_bounded_number_of_times() {
+  let calls = |boxes: usize| {
+    let mut world = World::new(boxes, 3, 11);
+    world.run_until(5_000);
+    world.store_calls
+  };
+  let (few, many) = (calls(12), calls(120));
+  assert!(many < 3 * few + 120, "{few} calls of 12 boxes, {many} of 120");
+}
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -3,7 +3,9 @@
 use {
   super::oracle::Oracle,
   ferryyoke::{
-    configuration::{Change, Head, Object, ObjectName, Operation, Policy, Route, Service},
+    configuration::{
+      AcceptedChange, Change, Head, Object, ObjectName, Operation, Policy, Route, Service, Summary,
+    },
     distribution::{
       Acceptance, AcceptanceStep, Action, Distributor, Event, Identity, LinkId, Message, Moment,
       Outcome, Profile, Update, keys,
@@ -85,6 +87,8 @@
   pub silent_watches: bool,
   /// Whether watches leave out or repeat changes.
   pub skipping_watches: bool,
+  /// Boxes that do not reach the store.
+  pub store_cut: Vec<usize>,
   /// Whether the store is down.
   pub store_down: bool,
   /// Milliseconds that the store takes more.
@@ -97,6 +101,8 @@
   connections: Vec<Connection>,
   pub faults: Faults,
   pub keyspace: Keyspace,
+  /// News about endpoints and updates sent so far, by the number of messages.
+  pub news_sent: u64,
   /// What the boxes logged, for whoever looks into a failed history.
   pub log: Vec<String>,
   last_link: LinkId,
@@ -131,6 +137,7 @@
       faults: Faults::default(),
       keyspace: Keyspace::default(),
       log: Vec::new(),
+      news_sent: 0,
       last_link: LinkId::default(),
       now: 1,
       oracle: Oracle::new(),
@@ -245,6 +252,19 @@
     }
   }
 
+  /// A change of the held version that nobody accepted, with a digest that does not fit.
+  pub fn bent_delta(&mut self, index: usize) -> Option<Update> {
+    let catalog = self.boxes[index].distributor.as_ref()?.catalog();
+    let base = catalog.version()?;
+    let summary = catalog.history().last()?.clone();
+    let change = AcceptedChange {
+      digest: catalog.digest()?,
+      operations: vec![put_service(9)],
+      summary: Summary { version: base.next(), ..summary },
+    };
+    Some(Update::Delta { base, base_digest: catalog.digest()?, changes: vec![change] })
+  }
+
   /// The update that a box would send to one that holds nothing, with its content bent.
   pub fn bent_update(&mut self, index: usize) -> Option<Update> {
     let catalog = self.boxes[index].distributor.as_ref()?.catalog();
@@ -311,7 +331,7 @@
   fn call_store(&mut self, caller: Caller, request: StoreRequest) {
     self.store_calls += 1;
     let unknown = || Err(store::Error::Unknown { reason: "no answer".into() });
-    if self.faults.store_down {
+    if self.is_cut_off(caller) {
       let result = if self.rng.random_bool(0.5) {
         Err(Refusal::Unreachable { reason: "down".into() }.into())
       } else {
@@ -330,6 +350,15 @@
     self.later(delay_ms, Happening::Execute { answers, caller, request });
   }
 
+  /// Whether a caller does not reach the store.
+  fn is_cut_off(&self, caller: Caller) -> bool {
+    let index = match caller {
+      Caller::Change(change) => self.changes[change].at.0,
+      Caller::Distributor { index, .. } => index,
+    };
+    self.faults.store_down || self.faults.store_cut.contains(&index)
+  }
+
   fn execute(&mut self, answers: bool, caller: Caller, request: StoreRequest) {
     if let StoreRequest::Watch { wait_ms, .. } = &request {
       let deadline = self.now + wait_ms;
@@ -365,6 +394,11 @@
   fn wake_watches(&mut self) {
     let waiting = std::mem::take(&mut self.waiting);
     for one in waiting {
+      if self.is_cut_off(one.caller) {
+        let result = Err(store::Error::Unknown { reason: "the connection broke".into() });
+        self.later(1, Happening::Answer { caller: one.caller, result });
+        continue;
+      }
       let result = self.keyspace.call(Time(self.now), &one.request);
       let has_changes = matches!(&result, Ok(Reply::Changes { events, .. }) if !events.is_empty());
       let is_over = self.now >= one.deadline;
@@ -522,6 +556,9 @@
     let Some((at, side)) = self.connection_of(index, link) else {
       return;
     };
+    if matches!(message, Message::News(_) | Message::Update(_)) {
+      self.news_sent += 1;
+    }
     let other = self.connections[at].ends[1 - side];
     if self.is_blocked(index, other.0) {
       self.connections[at].is_broken = true;
