--- a/crates/ferryyoke-bench/src/fleet_builder.rs
+++ b/crates/ferryyoke-bench/src/fleet_builder.rs
@@ -10,6 +10,7 @@
   profile: String,
   services: Vec<String>,
   slots: u32,
+  tokens: Vec<serde_json::Value>,
 }
 
 /// Ports of one box, held until its processes start.
@@ -26,6 +27,7 @@
       profile: "prompt".into(),
       services: vec!["archive".into(), "certification".into(), "intake".into()],
       slots: 12,
+      tokens: Vec::new(),
     }
   }
 
@@ -65,6 +67,16 @@
     Self { slots, ..self }
   }
 
+  /// Adds a token that administration demands from then on.
+  #[must_use]
+  pub fn token(mut self, text: &str, operator: &str, role: &str, team: &str) -> Self {
+    let digest = Digest::of(text.as_bytes());
+    self.tokens.push(serde_json::json!({
+      "digest": digest, "operator": operator, "role": role, "team": team,
+    }));
+    self
+  }
+
   /// Starts the store, the backend servers and the daemons.
   pub fn start(self) -> Result<Fleet> {
     let mut fleet = self.prepare()?;
@@ -166,6 +178,7 @@
       "service": self.service(index),
       "stop_deadline_ms": 60_000,
       "store": { "address": store },
+      "tokens": self.tokens,
     }))
   }
 
--- a/crates/ferryyoke-bench/src/lib.rs
+++ b/crates/ferryyoke-bench/src/lib.rs
@@ -13,7 +13,7 @@
     proxy::headers,
     standin::{BackendFaults, Journal, StoreFaults},
     unix_ms,
-    values::Version,
+    values::{Digest, Version},
     web,
   },
   http::{Request, StatusCode},
--- a/src/distribution/distributor/floor.rs
+++ b/src/distribution/distributor/floor.rs
@@ -48,7 +48,7 @@
   }
 
   /// A box to ask, where one more is needed.
-  fn next(&mut self, now: Time, identity: &Identity, rng: &mut ChaCha8Rng) -> Option<Peer> {
+  fn next(&mut self, identity: &Identity, rng: &mut ChaCha8Rng) -> Option<Peer> {
     if self.is_heard_enough() || self.asking.len() >= Self::ASKING_MAX {
       return None;
     }
@@ -92,7 +92,7 @@
       self.take_head();
       return;
     }
-    if let Some(peer) = self.floor.next(self.now.time, &self.identity, &mut self.rng) {
+    if let Some(peer) = self.floor.next(&self.identity, &mut self.rng) {
       self.act(Action::OpenLink(peer));
     }
   }
--- a/src/distribution/outcome.rs
+++ b/src/distribution/outcome.rs
@@ -42,7 +42,14 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
       Self::Configuration(err) => err.fmt(f),
-      Self::Store(err) => write!(f, "nothing was changed: {err}"),
+      Self::Store(store::Error::Refused(refusal)) => {
+        write!(f, "nothing was changed: {refusal}; then state it again")
+      }
+      Self::Store(store::Error::Unknown { reason }) => write!(
+        f,
+        "nothing was changed: the store could not be read ({reason}); state it again once the store \
+         answers"
+      ),
       Self::StoreBehind { held, newest } => write!(
         f,
         "nothing was changed: the store's newest version is {newest} and this box holds {held}; \
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -73,15 +73,6 @@
     self.admit(now)
   }
 
-  /// Takes out the requests whose deadline passed while they waited.
-  pub fn expire(&mut self, now: Time) -> Vec<Ticket> {
-    let (late, waiting) =
-      std::mem::take(&mut self.waiting).into_iter().partition(|one| now >= one.deadline);
-    self.waiting = waiting;
-    let late: Vec<Waiting> = late;
-    late.into_iter().map(|one| one.ticket).collect()
-  }
-
   fn admit(&mut self, now: Time) -> Vec<Ticket> {
     let mut admitted = Vec::new();
     while self.running.len() < self.slots {
--- /dev/null
+++ b/tests/claims_fuzz.rs
@@ -0,0 +1,269 @@
+//! Requests that must run at most once, against an oracle that knows what ran.
+
+mod support;
+
+use {
+  arbtest::arbitrary::{Result, Unstructured},
+  ferryyoke::{
+    requests::{Claim, ClaimState, ClaimStep, ClaimTicket, Settlement},
+    standin::Keyspace,
+    store::{self, Refusal, Reply, Revision, StoreRequest},
+    values::{Digest, Time},
+  },
+  std::collections::BTreeMap,
+  support::histories,
+};
+
+/// Histories of the fuzz test.
+const HISTORIES: u64 = 2_000;
+
+/// Milliseconds for which a claim is tried.
+const PATIENCE_MS: u64 = 400;
+
+/// Milliseconds for which a claimer waits for the store.
+const TIMEOUT_MS: u64 = 100;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+  Ended,
+  Recording,
+  Releasing,
+  Running { revision: Revision },
+  Taking,
+}
+
+/// A daemon that carries one request with a key.
+struct Claimer {
+  claim: Claim,
+  key: usize,
+  /// Until when it stands still.
+  paused_until: u64,
+  stage: Stage,
+}
+
+enum Happening {
+  Answer { claimer: usize, result: store::Result<Reply> },
+  Execute { answers: bool, claimer: usize, request: StoreRequest },
+  Finish { claimer: usize },
+  Resume { claimer: usize },
+}
+
+#[derive(Default)]
+struct World {
+  claimers: Vec<Claimer>,
+  is_down: bool,
+  keyspace: Keyspace,
+  lost_percent: u8,
+  now: u64,
+  queue: BTreeMap<(u64, u64), Happening>,
+  /// How often each key ran, and what came of it.
+  runs: BTreeMap<usize, u32>,
+  sequence: u64,
+  slow_ms: u64,
+}
+
+/// What a key's request answers: the same as the oracle expects of every repetition.
+fn answer_of(key: usize) -> ClaimState {
+  ClaimState::Done { body: Some(format!("answer {key}")), content_type: None, status: 200 }
+}
+
+impl World {
+  fn later(&mut self, delay_ms: u64, happening: Happening) {
+    self.sequence += 1;
+    self.queue.insert((self.now + delay_ms, self.sequence), happening);
+  }
+
+  fn arrive(&mut self, key: usize, content: u8, seed: u64) {
+    let claimer = self.claimers.len();
+    let ticket = ClaimTicket {
+      attempt: format!("attempt-{claimer}"),
+      content: Digest::of(&[u8::try_from(key).expect("few keys"), content]),
+      key: format!("key-{key}").parse().expect("a name"),
+      service: "certification".parse().expect("a name"),
+    };
+    let mut claim = Claim::new(ticket, Time(self.now + PATIENCE_MS), self.now, seed);
+    let step = claim.take();
+    self.claimers.push(Claimer { claim, key, paused_until: 0, stage: Stage::Taking });
+    self.carry(claimer, step);
+  }
+
+  fn carry(&mut self, claimer: usize, step: ClaimStep) {
+    match step {
+      ClaimStep::Call(request) => self.call(claimer, request),
+      ClaimStep::Settled(settlement) => self.settled(claimer, settlement),
+      ClaimStep::Wait { pause_ms } => self.later(pause_ms, Happening::Resume { claimer }),
+    }
+  }
+
+  /// A call may be lost on the way, take effect after its caller gave up, or lose its answer.
+  fn call(&mut self, claimer: usize, request: StoreRequest) {
+    let unknown = || Err(store::Error::Unknown { reason: "no answer".into() });
+    let chance = u8::try_from((self.sequence * 37 + self.now) % 100).expect("below 100");
+    if self.is_down {
+      let refused = Err(Refusal::Unreachable { reason: "down".into() }.into());
+      let result = if chance < 50 { refused } else { unknown() };
+      return self.later(5, Happening::Answer { claimer, result });
+    }
+    let delay_ms = 2 + self.slow_ms;
+    let answers = chance >= self.lost_percent && delay_ms < TIMEOUT_MS;
+    if !answers {
+      self.later(TIMEOUT_MS, Happening::Answer { claimer, result: unknown() });
+    }
+    self.later(delay_ms, Happening::Execute { answers, claimer, request });
+  }
+
+  fn settled(&mut self, claimer: usize, settlement: Settlement) {
+    let key = self.claimers[claimer].key;
+    let stage = self.claimers[claimer].stage;
+    self.claimers[claimer].stage = Stage::Ended;
+    match settlement {
+      Settlement::Held(revision) => {
+        assert_eq!(stage, Stage::Taking);
+        self.claimers[claimer].stage = Stage::Running { revision };
+        self.later(20, Happening::Finish { claimer });
+      }
+      Settlement::NotRun { .. } => {
+        self.claimers[claimer].stage = Stage::Releasing;
+        let deadline = Time(self.now + 10 * PATIENCE_MS);
+        let step = self.claimers[claimer].claim.release(deadline, self.now);
+        self.carry(claimer, step);
+      }
+      Settlement::Repeated(ClaimState::Done { body, .. }) => {
+        assert_eq!(body, Some(format!("answer {key}")));
+        assert_eq!(self.runs.get(&key), Some(&1), "key {key} has an answer, so it ran");
+      }
+      Settlement::Mismatch
+      | Settlement::Recorded
+      | Settlement::Repeated(_)
+      | Settlement::Unrecorded { .. } => {}
+    }
+  }
+
+  /// The request ran at the backend server, or truly did not; then the claimer records it.
+  fn finish(&mut self, claimer: usize) {
+    let Stage::Running { revision } = self.claimers[claimer].stage else {
+      return;
+    };
+    let key = self.claimers[claimer].key;
+    let runs = self.sequence % 4 != 0;
+    let state = if runs {
+      let count = self.runs.entry(key).or_default();
+      *count += 1;
+      assert_eq!(*count, 1, "key {key} ran twice");
+      answer_of(key)
+    } else {
+      ClaimState::Released
+    };
+    self.claimers[claimer].stage = Stage::Recording;
+    let deadline = Time(self.now + PATIENCE_MS);
+    let step = self.claimers[claimer].claim.record(state, revision, deadline, self.now);
+    self.carry(claimer, step);
+  }
+
+  fn run_until(&mut self, until: u64) {
+    while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
+      let ((at, _), happening) = entry.remove_entry();
+      self.now = at;
+      self.happen(happening);
+    }
+    self.now = until;
+  }
+
+  fn happen(&mut self, happening: Happening) {
+    let claimer = match &happening {
+      Happening::Answer { claimer, .. }
+      | Happening::Finish { claimer }
+      | Happening::Resume { claimer } => Some(*claimer),
+      Happening::Execute { .. } => None,
+    };
+    if let Some(claimer) = claimer {
+      if self.claimers[claimer].stage == Stage::Ended {
+        return;
+      }
+      let paused_until = self.claimers[claimer].paused_until;
+      if paused_until > self.now {
+        return self.later(paused_until - self.now, happening);
+      }
+    }
+    match happening {
+      Happening::Answer { claimer, result } => {
+        let step = self.claimers[claimer].claim.answered(Time(self.now), result);
+        self.carry(claimer, step);
+      }
+      Happening::Execute { answers, claimer, request } => {
+        let result = self.keyspace.call(Time(self.now), &request).map_err(store::Error::Refused);
+        if answers {
+          self.later(1, Happening::Answer { claimer, result });
+        }
+      }
+      Happening::Finish { claimer } => self.finish(claimer),
+      Happening::Resume { claimer } => {
+        let step = self.claimers[claimer].claim.resumed();
+        self.carry(claimer, step);
+      }
+    }
+  }
+}
+
+fn step(u: &mut Unstructured, world: &mut World) -> Result<()> {
+  match u.int_in_range(0..=9)? {
+    0..=4 => world.arrive(u.int_in_range(0..=2)?, u8::from(u.ratio(1, 8)?), u.arbitrary()?),
+    5 => world.is_down = u.ratio(1, 3)?,
+    6 => world.lost_percent = u.int_in_range(0..=60)?,
+    7 => world.slow_ms = u.int_in_range(0..=300)?,
+    8 if !world.claimers.is_empty() => {
+      let claimer = u.choose_index(world.claimers.len())?;
+      world.claimers[claimer].paused_until = world.now + u.int_in_range(0..=3_000)?;
+    }
+    9 if !world.claimers.is_empty() => {
+      // The daemon dies: nothing of it goes on, but what it sent may still take effect.
+      let claimer = u.choose_index(world.claimers.len())?;
+      world.claimers[claimer].stage = Stage::Ended;
+    }
+    _ => {}
+  }
+  Ok(())
+}
+
+#[test]
+fn a_key_runs_at_most_once_whatever_happens() {
+  let mut runs = 0;
+  histories(HISTORIES, |u| {
+    let mut world = World::default();
+    for _ in 0..30 {
+      step(u, &mut world)?;
+      world.run_until(world.now + u.int_in_range(0..=150)?);
+    }
+    world.is_down = false;
+    world.run_until(world.now + 20_000);
+    runs += world.runs.len();
+    Ok(())
+  });
+  assert!(runs > 2_000, "only {runs} keys ran in all histories");
+}
+
+#[test]
+fn the_same_key_with_another_request_is_refused() {
+  let mut world = World::default();
+  world.arrive(0, 0, 1);
+  world.run_until(1_000);
+  let ticket = ClaimTicket {
+    attempt: "another".into(),
+    content: Digest::of(b"another request"),
+    key: "key-0".parse().expect("a name"),
+    service: "certification".parse().expect("a name"),
+  };
+  let mut claim = Claim::new(ticket, Time(2_000), 0, 1);
+  let mut step = claim.take();
+  let settlement = loop {
+    step = match step {
+      ClaimStep::Call(request) => {
+        let result = world.keyspace.call(Time(1_000), &request).map_err(store::Error::Refused);
+        claim.answered(Time(1_000), result)
+      }
+      ClaimStep::Settled(settlement) => break settlement,
+      ClaimStep::Wait { .. } => claim.resumed(),
+    };
+  };
+  assert_eq!(settlement, Settlement::Mismatch);
+}
