Measure overhead, overload, balance, claims, storms and capacity; state every page's statements

Cause: the request path and the design's size had no figures, and the pages were not run.

Change: ferryyoke-bench gains overhead, overload, at-most-once, balance, restart-storm with a plain baseline that it runs itself, and capacity, which fits lines through several sizes. A test states every statement of the operators' pages to a deployment.

Found: the stand-in backend server slept 0 ms, which the timer rounds up to one; at 2,500 requests a second that was 1.2 ms of the direct way's 1.25 ms, and hid what the daemons add. It no longer sleeps.

--- /dev/null
+++ b/crates/ferryyoke-bench/src/commands/balance.rs
@@ -0,0 +1,238 @@
+//! How the product's choice of backend servers compares with plain ones, on the decisions alone.
+//!
+//! Eight daemons send to six backend servers of twelve slots. One of them is slow, one is slow and
+//! reports that it is idle, and one is cold for the first seconds.
+
+use super::*;
+
+use {
+  ferryyoke::{
+    fleet::{Endpoint, EndpointState, Peer},
+    requests::{Balancer, Completion},
+    values::{BoxId, Incarnation, Time},
+  },
+  rand::{Rng, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+};
+
+const DAEMONS: usize = 8;
+const SERVERS: usize = 6;
+const SLOTS: usize = 12;
+const QUEUE: usize = 24;
+/// Microseconds that a request takes on a good backend server.
+const WORK_US: u64 = 10_000;
+/// Virtual seconds of a run.
+const SECONDS: u64 = 30;
+/// The share of all slots that the load keeps busy, were all backend servers good.
+const LOAD: f64 = 0.5;
+
+pub fn arguments() -> Command {
+  Command::new("balance")
+    .about("Latency and refusals with a slow, a lying and a cold backend server, by way of choice")
+    .arg(number("runs", "5", "Runs of each way, each with another seed"))
+    .arg(json())
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Way {
+  LeastRequests,
+  Product,
+  Random,
+  RoundRobin,
+}
+
+pub fn measure(matches: &ArgMatches) {
+  for way in [Way::Product, Way::LeastRequests, Way::Random, Way::RoundRobin] {
+    let (mut p50, mut p99, mut refused) = (Sample::default(), Sample::default(), Sample::default());
+    for seed in 0..get(matches, "runs") {
+      let run = Run::new(way, seed as u64).finish();
+      p50.add(run.quantile_ms(0.5));
+      p99.add(run.quantile_ms(0.99));
+      refused.add(count_u64(run.failed) / count_u64(run.failed + run.latency_us.len()));
+    }
+    print(&serde_json::json!({
+      "measure": "balance",
+      "way": way,
+      "p50_ms": p50.spread(),
+      "p99_ms": p99.spread(),
+      "refused_share": refused.spread(),
+    }));
+  }
+}
+
+/// What one daemon keeps.
+struct Daemon {
+  balancer: Balancer,
+  in_flight: [u32; SERVERS],
+  next: usize,
+}
+
+struct Server {
+  /// When each slot is free again, in microseconds.
+  free_at_us: [u64; SLOTS],
+  /// When each waiting request gets its slot.
+  waiting_until_us: Vec<u64>,
+}
+
+struct Run {
+  daemons: Vec<Daemon>,
+  endpoints: Vec<Endpoint>,
+  /// Ends of requests: when, in order of arrival, at which daemon and server, and how long it took.
+  ends: BTreeMap<(u64, u64), (usize, usize, u64)>,
+  result: LoadResult,
+  rng: ChaCha8Rng,
+  servers: Vec<Server>,
+  way: Way,
+}
+
+impl Run {
+  fn new(way: Way, seed: u64) -> Self {
+    let daemon = |_| Daemon { balancer: Balancer::default(), in_flight: [0; SERVERS], next: 0 };
+    let server = |_| Server { free_at_us: [0; SLOTS], waiting_until_us: Vec::new() };
+    Self {
+      daemons: (0..DAEMONS).map(daemon).collect(),
+      endpoints: (0..SERVERS).map(endpoint).collect(),
+      ends: BTreeMap::new(),
+      result: LoadResult::new(),
+      rng: ChaCha8Rng::seed_from_u64(seed),
+      servers: (0..SERVERS).map(server).collect(),
+      way,
+    }
+  }
+
+  #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  fn finish(mut self) -> LoadResult {
+    let mean_us = WORK_US as f64 / (LOAD * (SERVERS * SLOTS) as f64);
+    let mut now_us = 0;
+    let mut number = 0;
+    while now_us < SECONDS * 1_000_000 {
+      let pause_us = -mean_us * (1.0 - self.rng.random::<f64>()).ln();
+      now_us += pause_us as u64 + 1;
+      number += 1;
+      self.end_until(now_us);
+      self.arrive(now_us, number);
+    }
+    self.result
+  }
+
+  fn arrive(&mut self, now_us: u64, number: u64) {
+    let daemon = self.rng.random_range(0..DAEMONS);
+    let server = self.choose(now_us, daemon);
+    let box_id = self.box_id(server);
+    let now = Time(now_us / 1_000);
+    self.daemons[daemon].in_flight[server] += 1;
+    self.daemons[daemon].balancer.started(now, &box_id);
+    let work_us = self.work_us(now_us, server);
+    if let Some(end_us) = self.servers[server].take(now_us, work_us) {
+      self.ends.insert((end_us, number), (daemon, server, end_us - now_us));
+      return;
+    }
+    self.result.note(Duration::ZERO, false);
+    self.daemons[daemon].in_flight[server] -= 1;
+    self.daemons[daemon].balancer.completed(now, &box_id, Completion::Shed);
+    self.daemons[daemon].balancer.ended(now, &box_id);
+  }
+
+  fn end_until(&mut self, now_us: u64) {
+    while let Some(entry) = self.ends.first_entry().filter(|entry| entry.key().0 <= now_us) {
+      let ((end_us, _), (daemon, server, latency_us)) = entry.remove_entry();
+      let box_id = self.box_id(server);
+      let load_percent = Some(self.servers[server].reported_load(end_us, server));
+      let now = Time(end_us / 1_000);
+      self.result.note(Duration::from_micros(latency_us), true);
+      let daemon = &mut self.daemons[daemon];
+      daemon.in_flight[server] -= 1;
+      daemon.balancer.completed(now, &box_id, Completion::Served { latency_us, load_percent });
+      daemon.balancer.ended(now, &box_id);
+    }
+  }
+
+  fn choose(&mut self, now_us: u64, daemon: usize) -> usize {
+    let daemon = &mut self.daemons[daemon];
+    match self.way {
+      Way::LeastRequests => {
+        let fewest = daemon.in_flight.iter().copied().min().unwrap_or(0);
+        let best: Vec<usize> =
+          (0..SERVERS).filter(|server| daemon.in_flight[*server] == fewest).collect();
+        best[self.rng.random_range(0..best.len())]
+      }
+      Way::Product => {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let hall = &self.endpoints[0].peer.data_hall;
+        let now = Time(now_us / 1_000);
+        let choice = daemon.balancer.choose(now, &candidates, hall, |_| None, &mut self.rng);
+        let chosen = choice.chosen.expect("no backend server is unusable");
+        self.endpoints.iter().position(|one| *one == chosen).expect("a candidate")
+      }
+      Way::Random => self.rng.random_range(0..SERVERS),
+      Way::RoundRobin => {
+        daemon.next += 1;
+        daemon.next % SERVERS
+      }
+    }
+  }
+
+  fn box_id(&self, server: usize) -> BoxId {
+    self.endpoints[server].peer.box_id.clone()
+  }
+
+  /// Server 0 is slow, server 1 is slow and says nothing of it, server 2 is cold at first.
+  #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  fn work_us(&mut self, now_us: u64, server: usize) -> u64 {
+    let times = match server {
+      0 => 5.0,
+      1 => 3.0,
+      2 if now_us < 5_000_000 => 4.0,
+      _ => 1.0,
+    };
+    let spread = 0.5 + self.rng.random::<f64>();
+    (WORK_US as f64 * times * spread) as u64
+  }
+}
+
+impl Server {
+  /// When a request that arrives now ends; nothing where the queue is full.
+  fn take(&mut self, now_us: u64, work_us: u64) -> Option<u64> {
+    self.waiting_until_us.retain(|until| *until > now_us);
+    let slot = self.free_at_us.iter_mut().min_by_key(|free_at| **free_at)?;
+    let start_us = now_us.max(*slot);
+    if start_us > now_us {
+      if self.waiting_until_us.len() >= QUEUE {
+        return None;
+      }
+      self.waiting_until_us.push(start_us);
+    }
+    *slot = start_us + work_us;
+    Some(*slot)
+  }
+
+  /// The load in percent that the server reports. Server 1 lies.
+  fn reported_load(&self, now_us: u64, server: usize) -> u32 {
+    if server == 1 {
+      return 0;
+    }
+    let busy = self.free_at_us.iter().filter(|free_at| **free_at > now_us).count();
+    u32::try_from(busy * 100 / SLOTS).unwrap_or(100)
+  }
+}
+
+fn endpoint(index: usize) -> Endpoint {
+  let port = 1 + u16::try_from(index).expect("few servers");
+  let address = ([127, 0, 0, 1], port).into();
+  Endpoint {
+    forward_address: address,
+    incarnation: Incarnation(1),
+    peer: Peer {
+      address,
+      box_id: format!("box-{index}").parse().expect("a name"),
+      data_hall: "hall".parse().expect("a name"),
+    },
+    region: "region".parse().expect("a name"),
+    relay: None,
+    sequence: 1,
+    service: "service".parse().expect("a name"),
+    slots: 12,
+    state: EndpointState::Live,
+  }
+}
--- a/crates/ferryyoke-bench/src/commands/mod.rs
+++ b/crates/ferryyoke-bench/src/commands/mod.rs
@@ -2,7 +2,12 @@
 
 use super::*;
 
+mod at_most_once;
+mod balance;
+mod capacity;
 mod convergence;
+mod overhead;
+mod overload;
 mod restart_storm;
 
 /// Carries out the command that the process was given.
@@ -24,7 +29,15 @@
 
 async fn dispatch(matches: &ArgMatches) -> Result {
   match matches.subcommand() {
+    Some(("at-most-once", matches)) => at_most_once::measure(matches).await,
+    Some(("balance", matches)) => {
+      balance::measure(matches);
+      Ok(())
+    }
+    Some(("capacity", matches)) => capacity::measure(matches).await,
     Some(("convergence", matches)) => convergence::measure(matches).await,
+    Some(("overhead", matches)) => overhead::measure(matches).await,
+    Some(("overload", _)) => overload::measure().await,
     Some(("restart-storm", matches)) => restart_storm::measure(matches).await,
     _ => unreachable!("the parser demands a known command"),
   }
@@ -35,7 +48,12 @@
     .about("Measures ferryyoke; every result is a JSON line")
     .subcommand_required(true)
     .arg_required_else_help(true)
+    .subcommand(at_most_once::arguments())
+    .subcommand(balance::arguments())
+    .subcommand(capacity::arguments())
     .subcommand(convergence::arguments())
+    .subcommand(overhead::arguments())
+    .subcommand(overload::arguments())
     .subcommand(restart_storm::arguments())
 }
 
--- a/crates/ferryyoke-bench/src/commands/restart_storm.rs
+++ b/crates/ferryyoke-bench/src/commands/restart_storm.rs
@@ -2,6 +2,12 @@
 
 use super::*;
 
+use ferryyoke::{
+  configuration::Head,
+  distribution::keys,
+  store::{HttpStore, Reply, Store, StoreRequest},
+};
+
 pub fn arguments() -> Command {
   Command::new("restart-storm")
     .about("Time and store calls until all boxes are current after all restart at once")
@@ -20,8 +26,7 @@
     .profile(get_profile(matches))
     .start()?;
   let version = fleet.configure().await?;
-  let (mut seconds, mut calls, mut peak) =
-    (Sample::default(), Sample::default(), Sample::default());
+  let mut storm = Storm::default();
   for _ in 0..get(matches, "runs") {
     for one in &mut fleet.boxes {
       one.kill()?;
@@ -33,33 +38,97 @@
     for one in &mut fleet.boxes {
       one.start()?;
     }
-    let (last_unix_ms, most) = watch(&fleet, version).await?;
-    seconds.add(count_u64(last_unix_ms.saturating_sub(started_unix_ms)) / 1_000.0);
-    calls.add(count_u64(fleet.store_calls().await? - before));
-    peak.add(most);
+    let (last_unix_ms, most) = count_calls(&fleet, fleet.wait_for_version(version)).await?;
+    storm.seconds.add(count_u64(last_unix_ms.saturating_sub(started_unix_ms)) / 1_000.0);
+    storm.calls.add(count_u64(fleet.store_calls().await? - before));
+    storm.peak.add(most);
+  }
+  for one in &mut fleet.boxes {
+    one.kill()?;
+  }
+  let mut plain = Storm::default();
+  for _ in 0..get(matches, "runs") {
+    let before = fleet.store_calls().await?;
+    let started = Instant::now();
+    let (last, most) = count_calls(&fleet, plain_fleet(fleet.store_address, boxes)).await?;
+    plain.seconds.add(last.duration_since(started).as_secs_f64());
+    plain.calls.add(count_u64(fleet.store_calls().await? - before));
+    plain.peak.add(most);
   }
   print(&serde_json::json!({
     "measure": "restart-storm",
     "boxes": boxes,
     "profile": get_profile(matches),
-    "seconds_until_all_current": seconds.spread(),
-    "store_calls": calls.spread(),
-    "store_calls_per_s_at_the_peak": peak.spread(),
-    // Each box that watched the store itself would read the list, the snapshot, and then wait.
-    "store_calls_of_a_fleet_that_watches_by_itself": 3 * boxes,
+    "fleet": storm.line(),
+    "each_box_watches_the_store": plain.line(),
   }));
   Ok(())
 }
 
-/// Waits until all boxes are current; returns when the last one was, and the most calls that the
-/// store took in any second.
-async fn watch(fleet: &Fleet, version: Version) -> Result<(u64, f64)> {
+/// What storms came to.
+#[derive(Default)]
+struct Storm {
+  calls: Sample,
+  peak: Sample,
+  seconds: Sample,
+}
+
+impl Storm {
+  fn line(&self) -> serde_json::Value {
+    serde_json::json!({
+      "seconds_until_all_current": self.seconds.spread(),
+      "store_calls": self.calls.spread(),
+      "store_calls_per_s_at_the_peak": self.peak.spread(),
+    })
+  }
+}
+
+/// The baseline: every box reads the store and watches it by itself, all of them at once, and tries
+/// again when the store has had enough. Returns when the last one was current.
+async fn plain_fleet(store: SocketAddr, boxes: usize) -> Result<Instant> {
+  let starting = (0..boxes).map(|_| plain_box(store));
+  futures_util::future::join_all(starting).await;
+  Ok(Instant::now())
+}
+
+async fn plain_box(address: SocketAddr) {
+  let store = HttpStore::new(address, 1_000);
+  let listed = call_until_done(&store, StoreRequest::List { prefix: keys::watched() }).await;
+  let Reply::Entries { entries, revision } = listed else {
+    return;
+  };
+  let head = entries.iter().find(|entry| entry.key == keys::head());
+  let head: Option<Head> = head.and_then(|entry| serde_json::from_str(&entry.value).ok());
+  if let Some(head) = head {
+    let key = keys::snapshot(head.snapshot_version, &head.snapshot_digest);
+    call_until_done(&store, StoreRequest::Read { key }).await;
+  }
+  // The box is current; its watch goes on while the others start.
+  let watch = StoreRequest::Watch { after: revision, prefix: keys::watched(), wait_ms: 10_000 };
+  monoio::spawn(async move { store.call(watch).await });
+}
+
+async fn call_until_done(store: &HttpStore, request: StoreRequest) -> Reply {
+  loop {
+    match store.call(request.clone()).await {
+      Ok(reply) => return reply,
+      Err(_) => monoio::time::sleep(Duration::from_millis(100)).await,
+    }
+  }
+}
+
+/// Waits for `waiting`; returns what it brought, and the most calls a second that the store took
+/// meanwhile in any quarter of a second.
+async fn count_calls<T>(
+  fleet: &Fleet,
+  waiting: impl Future<Output = Result<T>>,
+) -> Result<(T, f64)> {
   const LOOK: Duration = Duration::from_millis(250);
   let done = std::cell::Cell::new(false);
   let waiting = async {
-    let last = fleet.wait_for_version(version).await;
+    let brought = waiting.await;
     done.set(true);
-    last
+    brought
   };
   let counting = async {
     let mut most = 0.0_f64;
@@ -73,6 +142,6 @@
     }
     Ok::<_, Error>(most)
   };
-  let (last, most) = futures_util::future::join(waiting, counting).await;
-  Ok((last?, most?))
+  let (brought, most) = futures_util::future::join(waiting, counting).await;
+  Ok((brought?, most?))
 }
--- /dev/null
+++ b/crates/ferryyoke-bench/src/fit.rs
@@ -0,0 +1,32 @@
+/// A straight line through measured points, by least squares.
+#[derive(Clone, Copy, Debug)]
+pub struct Fit {
+  /// The value at zero.
+  pub intercept: f64,
+  /// The largest distance of a point from the line.
+  pub residual_max: f64,
+  /// The growth for one more.
+  pub slope: f64,
+}
+
+impl Fit {
+  /// Fits `points` of a driver and a value. At least two different drivers are needed for a slope.
+  #[allow(clippy::cast_precision_loss)]
+  pub fn of(points: &[(f64, f64)]) -> Self {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = if variance > 0.0 { covariance / variance } else { 0.0 };
+    let intercept = mean_y - slope * mean_x;
+    let distance = |(x, y): &(f64, f64)| (y - intercept - slope * x).abs();
+    let residual_max = points.iter().map(distance).fold(0.0, f64::max);
+    Self { intercept, residual_max, slope }
+  }
+
+  /// The value of the line at `x`.
+  pub fn at(&self, x: f64) -> f64 {
+    self.intercept + self.slope * x
+  }
+}
--- a/crates/ferryyoke-bench/src/lib.rs
+++ b/crates/ferryyoke-bench/src/lib.rs
@@ -11,12 +11,13 @@
     administration::{Answer, AnswerOutcome, StatementRequest},
     commands::{block_on, query},
     proxy::headers,
-    standin::{BackendFaults, Journal, StoreFaults},
+    standin::{BackendFaults, Journal, StoreFaults, StoreServer},
     unix_ms,
     values::{Digest, Version},
     web,
   },
   http::{Request, StatusCode},
+  serde::Serialize,
   socket2::{Domain, Socket, Type},
   std::{
     collections::BTreeMap,
@@ -33,18 +34,30 @@
 };
 
 pub use self::{
-  commands::execute, error::Error, fleet::Fleet, fleet_box::FleetBox, fleet_builder::FleetBuilder,
-  process::Process, sample::Sample, scrape::Scrape,
+  commands::execute,
+  error::Error,
+  fit::Fit,
+  fleet::Fleet,
+  fleet_box::FleetBox,
+  fleet_builder::FleetBuilder,
+  load::{Connection, Generator, LoadResult},
+  process::Process,
+  sample::Sample,
+  scrape::Scrape,
+  usage::{Rates, Usage},
 };
 
 mod commands;
 mod error;
+mod fit;
 mod fleet;
 mod fleet_box;
 mod fleet_builder;
+mod load;
 mod process;
 mod sample;
 mod scrape;
+mod usage;
 
 /// Result of a measurement.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -70,7 +70,9 @@
   let faults = state.borrow().faults.clone();
   let index = start(&state, &request);
   let (bytes, digest, complete) = read_whole(request.into_body()).await;
-  monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+  if faults.delay_ms > 0 {
+    monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+  }
   if faults.hang {
     std::future::pending::<()>().await;
   }
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,85 @@
+//! Every statement on the operators' pages is stated to a deployment, in the order of the page.
+
+use {
+  ferryyoke::{
+    administration::AnswerOutcome,
+    commands::block_on,
+    dev::{Mesh, Result},
+    settings::Settings,
+  },
+  std::{fs, path::Path},
+};
+
+/// The lines between fences of a kind.
+fn fenced(page: &str, kind: &str) -> Vec<String> {
+  let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/operators").join(page);
+  let text = fs::read_to_string(path).expect("a page");
+  let mut lines = Vec::new();
+  let mut is_inside = false;
+  for line in text.lines() {
+    if line.starts_with("```") {
+      is_inside = line == format!("```{kind}");
+    } else if is_inside {
+      lines.push(line.to_string());
+    }
+  }
+  lines
+}
+
+async fn state_page(page: &str) -> Result {
+  let mesh = Mesh::start(Mesh::inyandiko())?;
+  mesh.settle().await?;
+  let statements = fenced(page, "statement");
+  assert!(!statements.is_empty(), "{page} has no statement");
+  for statement in statements {
+    let answer = mesh.boxes[0].state(&statement).await?;
+    assert_eq!(answer.outcome, AnswerOutcome::Done, "{page}: `{statement}`: {}", answer.message);
+    if let Some(version) = answer.version {
+      mesh.wait_for_version(version).await?;
+    }
+  }
+  Ok(())
+}
+
+fn check_page(page: &str) {
+  block_on(state_page(page)).expect("an event loop").expect("the deployment runs");
+}
+
+#[test]
+fn language() {
+  check_page("language.md");
+}
+
+#[test]
+fn versions() {
+  check_page("versions.md");
+}
+
+#[test]
+fn overload() {
+  check_page("overload.md");
+}
+
+#[test]
+fn at_most_once() {
+  check_page("at-most-once.md");
+}
+
+#[test]
+fn stops() {
+  check_page("stops.md");
+}
+
+#[test]
+fn outages() {
+  check_page("outages.md");
+}
+
+#[test]
+fn the_settings_on_the_page_are_good() {
+  let text = fenced("install.md", "json").join("\n");
+  let text =
+    text.replace("{ \"file\": \"/run/secrets/ferryyoke\" }", "{ \"environment\": \"KEY\" }");
+  let settings = Settings::parse(&text, &|_| Some("a secret that is long enough".into()));
+  settings.unwrap_or_else(|err| panic!("{err}"));
+}
