--- a/src/administration/changes.rs
+++ b/src/administration/changes.rs
@@ -119,7 +119,7 @@
     return Ok(());
   };
   // Only a change that stored a snapshot can have left something to remove.
-  if !head.tail.is_empty() {
+  if head.version != head.snapshot_version {
     return Ok(());
   }
   let newest = keys::snapshot(head.snapshot_version, &head.snapshot_digest);
--- a/src/distribution/acceptance.rs
+++ b/src/distribution/acceptance.rs
@@ -134,7 +134,7 @@
   /// The store's newest configuration, made of the held one and the head's changes.
   fn base_from_held(&self, head: &Head) -> Option<Configuration> {
     let held = self.held.as_ref()?;
-    if held.version < head.snapshot_version {
+    if head.tail.first().is_some_and(|first| held.version.next() < first.version()) {
       return None;
     }
     let base = after_tail(held, head)?;
@@ -291,7 +291,7 @@
     let archive = Archive {
       snapshot_digest: head.snapshot_digest,
       snapshot_version: head.snapshot_version,
-      tail: head.tail.clone(),
+      tail: head.since_snapshot().cloned().collect(),
     };
     Ok(Self {
       archive: Some((keys::archive(&archive), archive.encode())),
--- a/src/distribution/distributor/linking.rs
+++ b/src/distribution/distributor/linking.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// Finding relays, serving subscribers, and linking relays up with each other.
+/// Links: opening and closing them, finding somebody who serves this daemon, and linking relays up
+/// with each other.
 impl Distributor {
   /// Pause before a failed link between relays is tried again.
   const MESH_RETRY_MS: u64 = 2_000;
@@ -132,47 +133,6 @@
     self.send(link, Message::Subscribe(Box::new(subscribe)));
   }
 
-  /// A neighbour asks to be served. A relay serves up to its limit; any other daemon serves only
-  /// one that found no relay, and only with a configuration to give.
-  pub(super) fn subscription_asked(&mut self, link: LinkId, subscribe: &Subscribe) {
-    let Some(known) = self.links.get(&link) else {
-      return;
-    };
-    let peer = known.peer.clone();
-    if subscribe.endpoint.peer.box_id != peer {
-      self.close_link(link);
-      return;
-    }
-    let is_new = known.role == LinkRole::Pending;
-    let relays = self.relays.clone();
-    let floor = self.floor_for(&peer);
-    if is_new && !self.may_serve(subscribe) {
-      self.send(link, Message::Redirect { floor, relays });
-      return;
-    }
-    let role = if subscribe.relay { LinkRole::Mesh } else { LinkRole::Downstream };
-    self.set_role(link, role);
-    self.note_version(link, subscribe.version);
-    self.note_applied(link, subscribe.applied_unix_ms);
-    let is_relay = self.is_relay();
-    self.send(link, Message::Welcome { floor, is_relay, relays });
-    self.sync_endpoints_unless(link, subscribe.endpoints);
-    self.news_received(link, vec![subscribe.endpoint.clone()]);
-    self.push_update(link);
-  }
-
-  fn may_serve(&self, subscribe: &Subscribe) -> bool {
-    if self.own.state == EndpointState::Leaving {
-      return false;
-    }
-    if subscribe.relay && self.is_relay() {
-      return true;
-    }
-    let has_room = self.settled_links(LinkRole::Downstream).count() < Self::DOWNSTREAM_MAX;
-    let is_source = self.upstream.link().is_some() || self.catalog.version().is_some();
-    has_room && (self.is_relay() || (subscribe.desperate && is_source))
-  }
-
   pub(super) fn redirected(&mut self, link: LinkId, floor: Version, relays: Relays) {
     let Some(known) = self.links.get(&link) else {
       return;
@@ -206,72 +166,4 @@
       self.redirect_subscribers();
     }
   }
-
-  /// Takes over what a neighbour knows of the relays. A relay knows better, from the store.
-  fn learn_relays(&mut self, relays: Relays) {
-    if !self.is_relay() && !relays.0.is_empty() {
-      self.relays = relays;
-    }
-  }
-
-  /// A fresh relay tells its data hall of itself, so that the others need not ask the store.
-  pub(super) fn announce_relay(&mut self) {
-    let own = self.own.peer.clone();
-    let linked: BTreeSet<&BoxId> =
-      self.links.values().filter(|link| link.is_settled()).map(|link| &link.peer).collect();
-    let present = self.endpoints.present().map(|endpoint| &endpoint.peer);
-    let known: BTreeSet<Peer> = self
-      .identity
-      .seeds
-      .iter()
-      .chain(present)
-      .filter(|peer| peer.data_hall == own.data_hall && peer.box_id != own.box_id)
-      .filter(|peer| !linked.contains(&peer.box_id))
-      .cloned()
-      .collect();
-    for peer in known {
-      self.announcing.insert(peer.box_id.clone());
-      self.act(Action::OpenLink(peer));
-    }
-  }
-
-  /// A box that has no relay hears of one.
-  fn relay_announced(&mut self, link: LinkId, relays: Relays) {
-    if !self.is_served_by_relay() {
-      self.learn_relays(relays);
-      self.upstream.encouraged(self.now.time, &mut self.rng);
-    }
-    self.close_link(link);
-  }
-
-  pub(super) fn relays_received(&mut self, link: LinkId, relays: Relays) {
-    if self.links.get(&link).is_some_and(|known| known.role == LinkRole::Pending) {
-      self.relay_announced(link, relays);
-      return;
-    }
-    if self.upstream.link() != Some(link) {
-      return;
-    }
-    self.learn_relays(relays);
-    self.tell_relays();
-  }
-
-  /// Tells the subscribers which relays there are.
-  pub(super) fn tell_relays(&mut self) {
-    let links: Vec<LinkId> = self.settled_links(LinkRole::Downstream).map(|(id, _)| id).collect();
-    for link in links {
-      self.send(link, Message::Relays(self.relays.clone()));
-    }
-  }
-
-  /// Sends the subscribers elsewhere, once this daemon is no relay any more.
-  pub(super) fn redirect_subscribers(&mut self) {
-    let links: Vec<(LinkId, BoxId)> =
-      self.settled_links(LinkRole::Downstream).map(|(id, link)| (id, link.peer.clone())).collect();
-    for (link, peer) in links {
-      let floor = self.floor_for(&peer);
-      self.send(link, Message::Redirect { floor, relays: self.relays.clone() });
-      self.set_role(link, LinkRole::Pending);
-    }
-  }
 }
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -13,6 +13,8 @@
 mod linking;
 mod news;
 mod pushing;
+mod relaying;
+mod serving;
 mod status;
 mod storing;
 
--- /dev/null
+++ b/src/distribution/distributor/relaying.rs
@@ -0,0 +1,61 @@
+use super::*;
+
+/// Knowing the relays, and telling others of them.
+impl Distributor {
+  /// Takes over what a neighbour knows of the relays. A relay knows better, from the store.
+  pub(super) fn learn_relays(&mut self, relays: Relays) {
+    if !self.is_relay() && !relays.0.is_empty() {
+      self.relays = relays;
+    }
+  }
+
+  /// A fresh relay tells its data hall of itself, so that the others need not ask the store.
+  pub(super) fn announce_relay(&mut self) {
+    let own = self.own.peer.clone();
+    let linked: BTreeSet<&BoxId> =
+      self.links.values().filter(|link| link.is_settled()).map(|link| &link.peer).collect();
+    let present = self.endpoints.present().map(|endpoint| &endpoint.peer);
+    let known: BTreeSet<Peer> = self
+      .identity
+      .seeds
+      .iter()
+      .chain(present)
+      .filter(|peer| peer.data_hall == own.data_hall && peer.box_id != own.box_id)
+      .filter(|peer| !linked.contains(&peer.box_id))
+      .cloned()
+      .collect();
+    for peer in known {
+      self.announcing.insert(peer.box_id.clone());
+      self.act(Action::OpenLink(peer));
+    }
+  }
+
+  /// A box that has no relay hears of one.
+  fn relay_announced(&mut self, link: LinkId, relays: Relays) {
+    if !self.is_served_by_relay() {
+      self.learn_relays(relays);
+      self.upstream.encouraged(self.now.time, &mut self.rng);
+    }
+    self.close_link(link);
+  }
+
+  pub(super) fn relays_received(&mut self, link: LinkId, relays: Relays) {
+    if self.links.get(&link).is_some_and(|known| known.role == LinkRole::Pending) {
+      self.relay_announced(link, relays);
+      return;
+    }
+    if self.upstream.link() != Some(link) {
+      return;
+    }
+    self.learn_relays(relays);
+    self.tell_relays();
+  }
+
+  /// Tells the subscribers which relays there are.
+  pub(super) fn tell_relays(&mut self) {
+    let links: Vec<LinkId> = self.settled_links(LinkRole::Downstream).map(|(id, _)| id).collect();
+    for link in links {
+      self.send(link, Message::Relays(self.relays.clone()));
+    }
+  }
+}
--- /dev/null
+++ b/src/distribution/distributor/serving.rs
@@ -0,0 +1,56 @@
+use super::*;
+
+/// Serving the daemons that subscribe to this one.
+impl Distributor {
+  /// A neighbour asks to be served. A relay serves up to its limit; any other daemon serves only
+  /// one that found no relay, and only with a configuration to give.
+  pub(super) fn subscription_asked(&mut self, link: LinkId, subscribe: &Subscribe) {
+    let Some(known) = self.links.get(&link) else {
+      return;
+    };
+    let peer = known.peer.clone();
+    if subscribe.endpoint.peer.box_id != peer {
+      self.close_link(link);
+      return;
+    }
+    let is_new = known.role == LinkRole::Pending;
+    let relays = self.relays.clone();
+    let floor = self.floor_for(&peer);
+    if is_new && !self.may_serve(subscribe) {
+      self.send(link, Message::Redirect { floor, relays });
+      return;
+    }
+    let role = if subscribe.relay { LinkRole::Mesh } else { LinkRole::Downstream };
+    self.set_role(link, role);
+    self.note_version(link, subscribe.version);
+    self.note_applied(link, subscribe.applied_unix_ms);
+    let is_relay = self.is_relay();
+    self.send(link, Message::Welcome { floor, is_relay, relays });
+    self.sync_endpoints_unless(link, subscribe.endpoints);
+    self.news_received(link, vec![subscribe.endpoint.clone()]);
+    self.push_update(link);
+  }
+
+  fn may_serve(&self, subscribe: &Subscribe) -> bool {
+    if self.own.state == EndpointState::Leaving {
+      return false;
+    }
+    if subscribe.relay && self.is_relay() {
+      return true;
+    }
+    let has_room = self.settled_links(LinkRole::Downstream).count() < Self::DOWNSTREAM_MAX;
+    let is_source = self.upstream.link().is_some() || self.catalog.version().is_some();
+    has_room && (self.is_relay() || (subscribe.desperate && is_source))
+  }
+
+  /// Sends the subscribers elsewhere, once this daemon is no relay any more.
+  pub(super) fn redirect_subscribers(&mut self) {
+    let links: Vec<(LinkId, BoxId)> =
+      self.settled_links(LinkRole::Downstream).map(|(id, link)| (id, link.peer.clone())).collect();
+    for (link, peer) in links {
+      let floor = self.floor_for(&peer);
+      self.send(link, Message::Redirect { floor, relays: self.relays.clone() });
+      self.set_role(link, LinkRole::Pending);
+    }
+  }
+}
--- a/src/distribution/distributor/storing.rs
+++ b/src/distribution/distributor/storing.rs
@@ -173,14 +173,18 @@
     if held.is_some_and(|held| held >= head.version) {
       return;
     }
-    let Some(base) = held.filter(|held| *held >= head.snapshot_version) else {
-      let call = self.next_call();
-      if let Some(request) = self.watcher.read_snapshot(call) {
-        self.call_store(request);
-      }
+    let Some(base) = held.filter(|held| reaches(&head, *held)) else {
+      self.read_snapshot();
       return;
     };
-    self.take_from_store(Self::delta_of(&head, base));
+    let Some(base_digest) = self.catalog.digest() else {
+      return;
+    };
+    let changes = head.tail.into_iter().filter(|change| change.version() > base).collect();
+    if !self.take_from_store(Update::Delta { base, base_digest, changes }) {
+      // The held version may have other content than the store's: the whole ends that.
+      self.read_snapshot();
+    }
   }
 
   /// Whether this daemon is a relay that has read the store whole.
@@ -210,24 +214,39 @@
     }
     let is_before = |summary: &&Summary| summary.version <= head.snapshot_version;
     self.take_from_store(Update::Snapshot {
-      changes: head.tail.clone(),
+      changes: head.since_snapshot().cloned().collect(),
       configuration: Arc::new(configuration),
       digest: head.snapshot_digest,
       history: head.history.iter().filter(is_before).cloned().collect(),
     });
   }
 
-  fn delta_of(head: &Head, base: Version) -> Update {
-    let before = head.tail.iter().take_while(|change| change.version() <= base).last();
-    let base_digest = before.map_or(head.snapshot_digest, |change| change.digest);
-    let changes = head.tail.iter().filter(|change| change.version() > base).cloned().collect();
-    Update::Delta { base, base_digest, changes }
+  fn read_snapshot(&mut self) {
+    let call = self.next_call();
+    if let Some(request) = self.watcher.read_snapshot(call) {
+      self.call_store(request);
+    }
   }
 
-  fn take_from_store(&mut self, update: Update) {
+  /// Puts the store's version in force. Returns whether it was sound.
+  fn take_from_store(&mut self, update: Update) -> bool {
     match self.catalog.take(update, None, self.now.unix_ms) {
-      Ok(()) => self.switched(),
-      Err(err) => self.log(format!("the store's version was refused: {err}")),
+      Ok(()) => {
+        self.switched();
+        true
+      }
+      Err(err) => {
+        self.log(format!("the store's version was refused: {err}"));
+        false
+      }
     }
   }
 }
+
+/// Whether the head has all changes since `base`.
+fn reaches(head: &Head, base: Version) -> bool {
+  match head.tail.first() {
+    Some(first) => base.next() >= first.version(),
+    None => base >= head.snapshot_version,
+  }
+}
--- a/src/proxy/answer.rs
+++ b/src/proxy/attempt_result.rs
@@ -1,4 +1,4 @@
 use super::*;
 
 /// What a try came to: an answer of the backend server, or none.
-pub type Answer = std::result::Result<Response<AnyBody>, AttemptOutcome>;
+pub type AttemptResult = std::result::Result<Response<AnyBody>, AttemptOutcome>;
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -53,7 +53,11 @@
 }
 
 /// Hands a request to the backend server beside this daemon, once there is a slot.
-pub async fn hand_over(shared: &Rc<Shared>, forwarded: &Forwarded, body: RequestBody) -> Answer {
+pub async fn hand_over(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  body: RequestBody,
+) -> AttemptResult {
   if let Some(reason) = refuse_early(shared, forwarded) {
     return Err(AttemptOutcome::NotRun { reason, retry_after_ms: Shared::RETRY_AFTER_MS });
   }
@@ -85,7 +89,7 @@
   forwarded: &Forwarded,
   mut body: RequestBody,
   slot: HeldSlot,
-) -> Answer {
+) -> AttemptResult {
   let address = shared.settings.backend_server.address;
   // A kept connection may have been closed at the other end just now. A request that may not be
   // repeated gets a new one, so that such a race does not leave its fate unknown.
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -12,7 +12,7 @@
   forwarded: &Forwarded,
   mut body: RequestBody,
   attempts: &mut Vec<Attempt>,
-) -> Answer {
+) -> AttemptResult {
   let attempts_max = shared.policy(&forwarded.service).map_or(1, |policy| policy.attempts);
   shared.budget.borrow_mut().earn(&forwarded.service);
   loop {
@@ -94,7 +94,7 @@
   forwarded: &Forwarded,
   body: &mut RequestBody,
   endpoint: &Endpoint,
-) -> Answer {
+) -> AttemptResult {
   let box_id = endpoint.peer.box_id.clone();
   let under_way = UnderWay::start(shared, &box_id);
   let started_us = shared.elapsed_us();
@@ -124,7 +124,7 @@
   forwarded: &Forwarded,
   body: &mut RequestBody,
   endpoint: &Endpoint,
-) -> Answer {
+) -> AttemptResult {
   let address = endpoint.forward_address;
   let sender = if forwarded.repeatable {
     shared.peer_pool.checkout(address).await
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -20,11 +20,12 @@
 pub use self::{carry::serve_caller, egress::serve_peer};
 
 use self::{
-  answer::Answer, forwarded::Forwarded, guarded_body::GuardedBody, held_slot::HeldSlot,
-  incoming_request::IncomingRequest, refusal::Refusal, request_body::RequestBody,
+  attempt_result::AttemptResult, forwarded::Forwarded, guarded_body::GuardedBody,
+  held_slot::HeldSlot, incoming_request::IncomingRequest, refusal::Refusal,
+  request_body::RequestBody,
 };
 
-mod answer;
+mod attempt_result;
 mod carry;
 mod egress;
 mod forward;
--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -35,11 +35,6 @@
   pub fn journal(&self) -> Journal {
     self.state.borrow().journal.clone()
   }
-
-  /// Sets the faults to show from now on.
-  pub fn set_faults(&self, faults: BackendFaults) {
-    self.state.borrow_mut().faults = faults;
-  }
 }
 
 async fn handle(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
--- a/src/standin/store_server.rs
+++ b/src/standin/store_server.rs
@@ -7,7 +7,6 @@
 pub struct StoreServer {
   /// The bound address.
   pub address: SocketAddr,
-  state: Rc<RefCell<State>>,
 }
 
 struct State {
@@ -15,7 +14,6 @@
   clock: Instant,
   faults: StoreFaults,
   keyspace: Keyspace,
-  latency_ms: u64,
   reads: Bucket,
   saved: Option<Keyspace>,
   /// Wakes waiting watches.
@@ -40,25 +38,13 @@
       clock: Instant::now(),
       faults: StoreFaults::default(),
       keyspace: Keyspace::default(),
-      latency_ms: Self::LATENCY_MS,
       reads: Bucket::new(now, Self::READS_PER_SECOND),
       saved: None,
       waiting: Vec::new(),
       writes: Bucket::new(now, Self::WRITES_PER_SECOND),
     }));
-    let shared = state.clone();
-    web::Server::start(listener, move |request| handle(shared.clone(), request));
-    Ok(Self { address, state })
-  }
-
-  /// Sets the faults to show from now on.
-  pub fn set_faults(&self, faults: StoreFaults) {
-    self.state.borrow_mut().set_faults(faults);
-  }
-
-  /// Calls so far.
-  pub fn calls(&self) -> u64 {
-    self.state.borrow().calls.values().sum()
+    web::Server::start(listener, move |request| handle(state.clone(), request));
+    Ok(Self { address })
   }
 }
 
@@ -166,7 +152,7 @@
   };
   let (down, late_ms) = {
     let state = state.borrow();
-    (state.faults.down, state.latency_ms + state.faults.slow_ms)
+    (state.faults.down, StoreServer::LATENCY_MS + state.faults.slow_ms)
   };
   monoio::time::sleep(Duration::from_millis(late_ms)).await;
   let admitted = state.borrow_mut().admit(&request);
