Send no update back to who sent it

A daemon that took an update still believed its sender to hold the version of the sender's last beat, and sent the update back; on the frugal profile the next beat came before.

Ruled out: updates to other relays (they wait 300 ms for the store) and resends (they wait two beats).

Change: whoever sent an update is known to hold it.

--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -102,7 +102,11 @@
     }
     let from = self.links.get(&link).map(|link| link.peer.clone());
     match self.catalog.take(update, from, self.now.unix_ms) {
-      Ok(()) => self.switched(),
+      Ok(()) => {
+        // The sender holds what it sent, so it is not sent back.
+        self.note_version(link, self.catalog.held());
+        self.switched();
+      }
       Err(Error::Backwards { .. }) => {}
       Err(err) => self.refuse(link, &err),
     }
--- a/tests/distribution_rest.rs
+++ b/tests/distribution_rest.rs
@@ -29,6 +29,18 @@
   }
 }
 
+/// The relays have the change from the store; everybody else is sent it once, and nobody sends it back.
+#[test]
+fn a_change_is_sent_once_to_each_subscriber() {
+  let mut world = settled(40, 2);
+  let before = world.news_sent;
+  world.state_change(5, vec![put_service(1)]);
+  world.run_until(SETTLE_MS + WATCH_MS / 6);
+  world.check_converged();
+  let subscribers = world.boxes.len() - world.relays();
+  assert_eq!(world.news_sent - before, subscribers as u64);
+}
+
 /// Every relay watches with one waiting call and renews one lease; nobody else calls the store.
 #[test]
 fn calls_to_the_store_at_rest_grow_with_relays_and_not_with_boxes() {
