Keep the reported load between daemons

Cause: the load that the daemon beside a backend server reports with its answer reached the caller.

Change: the first daemon takes it out once its balancer has read it; a test demands that no header between daemons reaches a caller.

Conclusion: mended.

--- a/crates/ferryyoke-bench/tests/requests.rs
+++ b/crates/ferryyoke-bench/tests/requests.rs
@@ -308,6 +308,23 @@
   });
 }
 
+#[test]
+fn headers_between_daemons_do_not_reach_the_caller() {
+  run(async {
+    let fleet = fleet().boxes(3).start()?;
+    fleet.configure().await?;
+    // The second box serves another service, so the request passes two daemons.
+    let request = b"GET /archive/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let answer = raw(fleet.boxes[1].callers, request);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("x-ferryyoke-request-id: box-001"), "{answer}");
+    for name in [headers::LOAD, headers::SEAL, headers::SERVICE, headers::REPEATABLE] {
+      assert!(!answer.contains(name), "{name} is in {answer}");
+    }
+    Ok(())
+  });
+}
+
 #[test]
 fn a_loop_ends_with_a_clear_error() {
   run(async {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -201,8 +201,9 @@
     Self { box_id: box_id.clone(), shared: shared.clone() }
   }
 
-  /// Keeps counting until the last byte of the answer.
-  fn until_end_of(self, response: Response<AnyBody>) -> Response<AnyBody> {
+  /// Keeps counting until the last byte of the answer. The reported load is for this daemon alone.
+  fn until_end_of(self, mut response: Response<AnyBody>) -> Response<AnyBody> {
+    response.headers_mut().remove(headers::LOAD);
     response.map(|body| body.keeping(self))
   }
 }
