--- a/src/administration/changes.rs
+++ b/src/administration/changes.rs
@@ -26,7 +26,7 @@
   }
   let change = Change {
     base: held.version,
-    id: request.change_id.unwrap_or_else(|| make_change_id(shared)),
+    id: request.change_id.unwrap_or_else(|| shared.names.change_id()),
     only_at: script.only_at,
     operations,
     operator: author.operator,
@@ -41,11 +41,6 @@
   accept(daemon, held, change).await
 }
 
-fn make_change_id(shared: &Shared) -> ChangeId {
-  let text = format!("c-{:016x}-{:016x}", shared.make_seed(), shared.incarnation().0);
-  text.parse().expect("hexadecimal digits are a name")
-}
-
 /// Services by the box that serves them.
 fn boxes(daemon: &Daemon) -> BTreeMap<BoxId, ServiceName> {
   let distributor = daemon.distribution.distributor();
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -86,7 +86,7 @@
   };
   let endpoint = Endpoint {
     forward_address: settings.addresses.forward,
-    incarnation: shared.incarnation(),
+    incarnation: shared.names.incarnation,
     peer,
     region: settings.region.clone(),
     relay: None,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,6 +22,7 @@
   distribution_loop::{DistributionLoop, Inquired},
   error::Error,
   listeners::Listeners,
+  names::Names,
   shared::Shared,
   system_clock::SystemClock,
 };
@@ -33,6 +34,7 @@
 mod error;
 mod health;
 mod listeners;
+mod names;
 mod open_link;
 mod shared;
 pub mod signals;
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -12,14 +12,14 @@
   pub clock: Rc<dyn Clock>,
   configuration: RefCell<Option<Arc<Configuration>>>,
   endpoints: RefCell<BTreeMap<ServiceName, Rc<Vec<Endpoint>>>>,
-  incarnation: Incarnation,
-  last_number: Cell<u64>,
   /// Bounds what the backend server runs.
   pub limiter: RefCell<Limiter>,
   /// The log.
   pub log: Log,
   /// The metrics.
   pub metrics: Metrics,
+  /// Makes names.
+  pub names: Names,
   /// Kept connections to other daemons.
   pub peer_pool: Rc<web::Pool>,
   /// What became of the last requests.
@@ -56,6 +56,7 @@
     log: Log,
     seed: u64,
   ) -> Self {
+    let names = Names::new(settings.box_id.clone(), Incarnation(clock.now().unix_ms));
     let slots = settings.backend_server.slots as usize;
     let pool = || Rc::new(web::Pool::new(Self::CONNECT_TIMEOUT_MS));
     Self {
@@ -64,12 +65,11 @@
       budget: RefCell::default(),
       configuration: RefCell::default(),
       endpoints: RefCell::default(),
-      incarnation: Incarnation(clock.now().unix_ms),
       clock,
-      last_number: Cell::default(),
       limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
       log,
       metrics: Metrics::new(),
+      names,
       peer_pool: pool(),
       records: RefCell::default(),
       refuses_work: Cell::default(),
@@ -147,11 +147,6 @@
     self.limiter.borrow().expected_wait_ms()
   }
 
-  /// This life of the box.
-  pub fn incarnation(&self) -> Incarnation {
-    self.incarnation
-  }
-
   /// Whether the daemon is on its way out.
   pub fn is_stopping(&self) -> bool {
     self.stopping.get()
@@ -178,34 +173,11 @@
     }
   }
 
-  fn next_number(&self) -> u64 {
-    self.last_number.set(self.last_number.get() + 1);
-    self.last_number.get()
-  }
-
-  /// Names a try at a claim and no other in the fleet.
-  pub fn make_attempt_id(&self) -> String {
-    format!("{}.{}.{}", self.settings.box_id, self.incarnation, self.next_number())
-  }
-
-  /// Names a request and no other in the fleet, and tells which box carries it.
-  pub fn make_request_id(&self) -> RequestId {
-    let life = self.incarnation.0 % 100_000_000;
-    let text = format!("{}-{life:x}-{:x}", self.settings.box_id, self.next_number());
-    let start = text.len().saturating_sub(text::NAME_LENGTH_MAX);
-    text[start..].parse().expect("a box name with digits is a name")
-  }
-
   /// A random seed for a decision.
   pub fn make_seed(&self) -> u64 {
     self.rng.borrow_mut().random()
   }
 
-  /// Names a request at the limiter.
-  pub fn next_ticket(&self) -> Ticket {
-    Ticket(self.next_number())
-  }
-
   /// Counts a link or forwarded request that was refused, and logs the first of each reason.
   pub fn note_refused_link(&self, reason: &'static str) {
     if self.metrics.link_refused(reason) == 0 {
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -127,7 +127,7 @@
   let head = &forwarded.head;
   let content = [format!("{} {}\n", head.method, head.target).as_bytes(), &body[..]].concat();
   let ticket = ClaimTicket {
-    attempt: shared.make_attempt_id(),
+    attempt: shared.names.attempt_id(),
     content: Digest::of(&content),
     key,
     service: forwarded.service.clone(),
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -7,7 +7,7 @@
   let (head, body) = request.into_parts();
   let forwarded = match unseal(&shared, head) {
     Ok(forwarded) => forwarded,
-    Err(refusal) => return refusal.response(&shared.make_request_id()),
+    Err(refusal) => return refusal.response(&shared.names.request_id()),
   };
   let body = RequestBody::Streamed(Some(body));
   match hand_over(&shared, &forwarded, body).await {
--- a/src/proxy/held_slot.rs
+++ b/src/proxy/held_slot.rs
@@ -18,7 +18,7 @@
       retry_after_ms,
     };
     let now = shared.now().time;
-    let ticket = shared.next_ticket();
+    let ticket = shared.names.ticket();
     let arrival = shared.limiter.borrow_mut().arrive(now, ticket, class, deadline);
     match arrival {
       Arrival::Admitted => Ok(Self { shared: shared.clone(), ticket }),
--- a/src/proxy/incoming_request.rs
+++ b/src/proxy/incoming_request.rs
@@ -32,7 +32,7 @@
       depth: headers::parsed(&head.headers, headers::DEPTH).unwrap_or(0),
       host,
       id: headers::parsed(&head.headers, headers::REQUEST_ID)
-        .unwrap_or_else(|| shared.make_request_id()),
+        .unwrap_or_else(|| shared.names.request_id()),
       key: headers::text(&head.headers, headers::KEY).map(ToString::to_string),
       time_left_ms: headers::parsed(&head.headers, headers::TIME_LEFT_MS),
     }
