Let calls of running requests wait, and refuse the rest within a quarter of the target

A refusal over several boxes took a quarter of the target at each.

Ruled out: the registry's capacity (10 of 12 slots in the mean), the network (0 to 3 ms a hop).

Change: requests::AtWork knows which requests run beside the daemon, and so which ones are calls of theirs; requests::Urgency gives a call rank 0 and three quarters of its time, and all others one quarter of their target from their arrival, over all boxes. The daemon logs each passage at the backend server.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,8 +14,8 @@
   platform,
   proxy::{self, Dialect},
   requests::{
-    Balancer, Limiter, RecordBook, RequestRecord, RetryBudget, RetryLimits, Router, Splitter,
-    Ticket,
+    AtWork, Balancer, Limiter, RecordBook, RequestRecord, RetryBudget, RetryLimits, Router,
+    Splitter, Ticket,
   },
   settings::{Deployment, Settings},
   store::{HttpStore, Reply, Store, StoreRequest},
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -2,6 +2,8 @@
 
 /// What the parts of a daemon share. All of it lives on the daemon's one thread.
 pub struct Shared {
+  /// Requests that run at the backend server.
+  pub at_work: RefCell<AtWork>,
   /// What is known of the backend server.
   pub backend: RefCell<BackendRecord>,
   /// Kept connections to the backend server.
@@ -69,6 +71,7 @@
     let slots = settings.backend_server.slots as usize;
     let pool = || Rc::new(web::Pool::new(Self::CONNECT_TIMEOUT_MS));
     Self {
+      at_work: RefCell::default(),
       backend: RefCell::default(),
       backend_pool: pool(),
       balancer: RefCell::default(),
@@ -179,6 +182,12 @@
     self.stopping.get()
   }
 
+  /// Requests running and waiting at the backend server.
+  pub fn load(&self) -> (usize, usize) {
+    let limiter = self.limiter.borrow();
+    (limiter.running(), limiter.waiting())
+  }
+
   /// Requests running and waiting at the backend server, in percent of its slots.
   pub fn load_percent(&self) -> u32 {
     self.limiter.borrow().load_percent()
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -50,16 +50,18 @@
   let time_left_ms = incoming.time_left_ms.unwrap_or(held_max_ms).min(held_max_ms);
   let is_claimed = !matched.repeatable && !handling.sent_once && !head.method.is_safe();
   let policy_attempts = policy.map_or(1, |policy| policy.attempts);
+  let now = shared.now().time;
+  let deadline = now.after(time_left_ms);
+  let is_call = shared.at_work.borrow().is_call(&incoming.id);
   let forwarded = Forwarded {
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
     caller_service: shared.own_service(),
     class: incoming.class.clone(),
-    deadline: shared.now().time.after(time_left_ms),
+    deadline,
     id: incoming.id.clone(),
-    priority: handling.priority,
     repeatable: matched.repeatable && head.method.is_idempotent(),
-    target_ms: handling.target_ms,
     service,
+    urgency: Urgency::of(now, deadline, handling, is_call),
     version: recorder.record.version,
     head: pass_on(head, &incoming),
   };
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -34,10 +34,9 @@
     class: headers::parsed(&head.headers, headers::CALLER_CLASS).ok_or_else(malformed)?,
     deadline: shared.now().time.after(time_left_ms),
     id: headers::parsed(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
-    priority: headers::parsed(&head.headers, headers::PRIORITY).ok_or_else(malformed)?,
     repeatable: headers::parsed(&head.headers, headers::REPEATABLE).ok_or_else(malformed)?,
-    target_ms: headers::parsed(&head.headers, headers::TARGET_MS),
     service: headers::parsed(&head.headers, headers::SERVICE).ok_or_else(malformed)?,
+    urgency: urgency(&head.headers, shared.now().time).ok_or_else(malformed)?,
     version: headers::parsed(&head.headers, headers::VERSION).ok_or_else(malformed)?,
     head: forwarded::ForwardedHead { headers: head.headers, method: head.method, target: head.uri },
   };
@@ -51,11 +50,12 @@
   }
   let hop = [
     headers::CALLER_SERVICE,
+    headers::DUE_MS,
+    headers::PATIENCE_MS,
     headers::PRIORITY,
     headers::REPEATABLE,
     headers::SEAL,
     headers::SERVICE,
-    headers::TARGET_MS,
   ];
   for name in hop {
     forwarded.head.headers.remove(name);
@@ -63,16 +63,67 @@
   Ok(forwarded)
 }
 
+fn urgency(headers: &HeaderMap, now: Time) -> Option<Urgency> {
+  Some(Urgency {
+    due: now.after(headers::parsed(headers, headers::DUE_MS)?),
+    patience: now.after(headers::parsed(headers, headers::PATIENCE_MS)?),
+    priority: headers::parsed(headers, headers::PRIORITY)?,
+  })
+}
+
 /// Hands a request to the backend server beside this daemon, once there is a slot.
 pub async fn hand_over(
   shared: &Rc<Shared>,
   forwarded: &Forwarded,
   body: RequestBody,
+) -> AttemptResult {
+  let arrived_us = shared.elapsed_us();
+  let mut passage = Passage::default();
+  let result = pass(shared, forwarded, body, &mut passage).await;
+  passage.log(shared, forwarded, arrived_us, &result);
+  result
+}
+
+/// What happened to a request beside its backend server, for the log.
+#[derive(Default)]
+struct Passage {
+  instance: Option<InstanceId>,
+  /// Microseconds on the daemon's clock when it had its slot.
+  slot_us: Option<u64>,
+}
+
+impl Passage {
+  fn log(&self, shared: &Shared, forwarded: &Forwarded, arrived_us: u64, result: &AttemptResult) {
+    let now_us = shared.elapsed_us();
+    let outcome = match result {
+      Ok(response) => format!("answered with {}", response.status().as_u16()),
+      Err(outcome) => outcome.to_string(),
+    };
+    let (running, waiting) = shared.load();
+    info!(
+      shared.log.logger, #Log::REQUEST, "a request passed the backend server";
+      "request_id" => forwarded.id.as_str(), "outcome" => outcome,
+      "instance" => self.instance.as_ref().map_or("none", InstanceId::as_str),
+      "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
+      "took_us" => now_us - self.slot_us.unwrap_or(now_us),
+      "time_left_ms" => forwarded.deadline.since_ms(shared.now().time),
+      "priority" => forwarded.urgency.priority, "running" => running, "waiting" => waiting
+    );
+  }
+}
+
+async fn pass(
+  shared: &Rc<Shared>,
+  forwarded: &Forwarded,
+  body: RequestBody,
+  passage: &mut Passage,
 ) -> AttemptResult {
   if let Some(reason) = refuse_early(shared, forwarded) {
     return Err(not_run(reason, Shared::RETRY_AFTER_MS));
   }
   let slot = HeldSlot::take(shared, forwarded).await?;
+  passage.slot_us = Some(shared.elapsed_us());
+  passage.instance = shared.backend.borrow().instance().cloned();
   if let Some(reason) = refuse_early(shared, forwarded) {
     return Err(not_run(reason, Shared::RETRY_AFTER_MS));
   }
@@ -114,6 +165,7 @@
   slot: HeldSlot,
 ) -> AttemptResult {
   let address = shared.settings.backend_server.address;
+  let running = Running::begin(shared, &forwarded.id);
   // A kept connection may have been closed at the other end just now. A request that may not be
   // repeated gets a new one, so that such a race does not leave its fate unknown.
   let client = if forwarded.repeatable {
@@ -139,10 +191,29 @@
   }
   headers::remove_connection_headers(&mut head.headers);
   headers::remove_mesh_headers(&mut head.headers);
-  let guarded = GuardedBody::new(body, move |_| drop(slot));
+  let guarded = GuardedBody::new(body, move |_| drop((slot, running)));
   Ok(Response::from_parts(head, AnyBody::streamed(guarded)))
 }
 
+/// Marks a request as running at the backend server for as long as it lives.
+struct Running {
+  id: RequestId,
+  shared: Rc<Shared>,
+}
+
+impl Running {
+  fn begin(shared: &Rc<Shared>, id: &RequestId) -> Self {
+    shared.at_work.borrow_mut().begin(id);
+    Self { id: id.clone(), shared: shared.clone() }
+  }
+}
+
+impl Drop for Running {
+  fn drop(&mut self) {
+    self.shared.at_work.borrow_mut().end(&self.id);
+  }
+}
+
 /// The request as the backend server gets it, in the words that it knows.
 fn last_request(shared: &Shared, forwarded: &Forwarded, body: AnyBody) -> Request<AnyBody> {
   let dialect = &shared.dialect;
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -147,10 +147,10 @@
   let seal = shared.seal(&forwarded.sealed_text(time_left_ms));
   headers::set(request_headers, headers::CALLER_CLASS, &forwarded.class);
   headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
-  headers::set(request_headers, headers::PRIORITY, forwarded.priority);
-  if let Some(target_ms) = forwarded.target_ms {
-    headers::set(request_headers, headers::TARGET_MS, target_ms);
-  }
+  let urgency = forwarded.urgency;
+  headers::set(request_headers, headers::DUE_MS, urgency.due.since_ms(now));
+  headers::set(request_headers, headers::PATIENCE_MS, urgency.patience.since_ms(now));
+  headers::set(request_headers, headers::PRIORITY, urgency.priority);
   headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
   headers::set(request_headers, headers::SEAL, seal);
   headers::set(request_headers, headers::SERVICE, &forwarded.service);
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -15,14 +15,12 @@
   pub head: ForwardedHead,
   /// Its id.
   pub id: RequestId,
-  /// Its rank among the requests for a service, 0 first.
-  pub priority: u32,
   /// Whether it may run more than once.
   pub repeatable: bool,
-  /// Milliseconds within which its caller expects an answer.
-  pub target_ms: Option<u64>,
   /// The service that receives it.
   pub service: ServiceName,
+  /// How urgent it is.
+  pub urgency: Urgency,
   /// The version whose routes chose the service.
   pub version: Version,
 }
@@ -63,7 +61,7 @@
       self.version,
       self.repeatable,
       self.caller_service,
-      self.priority,
+      self.urgency.priority,
     )
   }
 }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -8,8 +8,10 @@
 pub const CALLER_SERVICE: &str = "x-ferryyoke-caller-service";
 /// The rank of a request among those for a service.
 pub const PRIORITY: &str = "x-ferryyoke-priority";
-/// Milliseconds within which the caller expects an answer.
-pub const TARGET_MS: &str = "x-ferryyoke-target-ms";
+/// Milliseconds after which the answer should be there.
+pub const DUE_MS: &str = "x-ferryyoke-due-ms";
+/// Milliseconds for which the request may wait for a slot.
+pub const PATIENCE_MS: &str = "x-ferryyoke-patience-ms";
 /// The caller's class, for fairness and histograms.
 pub const CALLER_CLASS: &str = "x-ferryyoke-caller-class";
 /// How many calls deep the request is.
--- a/src/proxy/held_slot.rs
+++ b/src/proxy/held_slot.rs
@@ -21,9 +21,9 @@
     let ticket = shared.names.ticket();
     let demand = Demand {
       class: forwarded.class.clone(),
-      deadline: forwarded.deadline,
-      priority: forwarded.priority,
-      target_ms: forwarded.target_ms,
+      due: forwarded.urgency.due,
+      patience: forwarded.urgency.patience,
+      priority: forwarded.urgency.priority,
     };
     let arrival = shared.limiter.borrow_mut().arrive(now, ticket, demand);
     match arrival {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,9 +12,10 @@
   requests::{
     Arrival, Attempt, AttemptOutcome, CallerClass, Choice, Claim, ClaimState, ClaimStep,
     ClaimTicket, Completion, Demand, RequestKey, RequestRecord, RouteMatch, Settlement, Ticket,
-    Verdict,
+    Urgency, Verdict,
   },
   store::Revision,
+  telemetry::Log,
   web::{AnyBody, Incoming, Mark, ResponseBody},
 };
 
--- a/src/requests/demand.rs
+++ b/src/requests/demand.rs
@@ -5,17 +5,17 @@
 pub struct Demand {
   /// The class of its caller.
   pub class: CallerClass,
-  /// When its answer is due at the latest.
-  pub deadline: Time,
+  /// When its answer should be there.
+  pub due: Time,
+  /// Until when it is worth waiting for a slot.
+  pub patience: Time,
   /// Its rank, 0 first.
   pub priority: u32,
-  /// Milliseconds within which its caller expects an answer; until the deadline where absent.
-  pub target_ms: Option<u64>,
 }
 
 impl Demand {
-  /// A request without rank or target.
+  /// A request without rank that waits as long as it may.
   pub fn new(class: CallerClass, deadline: Time) -> Self {
-    Self { class, deadline, priority: 0, target_ms: None }
+    Self { class, due: deadline, patience: deadline, priority: 0 }
   }
 }
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -30,9 +30,6 @@
 impl Limiter {
   /// Weight of the newest hold in the average.
   const HOLD_WEIGHT: f64 = 0.1;
-  /// The part of its target for which a request may wait. A caller that is refused within a quarter
-  /// can still be served in time elsewhere.
-  const PATIENCE_DIVISOR: u64 = 4;
 
   /// A limiter of so many slots, at which `queue_max` requests may wait.
   pub fn new(slots: usize, queue_max: usize) -> Self {
@@ -45,16 +42,13 @@
       self.running.insert(ticket, (demand.class, now));
       return Arrival::Admitted;
     }
-    let left_ms = demand.deadline.since_ms(now);
-    let target_ms = demand.target_ms.map(|target_ms| target_ms / Self::PATIENCE_DIVISOR);
-    let patience_ms = target_ms.unwrap_or(left_ms).min(left_ms);
+    let patience_ms = demand.patience.since_ms(now);
     let ahead = self.waiting.iter().filter(|one| one.priority <= demand.priority).count();
     let wait_ms = self.wait_behind_ms(ahead);
     if self.waiting.len() >= self.queue_max || wait_ms > patience_ms {
       return Arrival::Shed { retry_after_ms: wait_ms.max(1) };
     }
-    let due = demand.target_ms.map_or(demand.deadline, |target_ms| now.after(target_ms));
-    let (class, priority) = (demand.class, demand.priority);
+    let Demand { class, due, priority, .. } = demand;
     self.waiting.push(Waiting { class, due, priority, ticket });
     Arrival::Queued { patience_ms }
   }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -12,6 +12,7 @@
 
 pub use self::{
   arrival::Arrival,
+  at_work::AtWork,
   attempt::Attempt,
   attempt_outcome::AttemptOutcome,
   balancer::{Balancer, Choice},
@@ -33,10 +34,12 @@
   settlement::Settlement,
   splitter::Splitter,
   ticket::Ticket,
+  urgency::Urgency,
   verdict::Verdict,
 };
 
 mod arrival;
+mod at_work;
 mod attempt;
 mod attempt_outcome;
 mod balancer;
@@ -58,4 +61,5 @@
 mod settlement;
 mod splitter;
 mod ticket;
+mod urgency;
 mod verdict;
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -2,10 +2,7 @@
 
 mod support;
 
-use {
-  ferryyoke::fleet::EndpointState,
-  support::followers::Followers,
-};
+use {ferryyoke::fleet::EndpointState, support::followers::Followers};
 
 const BOXES: usize = 9;
 
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -3,7 +3,9 @@
 use {
   ferryyoke::{
     configuration::{Configuration, Source},
-    distribution::{Action, Distribution, Event, Follower, Identity, LinkId, Message, Moment, Timing},
+    distribution::{
+      Action, Distribution, Event, Follower, Identity, LinkId, Message, Moment, Timing,
+    },
     fleet::{Endpoint, EndpointState, Peer},
     standin::Keyspace,
     store::{self, Key, Refusal, Reply, StoreRequest},
