--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -97,12 +97,15 @@
     }
     match result {
       Ok(Reply::Entries { entries, revision }) => {
-        entries.iter().for_each(|entry| self.note_entry(entry));
+        for entry in entries {
+          self.note_entry(entry);
+        }
         self.wait_for_changes(*revision);
       }
       Ok(Reply::Changes { events, revision }) => {
-        let written: Vec<&Entry> = events.iter().filter_map(|event| event.entry.as_ref()).collect();
-        written.into_iter().for_each(|entry| self.note_entry(entry));
+        for entry in events.iter().filter_map(|event| event.entry.as_ref()) {
+          self.note_entry(entry);
+        }
         self.gather(*revision);
       }
       _ => self.back_off(result),
