Give what the parts of a daemon share a room below them

daemon, proxy and administration imported each other in a circle through daemon::Shared. node now holds what they share (settings, clock, names, store, state behind decisions, the distribution loop) and lies below proxy, administration and platform; daemon wires them to sockets. What concerns the backend server stands in a file of its own. No behaviour changes.

--- a/src/administration/changes.rs
+++ b/src/administration/changes.rs
@@ -10,15 +10,15 @@
 
 /// Makes the changes of a script one version, or shows what they would change.
 pub async fn make(
-  daemon: &Rc<Daemon>,
+  node: &Rc<Node>,
   bearer: &Bearer,
   script: &Script,
   request: StatementRequest,
 ) -> Result<Answer> {
-  let shared = &daemon.shared;
+  let shared = &node.shared;
   let held = shared.configuration().ok_or(Error::NoConfiguration)?;
-  let old = recall::versions(daemon, script).await?;
-  let boxes = boxes(daemon);
+  let old = recall::versions(node, script).await?;
+  let boxes = boxes(node);
   let author = bearer.author();
   let operations = Plan::steps(script, &held, &author, &boxes, &old)?;
   if operations.is_empty() {
@@ -36,24 +36,24 @@
     unix_ms: shared.now().unix_ms,
   };
   if script.dry_run {
-    return dry_run(daemon, &held, &change);
+    return dry_run(node, &held, &change);
   }
-  accept(daemon, held, change).await
+  accept(node, held, change).await
 }
 
 /// Services by the box that serves them.
-fn boxes(daemon: &Daemon) -> BTreeMap<BoxId, ServiceName> {
-  let distributor = daemon.distribution.distributor();
+fn boxes(node: &Node) -> BTreeMap<BoxId, ServiceName> {
+  let distributor = node.distribution.distributor();
   let endpoints = distributor.endpoints().iter();
   endpoints.map(|one| (one.peer.box_id.clone(), one.service.clone())).collect()
 }
 
 /// Shows the difference that a change would make and whom it concerns.
-fn dry_run(daemon: &Daemon, held: &Configuration, change: &Change) -> Result<Answer> {
+fn dry_run(node: &Node, held: &Configuration, change: &Change) -> Result<Answer> {
   let accepted = held.accept(change, &[]);
   let accepted = accepted.map_err(|err| Error::Change(err.into()))?;
   let next = held.apply(&accepted).map_err(|err| Error::Change(err.into()))?;
-  let boxes = daemon.distribution.distributor().endpoints().present().count();
+  let boxes = node.distribution.distributor().endpoints().present().count();
   let message = format!(
     "nothing was changed; the change holds on version {} and would concern {boxes} boxes",
     held.version
@@ -61,14 +61,14 @@
   Ok(Answer::table(message, questions::difference(held, &next)).at(held.version))
 }
 
-async fn accept(daemon: &Rc<Daemon>, held: Arc<Configuration>, change: Change) -> Result<Answer> {
-  let shared = &daemon.shared;
+async fn accept(node: &Rc<Node>, held: Arc<Configuration>, change: Change) -> Result<Answer> {
+  let shared = &node.shared;
   let id = change.id.clone();
   let deadline = shared.now().time.after(PATIENCE_MS);
   let acceptance = Acceptance::new(change, Some(held), deadline, shared.make_seed());
   match drive(shared, acceptance).await {
     Outcome::Accepted { version } => {
-      daemon.distribution.handle(Event::Accepted { version });
+      node.distribution.handle(Event::Accepted { version });
       info!(shared.log.logger, "a change was accepted"; "version" => version.0);
       prune(shared);
       Ok(Answer::done(format!("accepted as version {version} (change {id})")).at(version))
@@ -133,15 +133,15 @@
 }
 
 /// Writes the held version back to a store that knows only older ones.
-pub async fn restore_store(daemon: &Rc<Daemon>) -> Result<Answer> {
-  let shared = &daemon.shared;
+pub async fn restore_store(node: &Rc<Node>) -> Result<Answer> {
+  let shared = &node.shared;
   let held = shared.configuration().ok_or(Error::NoConfiguration)?;
-  check_newest(daemon, &held).await?;
+  check_newest(node, &held).await?;
   let known = recall::head(shared).await?;
   if known.as_ref().is_some_and(|(head, _)| head.version >= held.version) {
     return Ok(Answer::done("the store holds the newest version already").at(held.version));
   }
-  let history = daemon.distribution.distributor().catalog().history().to_vec();
+  let history = node.distribution.distributor().catalog().history().to_vec();
   let digest = held.digest();
   let key = keys::snapshot(held.version, &digest);
   let value = held.encode();
@@ -168,8 +168,8 @@
 }
 
 /// Only the newest version that any box holds may go back to the store.
-async fn check_newest(daemon: &Rc<Daemon>, held: &Configuration) -> Result {
-  let inquired = daemon.distribution.ask(FleetQuestion::Rollout).await;
+async fn check_newest(node: &Rc<Node>, held: &Configuration) -> Result {
+  let inquired = node.distribution.ask(FleetQuestion::Rollout).await;
   let newer = inquired.reports.iter().find_map(|report| match report {
     Report::Applied { box_id, version: Some(version), .. } if *version > held.version => {
       Some((box_id, version))
--- a/src/administration/mod.rs
+++ b/src/administration/mod.rs
@@ -1,15 +1,15 @@
-//! The administration API of a daemon: statements, health and metrics over HTTP.
+//! The administration API of a node: statements, health and metrics over HTTP.
 
 use super::*;
 
 use crate::{
   configuration::{Change, Configuration, Head, Object, ObjectName, Summary},
-  daemon::{Daemon, Shared},
   distribution::{
     Acceptance, AcceptanceStep, Archive, Event, Outcome, Question as FleetQuestion, Report, keys,
   },
   fleet::Endpoint,
   language::{Author, Document, Kind, Plan, Question, Script, Statement},
+  node::{Node, Shared},
   requests::RequestRecord,
   settings::Role,
   store::{Entry, Reply, StoreRequest},
--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -5,38 +5,38 @@
 use serde_json::{Value, json};
 
 /// Answers a question.
-pub async fn answer(daemon: &Rc<Daemon>, question: &Question) -> Result<Answer> {
+pub async fn answer(node: &Rc<Node>, question: &Question) -> Result<Answer> {
   match question {
-    Question::Change(id) => change(daemon, id).await,
+    Question::Change(id) => change(node, id).await,
     Question::Difference(from, to) => {
-      let from = recall::version_of(&daemon.shared, *from).await?;
-      let to = recall::version_of(&daemon.shared, *to).await?;
+      let from = recall::version_of(&node.shared, *from).await?;
+      let to = recall::version_of(&node.shared, *to).await?;
       Ok(Answer::table("", difference(&from, &to)).at(to.version))
     }
     Question::Explain { headers, host, method, path } => {
-      why::explain(daemon, method, host, path, headers)
+      why::explain(node, method, host, path, headers)
     }
     Question::Export => {
-      let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+      let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
       let document = serde_json::to_value(Document::of(&held)).expect("plain data");
       Ok(Answer { document: Some(document), ..Answer::done("") }.at(held.version))
     }
-    Question::Fleet => Ok(fleet(daemon).await),
-    Question::History(count) => Ok(history(daemon, *count)),
-    Question::Rollout(version) => rollout(daemon, *version).await,
-    Question::Show(kind, filters) => show(daemon, *kind, filters),
-    Question::ShowOne(name) => show_one(daemon, name),
-    Question::Status => Ok(status(daemon)),
-    Question::WhyBox(box_id, route) => why::box_holds(daemon, box_id, route).await,
-    Question::WhyRequest(id) => why::request(daemon, id).await,
+    Question::Fleet => Ok(fleet(node).await),
+    Question::History(count) => Ok(history(node, *count)),
+    Question::Rollout(version) => rollout(node, *version).await,
+    Question::Show(kind, filters) => show(node, *kind, filters),
+    Question::ShowOne(name) => show_one(node, name),
+    Question::Status => Ok(status(node)),
+    Question::WhyBox(box_id, route) => why::box_holds(node, box_id, route).await,
+    Question::WhyRequest(id) => why::request(node, id).await,
   }
 }
 
 /// What became of a change: the store knows best, and the held history serves while it is silent.
-async fn change(daemon: &Daemon, id: &ChangeId) -> Result<Answer> {
-  let asked = recall::head(&daemon.shared).await;
+async fn change(node: &Node, id: &ChangeId) -> Result<Answer> {
+  let asked = recall::head(&node.shared).await;
   let from_store = asked.as_ref().ok().and_then(Option::as_ref);
-  let held = daemon.distribution.distributor().catalog().history().to_vec();
+  let held = node.distribution.distributor().catalog().history().to_vec();
   let history = from_store.map_or(&held, |(head, _)| &head.history);
   if let Some(summary) = history.iter().find(|summary| summary.id == *id) {
     let mut table = summaries_table();
@@ -121,8 +121,8 @@
   ]);
 }
 
-fn history(daemon: &Daemon, count: u32) -> Answer {
-  let distributor = daemon.distribution.distributor();
+fn history(node: &Node, count: u32) -> Answer {
+  let distributor = node.distribution.distributor();
   let mut table = summaries_table();
   for summary in distributor.catalog().history().iter().rev().take(count as usize) {
     add_summary(&mut table, summary);
@@ -130,8 +130,8 @@
   Answer::table("", table)
 }
 
-fn show(daemon: &Daemon, kind: Kind, filters: &[(String, String)]) -> Result<Answer> {
-  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+fn show(node: &Node, kind: Kind, filters: &[(String, String)]) -> Result<Answer> {
+  let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
   let mut table = Table::new(&["name", "revision", "fields"]);
   for name in held.object_names().into_iter().filter(|name| Kind::of_object(name) == kind) {
     let Some(object) = held.object(&name) else {
@@ -155,8 +155,8 @@
   })
 }
 
-fn show_one(daemon: &Daemon, name: &ObjectName) -> Result<Answer> {
-  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+fn show_one(node: &Node, name: &ObjectName) -> Result<Answer> {
+  let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
   let unknown =
     || Error::Unknown { what: format!("there is no {name} in version {}", held.version) };
   let object = held.object(name).ok_or_else(unknown)?;
@@ -168,16 +168,16 @@
   Ok(Answer::table("", table).at(held.version))
 }
 
-fn status(daemon: &Daemon) -> Answer {
-  let status = daemon.distribution.distributor().status();
-  let limiter = daemon.shared.limiter.borrow();
+fn status(node: &Node) -> Answer {
+  let status = node.distribution.distributor().status();
+  let limiter = node.shared.limiter.borrow();
   let mut table = Table::new(&["field", "value"]);
   if let Ok(Value::Object(fields)) = serde_json::to_value(&status) {
     for (field, value) in fields.into_iter().filter(|(field, _)| field != "relays") {
       table.add([json!(field), value]);
     }
   }
-  table.add([json!("box"), json!(daemon.shared.settings.box_id)]);
+  table.add([json!("box"), json!(node.shared.settings.box_id)]);
   table.add([json!("requests_running"), json!(limiter.running())]);
   table.add([json!("requests_waiting"), json!(limiter.waiting())]);
   Answer::table("", table)
@@ -185,9 +185,9 @@
 
 /// Which version each box applies, as the relays know it, by box.
 async fn applied(
-  daemon: &Rc<Daemon>,
+  node: &Rc<Node>,
 ) -> (BTreeMap<BoxId, (Option<Version>, u64, Option<String>)>, usize) {
-  let inquired = daemon.distribution.ask(FleetQuestion::Rollout).await;
+  let inquired = node.distribution.ask(FleetQuestion::Rollout).await;
   let mut boxes = BTreeMap::new();
   for report in inquired.reports {
     if let Report::Applied { box_id, refusal, unix_ms, version } = report {
@@ -200,12 +200,12 @@
   (boxes, inquired.missing)
 }
 
-async fn rollout(daemon: &Rc<Daemon>, version: Option<Version>) -> Result<Answer> {
-  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+async fn rollout(node: &Rc<Node>, version: Option<Version>) -> Result<Answer> {
+  let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
   let version = version.unwrap_or(held.version);
-  let (boxes, missing) = applied(daemon).await;
+  let (boxes, missing) = applied(node).await;
   let endpoints: Vec<Endpoint> =
-    daemon.distribution.distributor().endpoints().present().cloned().collect();
+    node.distribution.distributor().endpoints().present().cloned().collect();
   let mut table = Table::new(&["box", "data_hall", "applies", "version", "unix_ms", "why"]);
   let mut applying = 0;
   for endpoint in &endpoints {
@@ -235,9 +235,9 @@
   Ok(Answer::table(message, table).at(version))
 }
 
-async fn fleet(daemon: &Rc<Daemon>) -> Answer {
-  let (boxes, _) = applied(daemon).await;
-  let distributor = daemon.distribution.distributor();
+async fn fleet(node: &Rc<Node>) -> Answer {
+  let (boxes, _) = applied(node).await;
+  let distributor = node.distribution.distributor();
   let relays = distributor.status().relays;
   let mut table = Table::new(&[
     "box",
--- a/src/administration/recall.rs
+++ b/src/administration/recall.rs
@@ -34,13 +34,13 @@
 
 /// The older versions that a script's rollbacks name.
 pub async fn versions(
-  daemon: &Daemon,
+  node: &Node,
   script: &Script,
 ) -> Result<BTreeMap<Version, Arc<Configuration>>> {
   let mut found = BTreeMap::new();
   for statement in &script.statements {
     if let Statement::Rollback(version) = statement {
-      found.insert(*version, version_of(&daemon.shared, *version).await?);
+      found.insert(*version, version_of(&node.shared, *version).await?);
     }
   }
   Ok(found)
--- a/src/administration/why.rs
+++ b/src/administration/why.rs
@@ -5,21 +5,21 @@
 use serde_json::json;
 
 /// Why a box holds a route.
-pub async fn box_holds(daemon: &Rc<Daemon>, box_id: &BoxId, route: &RouteName) -> Result<Answer> {
-  let held = daemon.shared.configuration().ok_or(Error::NoConfiguration)?;
+pub async fn box_holds(node: &Rc<Node>, box_id: &BoxId, route: &RouteName) -> Result<Answer> {
+  let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
   let name = ObjectName::Route(route.clone());
   let mut table = Table::new(&["fact", "value"]);
   if let Some(revision) = held.revision(&name) {
     table.add([json!("route"), json!(name.to_string())]);
     table.add([json!("changed last in version"), json!(revision)]);
-    add_author(&mut table, daemon, revision);
+    add_author(&mut table, node, revision);
   } else {
     let known: Vec<&str> = held.routes.keys().map(RouteName::as_str).collect();
     let what = format!("there is no {name} in version {}: see {}", held.version, known.join(", "));
     return Err(Error::Unknown { what });
   }
   let question = FleetQuestion::Held { box_id: box_id.clone() };
-  let inquired = daemon.distribution.ask(question).await;
+  let inquired = node.distribution.ask(question).await;
   let report = inquired.reports.into_iter().find_map(|report| match report {
     Report::Held { box_id: found, provenance, refusals, store_age_ms, version }
       if found == *box_id =>
@@ -29,7 +29,7 @@
     _ => None,
   });
   let Some((provenance, refusals, store_age_ms, version)) = report else {
-    let known = daemon.distribution.distributor().endpoints().get(box_id).map(|one| one.state);
+    let known = node.distribution.distributor().endpoints().get(box_id).map(|one| one.state);
     let state = known.map_or("unknown to the fleet".into(), |state| state.to_string());
     return Err(Error::Unknown {
       what: format!("box {box_id} does not answer; it is {state}, and what it holds is lost"),
@@ -52,8 +52,8 @@
   Ok(Answer::table("", table).at(held.version))
 }
 
-fn add_author(table: &mut Table, daemon: &Daemon, revision: Version) {
-  let distributor = daemon.distribution.distributor();
+fn add_author(table: &mut Table, node: &Node, revision: Version) {
+  let distributor = node.distribution.distributor();
   let history = distributor.catalog().history();
   let Some(summary) = history.iter().find(|summary| summary.version == revision) else {
     table.add([json!("changed by"), json!("history no longer tells")]);
@@ -68,8 +68,8 @@
 }
 
 /// What became of a request, whichever daemon carried it.
-pub async fn request(daemon: &Rc<Daemon>, id: &RequestId) -> Result<Answer> {
-  let inquired = daemon.distribution.ask(FleetQuestion::Request { id: id.clone() }).await;
+pub async fn request(node: &Rc<Node>, id: &RequestId) -> Result<Answer> {
+  let inquired = node.distribution.ask(FleetQuestion::Request { id: id.clone() }).await;
   let mut records: Vec<RequestRecord> = inquired
     .reports
     .into_iter()
@@ -80,7 +80,7 @@
     .collect();
   records.sort_by_key(|record| record.unix_ms);
   if records.is_empty() {
-    return Err(Error::Unknown { what: lost(daemon, id, inquired.missing) });
+    return Err(Error::Unknown { what: lost(node, id, inquired.missing) });
   }
   let mut table = Table::new(&["step", "what"]);
   for record in &records {
@@ -91,8 +91,8 @@
 }
 
 /// Says why nobody remembers a request.
-fn lost(daemon: &Daemon, id: &RequestId, missing: usize) -> String {
-  let distributor = daemon.distribution.distributor();
+fn lost(node: &Node, id: &RequestId, missing: usize) -> String {
+  let distributor = node.distribution.distributor();
   let named = |endpoint: &&Endpoint| {
     let prefix = format!("{}-", endpoint.peer.box_id);
     id.as_str().starts_with(&prefix)
@@ -141,13 +141,13 @@
 
 /// Where a request would go.
 pub fn explain(
-  daemon: &Daemon,
+  node: &Node,
   method: &str,
   host: &str,
   path: &str,
   headers: &[(String, String)],
 ) -> Result<Answer> {
-  let shared = &daemon.shared;
+  let shared = &node.shared;
   let held = shared.configuration().ok_or(Error::NoConfiguration)?;
   let malformed = |what: &str| Error::Call { reason: format!("{what} is malformed") };
   let method: Method = method.parse().map_err(|_| malformed("the method"))?;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,8 +4,9 @@
 
 use crate::{
   administration::{Answer, AnswerOutcome, StatementRequest},
-  daemon::{self, Daemon, Listeners, SystemClock, signals::Signals},
+  daemon::{self, Daemon, Listeners, signals::Signals},
   dev,
+  node::SystemClock,
   settings::Settings,
   standin,
   telemetry::{Log, Outlet},
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -5,11 +5,9 @@
 /// A running daemon.
 pub struct Daemon {
   callers: Rc<Server>,
-  /// What the daemon does for distribution.
-  pub distribution: Rc<DistributionLoop>,
   forward: Rc<Server>,
-  /// What its parts share.
-  pub shared: Rc<Shared>,
+  /// What its servers work on.
+  pub node: Rc<Node>,
 }
 
 impl Daemon {
@@ -44,96 +42,26 @@
     let serving = shared.clone();
     let forward =
       Server::start(listeners.forward, move |request| proxy::serve_peer(serving.clone(), request));
-    let daemon = Rc::new(Self { callers, distribution, forward, shared: shared.clone() });
-    let serving = daemon.clone();
+    let node = Rc::new(Node { distribution, shared: shared.clone() });
+    let daemon = Rc::new(Self { callers, forward, node: node.clone() });
+    let serving = node.clone();
     Server::start(listeners.administration, move |request| {
       administration::serve(serving.clone(), request)
     });
     match listeners.deployment {
       None => {
-        monoio::spawn(health::watch(shared.clone(), daemon.distribution.clone()));
+        monoio::spawn(health::watch(shared.clone(), node.distribution.clone()));
       }
-      Some(listeners) => daemon.serve_platform(listeners),
+      Some(listeners) => serve_platform(&node, listeners),
     }
     info!(shared.log.logger, "the daemon runs"; "box" => shared.settings.box_id.as_str());
     daemon
   }
 
-  fn serve_platform(self: &Rc<Self>, listeners: DeploymentListeners) {
-    let serving = self.clone();
-    Server::start(listeners.control, move |request| {
-      platform::serve_control(serving.clone(), request)
-    });
-    let serving = self.clone();
-    Server::start(listeners.readiness, move |request| {
-      platform::serve_readiness(serving.clone(), request)
-    });
-    let serving = self.shared.clone();
-    Server::start(listeners.metrics, move |_| {
-      let text = serving.metrics.encode();
-      async move { web::text(http::StatusCode::OK, text) }
-    });
-    monoio::spawn(health::find_instance(self.clone()));
-  }
-
-  /// The backend server reported.
-  pub fn backend_reported(&self, report: &BackendReport) {
-    let shared = &self.shared;
-    let now = shared.now().time;
-    let before = shared.backend_state();
-    if !shared.backend.borrow_mut().reported(now, report) {
-      debug!(
-        shared.log.logger, "a late report of a backend server was passed over";
-        "instance" => report.instance.as_str(), "sequence" => report.sequence
-      );
-      return;
-    }
-    let admitted = shared.limiter.borrow_mut().set_slots(now, report.slots as usize);
-    for ticket in admitted {
-      shared.admit(ticket);
-    }
-    let (service, slots) = (report.service.clone(), report.slots);
-    self.distribution.handle(Event::EndpointServes { service, slots });
-    self.announce_backend(before, &report.instance, report.sequence);
-  }
-
-  /// The backend server said that it goes.
-  pub fn backend_deregistered(&self, instance: &InstanceId) {
-    let before = self.shared.backend_state();
-    self.shared.backend.borrow_mut().deregistered(instance);
-    self.announce_backend(before, instance, 0);
-  }
-
-  /// The health endpoint answered for a process.
-  pub fn backend_probed(&self, instance: &InstanceId) {
-    let before = self.shared.backend_state();
-    self.shared.backend.borrow_mut().probed(instance.clone());
-    self.announce_backend(before, instance, 0);
-  }
-
-  /// Tells the fleet, and the log, what the backend server can do from now on.
-  fn announce_backend(&self, before: BackendState, instance: &InstanceId, sequence: u64) {
-    let shared = &self.shared;
-    let state = shared.backend_state();
-    if state != before {
-      info!(
-        shared.log.logger, "the backend server changed its state";
-        "instance" => instance.as_str(), "sequence" => sequence,
-        "before" => ?before, "state" => ?state
-      );
-    }
-    if shared.is_stopping() {
-      return;
-    }
-    let announced =
-      if state == BackendState::Ready { EndpointState::Live } else { EndpointState::Draining };
-    self.distribution.handle(Event::EndpointState(announced));
-  }
-
   /// Takes over what may change while the daemon runs, and says what waits for a restart. Settings
   /// that cannot be read change nothing.
   pub fn reload(&self, read: crate::settings::Result<Settings>) {
-    let shared = &self.shared;
+    let shared = &self.node.shared;
     let fresh = match read {
       Ok(fresh) => fresh,
       Err(err) => {
@@ -152,11 +80,11 @@
   /// Stops as planned: tells the fleet, finishes what is under way, and takes nothing new. Returns
   /// the connections that were cut at the deadline.
   pub async fn stop(&self) -> usize {
-    let shared = &self.shared;
+    let shared = &self.node.shared;
     let started = shared.now().time;
     info!(shared.log.logger, "a planned stop begins");
     shared.start_stopping();
-    self.distribution.handle(Event::EndpointState(EndpointState::Leaving));
+    self.node.distribution.handle(Event::EndpointState(EndpointState::Leaving));
     monoio::time::sleep(Duration::from_millis(Self::ANNOUNCE_MS)).await;
     shared.refuse_work();
     self.callers.stop();
@@ -179,6 +107,24 @@
   }
 }
 
+/// Serves what only a platform calls.
+fn serve_platform(node: &Rc<Node>, listeners: DeploymentListeners) {
+  let serving = node.clone();
+  Server::start(listeners.control, move |request| {
+    platform::serve_control(serving.clone(), request)
+  });
+  let serving = node.clone();
+  Server::start(listeners.readiness, move |request| {
+    platform::serve_readiness(serving.clone(), request)
+  });
+  let serving = node.shared.clone();
+  Server::start(listeners.metrics, move |_| {
+    let text = serving.metrics.encode();
+    async move { web::text(http::StatusCode::OK, text) }
+  });
+  monoio::spawn(health::find_instance(node.clone()));
+}
+
 /// The state machine that brings configuration and news: by relays where the fleet accepts changes
 /// itself, and straight from the store where a platform's operators write them there.
 fn distribution(shared: &Shared) -> Box<dyn Distribution> {
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -50,11 +50,11 @@
 
 /// Finds out which process of the backend server runs, until it reported by itself. A daemon that
 /// was started anew need not wait for the next report.
-pub async fn find_instance(daemon: Rc<Daemon>) {
-  let shared = &daemon.shared;
+pub async fn find_instance(node: Rc<Node>) {
+  let shared = &node.shared;
   while shared.backend.borrow().instance().is_none() {
     if let Some(instance) = ask_instance(shared).await {
-      daemon.backend_probed(&instance);
+      node.backend_probed(&instance);
     }
     monoio::time::sleep(Duration::from_millis(FIND_PERIOD_MS)).await;
   }
--- a/src/dev/dev_box.rs
+++ b/src/dev/dev_box.rs
@@ -11,22 +11,22 @@
 impl DevBox {
   /// Where the daemon takes statements.
   pub fn administration(&self) -> SocketAddr {
-    self.daemon.shared.settings.addresses.administration
+    self.daemon.node.shared.settings.addresses.administration
   }
 
   /// The box's name.
   pub fn box_id(&self) -> &BoxId {
-    &self.daemon.shared.settings.box_id
+    &self.daemon.node.shared.settings.box_id
   }
 
   /// Where the daemon takes callers.
   pub fn callers(&self) -> SocketAddr {
-    self.daemon.shared.settings.addresses.callers
+    self.daemon.node.shared.settings.addresses.callers
   }
 
   /// The service that the box serves.
   pub fn service(&self) -> &ServiceName {
-    &self.daemon.shared.settings.service
+    &self.daemon.node.shared.settings.service
   }
 
   /// States a script to the daemon.
--- a/src/dev/mesh.rs
+++ b/src/dev/mesh.rs
@@ -78,7 +78,7 @@
   pub async fn settle(&self) -> Result {
     self
       .wait_for("every box to hold a configuration", || {
-        self.boxes.iter().all(|one| one.daemon.shared.configuration().is_some())
+        self.boxes.iter().all(|one| one.daemon.node.shared.configuration().is_some())
       })
       .await?;
     let answer = self.boxes[0].state(Self::CONFIGURATION).await?;
@@ -89,7 +89,7 @@
 
   fn all_are_live(&self) -> bool {
     let knows_all = |one: &DevBox| {
-      let distributor = one.daemon.distribution.distributor();
+      let distributor = one.daemon.node.distribution.distributor();
       let live = distributor
         .endpoints()
         .iter()
@@ -103,10 +103,9 @@
   pub async fn wait_for_version(&self, version: Version) -> Result {
     self
       .wait_for(&format!("every box to apply version {version}"), || {
-        self
-          .boxes
-          .iter()
-          .all(|one| one.daemon.shared.configuration().is_some_and(|held| held.version >= version))
+        self.boxes.iter().all(|one| {
+          one.daemon.node.shared.configuration().is_some_and(|held| held.version >= version)
+        })
       })
       .await
   }
@@ -181,7 +180,7 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     writeln!(f, "{:20} {:12} {:22} {:22}", "box", "data hall", "callers", "administration")?;
     for one in &self.boxes {
-      let data_hall = &one.daemon.shared.settings.data_hall;
+      let data_hall = &one.daemon.node.shared.settings.data_hall;
       let (callers, administration) = (one.callers(), one.administration());
       writeln!(f, "{:20} {data_hall:12} {callers:<22} {administration:<22}", one.box_id())?;
     }
--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -5,8 +5,9 @@
 use crate::{
   administration::{Answer, AnswerOutcome, StatementRequest},
   commands::query,
-  daemon::{Daemon, Listeners, SystemClock, signals::Signals},
+  daemon::{Daemon, Listeners, signals::Signals},
   fleet::Peer,
+  node::SystemClock,
   proxy::headers,
   settings::Settings,
   standin::{BackendServer, StoreServer},
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod fleet;
 pub mod language;
 pub mod links;
+pub mod node;
 pub mod platform;
 pub mod proxy;
 pub mod requests;
--- a/src/proxy/dialect.rs
+++ b/src/node/dialect.rs
@@ -1,5 +1,12 @@
+//! The header names that others use, and the two of the product's own that they stand beside.
+
 use super::*;
 
+/// The id of a request.
+pub const REQUEST_ID: &str = "x-ferryyoke-request-id";
+/// Milliseconds left until the answer is due.
+pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
+
 /// The header names that callers and backend servers use beside the product's own.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -30,9 +37,9 @@
       instance: None,
       not_run: None,
       reported_load: None,
-      request_id: HeaderName::from_static(headers::REQUEST_ID),
+      request_id: HeaderName::from_static(REQUEST_ID),
       retry_after_fractions: false,
-      time_left_ms: HeaderName::from_static(headers::TIME_LEFT_MS),
+      time_left_ms: HeaderName::from_static(TIME_LEFT_MS),
     }
   }
 }
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,44 @@
+//! What the parts of a daemon share: settings, clock, log, store, and the state behind decisions.
+//!
+//! It lies below `proxy`, `administration` and `platform`, which all work on it, and below `daemon`,
+//! which wires them to sockets.
+
+use super::*;
+
+use crate::{
+  configuration::{Configuration, Policy},
+  distribution::{
+    Action, Distribution, Distributor, Event, LinkId, Message, Moment, Question, Report,
+  },
+  fleet::{BackendRecord, BackendReport, BackendState, Endpoint, EndpointState, Peer},
+  links::{self, Credentials, IncomingFrames, Outgoing},
+  requests::{
+    AtWork, Balancer, Limiter, RecordBook, RequestRecord, RetryBudget, RetryLimits, Router,
+    Splitter, Ticket,
+  },
+  settings::Settings,
+  store::{self, Reply, Store, StoreRequest},
+  telemetry::{Log, Metrics},
+  web::{self, Listener, ServerLimits},
+};
+
+pub use self::{
+  clock::Clock,
+  dialect::Dialect,
+  distribution_loop::{DistributionLoop, Inquired},
+  names::Names,
+  node::Node,
+  shared::Shared,
+  system_clock::SystemClock,
+};
+
+mod backend_side;
+mod clock;
+pub mod dialect;
+mod distribution_loop;
+mod names;
+#[allow(clippy::module_inception)]
+mod node;
+mod open_link;
+mod shared;
+mod system_clock;
--- a/src/daemon/shared.rs
+++ b/src/node/shared.rs
@@ -32,7 +32,7 @@
   pub peer_pool: Rc<web::Pool>,
   /// What became of the last requests.
   pub records: RefCell<RecordBook>,
-  refuses_work: Cell<bool>,
+  pub(super) refuses_work: Cell<bool>,
   /// Randomness for decisions.
   pub rng: RefCell<ChaCha8Rng>,
   router: RefCell<Rc<Router>>,
@@ -99,13 +99,6 @@
     }
   }
 
-  /// Gives a waiting request its slot.
-  pub fn admit(&self, ticket: Ticket) {
-    if let Some(admit) = self.waiting.borrow_mut().remove(&ticket) {
-      admit.send(()).ok();
-    }
-  }
-
   /// Puts a configuration in force, with the routes of one version at once.
   pub fn apply(&self, configuration: Arc<Configuration>) {
     let queue = configuration.policy_of(&self.settings.service).map(|policy| policy.queue_length);
@@ -172,27 +165,11 @@
     *self.endpoints.borrow_mut() = shared.collect();
   }
 
-  /// Milliseconds until a request that arrives now would have a slot.
-  pub fn expected_wait_ms(&self) -> u64 {
-    self.limiter.borrow().expected_wait_ms()
-  }
-
   /// Whether the daemon is on its way out.
   pub fn is_stopping(&self) -> bool {
     self.stopping.get()
   }
 
-  /// Requests running and waiting at the backend server.
-  pub fn load(&self) -> (usize, usize) {
-    let limiter = self.limiter.borrow();
-    (limiter.running(), limiter.waiting())
-  }
-
-  /// Requests running and waiting at the backend server, in percent of its slots.
-  pub fn load_percent(&self) -> u32 {
-    self.limiter.borrow().load_percent()
-  }
-
   /// Logs what became of a request, and what decided it.
   pub fn log_request(&self, record: &RequestRecord) {
     let last = record.attempts.last();
@@ -217,30 +194,6 @@
     }
   }
 
-  /// Whether the backend server takes work. Where it does not report by itself, its health endpoint
-  /// decides, and the announced state keeps others away.
-  pub fn backend_state(&self) -> BackendState {
-    if self.settings.deployment.is_none() {
-      return BackendState::Ready;
-    }
-    self.backend.borrow().state()
-  }
-
-  /// The backend server is not where it was.
-  pub fn backend_vanished(&self, reason: &str) {
-    let before = self.backend_state();
-    self.backend.borrow_mut().vanished();
-    if self.backend_state() != before {
-      warn!(self.log.logger, "the backend server is not known to be up"; "reason" => reason);
-    }
-  }
-
-  /// The service that the backend server of this box serves.
-  pub fn own_service(&self) -> ServiceName {
-    let reported = self.backend.borrow().service().cloned();
-    reported.unwrap_or_else(|| self.settings.service.clone())
-  }
-
   /// Why the daemon should not get callers; nothing where it should.
   pub fn why_not_ready(&self) -> Option<&'static str> {
     if self.is_stopping() {
@@ -285,14 +238,4 @@
   pub fn start_stopping(&self) {
     self.stopping.set(true);
   }
-
-  /// From now on the daemon hands nothing new to its backend server.
-  pub fn refuse_work(&self) {
-    self.refuses_work.set(true);
-  }
-
-  /// Whether the daemon hands nothing new to its backend server.
-  pub fn takes_no_work(&self) -> bool {
-    self.refuses_work.get()
-  }
 }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -32,18 +32,18 @@
 }
 
 /// Tells the platform whether the daemon takes callers.
-pub async fn serve_readiness<B>(daemon: Rc<Daemon>, request: Request<B>) -> Response<AnyBody> {
+pub async fn serve_readiness<B>(node: Rc<Node>, request: Request<B>) -> Response<AnyBody> {
   if request.uri().path() != "/ferryyoke/ready" {
     return web::text(StatusCode::NOT_FOUND, "give GET /ferryyoke/ready");
   }
-  match daemon.shared.why_not_ready() {
+  match node.shared.why_not_ready() {
     None => web::text(StatusCode::OK, "ready"),
     Some(reason) => web::text(StatusCode::SERVICE_UNAVAILABLE, reason),
   }
 }
 
 /// Takes the reports of the backend server.
-pub async fn serve_control(daemon: Rc<Daemon>, request: Request<Incoming>) -> Response<AnyBody> {
+pub async fn serve_control(node: Rc<Node>, request: Request<Incoming>) -> Response<AnyBody> {
   let path = request.uri().path().to_string();
   let Some(call) = path.strip_prefix("/ferryyoke/instances/") else {
     return web::text(StatusCode::NOT_FOUND, "give POST /ferryyoke/instances/ID/heartbeat");
@@ -52,9 +52,9 @@
     return web::text(StatusCode::BAD_REQUEST, "the path lacks an instance or a call");
   };
   match call {
-    "heartbeat" => heartbeat(&daemon, instance, request).await,
+    "heartbeat" => heartbeat(&node, instance, request).await,
     "deregister" => {
-      daemon.backend_deregistered(&instance);
+      node.backend_deregistered(&instance);
       web::text(StatusCode::OK, "{}")
     }
     _ => web::text(StatusCode::NOT_FOUND, "give heartbeat or deregister"),
@@ -62,7 +62,7 @@
 }
 
 async fn heartbeat(
-  daemon: &Daemon,
+  node: &Node,
   instance: InstanceId,
   request: Request<Incoming>,
 ) -> Response<AnyBody> {
@@ -74,7 +74,7 @@
     Ok(read) => read,
     Err(err) => return web::text(StatusCode::BAD_REQUEST, err.to_string()),
   };
-  daemon.backend_reported(&BackendReport {
+  node.backend_reported(&BackendReport {
     cold_left_ms: read.status.cold_left,
     instance,
     leaving: read.status.state != "ready",
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,9 +10,8 @@
     CallerLimits, Configuration, Handling, Patch, Policy, Revised, Route, Service, Source,
     WeightedService,
   },
-  daemon::Daemon,
   fleet::BackendReport,
-  proxy::Dialect,
+  node::{Dialect, Node},
   store::{
     self, Entry, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store, StoreRequest,
   },
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+pub use crate::node::dialect::{REQUEST_ID, TIME_LEFT_MS};
+
 /// On a refusal between daemons: the request reached the backend server, which rejected it.
 pub const ARRIVED: &str = "x-ferryyoke-arrived";
 /// The service from which a request comes.
@@ -26,16 +28,12 @@
 pub const REPLAYED: &str = "x-ferryyoke-replayed";
 /// Between daemons: whether the request may run more than once.
 pub const REPEATABLE: &str = "x-ferryyoke-repeatable";
-/// Names the request through the whole mesh.
-pub const REQUEST_ID: &str = "x-ferryyoke-request-id";
 /// On a refusal: milliseconds after which to come back.
 pub const RETRY_AFTER_MS: &str = "x-ferryyoke-retry-after-ms";
 /// Between daemons: proves that a daemon of the fleet forwarded the request.
 pub const SEAL: &str = "x-ferryyoke-seal";
 /// Between daemons: the service that the request is for.
 pub const SERVICE: &str = "x-ferryyoke-service";
-/// Milliseconds that the request may still take.
-pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
 /// The configuration version that routed the request.
 pub const VERSION: &str = "x-ferryyoke-version";
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,8 +7,8 @@
 use super::*;
 
 use crate::{
-  daemon::Shared,
   fleet::{BackendState, Endpoint, EndpointState},
+  node::Shared,
   requests::{
     Arrival, Attempt, AttemptOutcome, CallerClass, Choice, Claim, ClaimState, ClaimStep,
     ClaimTicket, Completion, Demand, RequestKey, RequestRecord, RouteMatch, Settlement, Ticket,
@@ -19,7 +19,7 @@
   web::{AnyBody, Incoming, Mark, ResponseBody},
 };
 
-pub use self::{carry::serve_caller, dialect::Dialect, egress::serve_peer};
+pub use self::{carry::serve_caller, egress::serve_peer};
 
 use self::{
   attempt_result::AttemptResult, forwarded::Forwarded, guarded_body::GuardedBody,
@@ -29,7 +29,6 @@
 
 mod attempt_result;
 mod carry;
-mod dialect;
 mod egress;
 mod forward;
 mod forwarded;
