--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -198,7 +198,7 @@
   assert!(record.reported(Time(2), &report("i-2", 1, false)), "its successor");
   assert_eq!(record.state(), BackendState::Ready);
   assert!(!record.reported(Time(3), &report("i-1", 9, false)), "the one before it, late");
-  assert_eq!(record.instance().map(|one| one.as_str()), Some("i-2"));
+  assert_eq!(record.instance().map(ferryyoke::values::InstanceId::as_str), Some("i-2"));
 }
 
 #[test]
@@ -211,5 +211,5 @@
   assert!(record.reported(Time(0), &report("i-1", 3, false)));
   assert_eq!(record.state(), BackendState::Ready);
   record.probed("i-9".parse().expect("a name"));
-  assert_eq!(record.instance().map(|one| one.as_str()), Some("i-1"));
+  assert_eq!(record.instance().map(ferryyoke::values::InstanceId::as_str), Some("i-1"));
 }
