End a planned stop before its deadline, and announce short ones for a third of it

Change: a stop ends 300 ms before its deadline; the announcement takes a third of it, two seconds at most.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -11,9 +11,11 @@
 }
 
 impl Daemon {
-  /// Milliseconds between the announcement of a planned stop and the end of new work: what other
-  /// daemons need to hear of it.
-  const ANNOUNCE_MS: u64 = 2_000;
+  /// Longest time in milliseconds between the announcement of a planned stop and the end of new work:
+  /// what other daemons need to hear of it. A short stop announces itself for a third of its time.
+  const ANNOUNCE_MAX_MS: u64 = 2_000;
+  /// Milliseconds before its deadline at which a stop ends, so that the process exits by itself.
+  const EXIT_MS: u64 = 300;
   /// Milliseconds between two looks at what is still under way.
   const LOOK_MS: u64 = 20;
 
@@ -85,12 +87,14 @@
     info!(shared.log.logger, "a planned stop begins");
     shared.start_stopping();
     self.node.distribution.handle(Event::EndpointState(EndpointState::Leaving));
-    monoio::time::sleep(Duration::from_millis(Self::ANNOUNCE_MS)).await;
+    let deadline_ms = shared.settings.stop_deadline_ms;
+    let announce_ms = Self::ANNOUNCE_MAX_MS.min(deadline_ms / 3);
+    monoio::time::sleep(Duration::from_millis(announce_ms)).await;
     shared.refuse_work();
     self.callers.stop();
     self.forward.stop();
     while self.open() > 0 {
-      if shared.now().time.since_ms(started) >= shared.settings.stop_deadline_ms {
+      if shared.now().time.since_ms(started) + Self::EXIT_MS >= deadline_ms {
         let cut = self.open();
         warn!(shared.log.logger, "the stop's deadline cuts connections"; "connections" => cut);
         return cut;
