Count only a neighbour that watches the store itself as fresh

All of a data hall got the change 2.4 to 6 s late, at one moment, while its watchers held it after 0.2 s.

Ruled out: the size of the update (68 KB on 200 Mbit/s), lost updates (nobody asked for one), the store.

Change: a beat tells an age only where its sender watches the store at present and is served; a daemon that is not cut off leaves a neighbour that is no watcher for one that is. An answer of 500 that nobody else betters is passed on as it was.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -135,7 +135,10 @@
       }
       return;
     }
-    self.confirmed_at = Some(now);
+    // Other calls tell nothing of what the watch would.
+    if !matches!(self.watch, WatchPhase::Resting { .. }) {
+      self.confirmed_at = Some(now);
+    }
     let Some(since) = self.failing_since.take() else {
       return;
     };
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -30,7 +30,10 @@
     self.avoided.retain(|_, until| now < *until);
     self.close_silent_links();
     self.catch_up();
-    if self.failing_since.is_some() || !self.is_watcher() {
+    if self.failing_since.is_some() {
+      self.find_neighbour();
+    } else if !self.is_watcher() {
+      self.prefer_watchers();
       self.find_neighbour();
     } else {
       self.leave_neighbours();
@@ -46,18 +49,24 @@
     let beat = Beat {
       applied_unix_ms: None,
       endpoints: self.endpoints.fingerprint(),
-      is_relay: self.is_watcher(),
+      is_relay: self.is_served_watcher(),
       store_age_ms: self.knowledge_age_ms(),
       version: self.catalog.held(),
     };
     self.send(link, Message::Beat(beat));
   }
 
-  /// Milliseconds since the store's word on what this daemon holds; nothing where it knows that it
-  /// may have missed some.
+  /// Whether this daemon watches the store at present, and the store serves it.
+  fn is_served_watcher(&self) -> bool {
+    self.failing_since.is_none() && !matches!(self.watch, WatchPhase::Resting { .. })
+  }
+
+  /// Milliseconds since the store's word on what this daemon holds; nothing where it does not watch
+  /// the store itself. What it knows from others is not passed on as fresh: two daemons could
+  /// otherwise hold each other for fresh while neither asks the store.
   fn knowledge_age_ms(&self) -> Option<u64> {
-    let is_cut_off = self.failing_since.is_some() && !self.has_fresh_neighbour();
-    self.confirmed_at.filter(|_| !is_cut_off).map(|at| self.now.time.since_ms(at))
+    let heard_at = self.confirmed_at.filter(|_| self.is_served_watcher());
+    heard_at.map(|at| self.now.time.since_ms(at))
   }
 
   /// A neighbour holds a newer version, and what should bring it here got lost or takes too long: the
@@ -98,7 +107,8 @@
     let now = self.now.time;
     self.links.values().any(|link| {
       let age_ms = link.store_age_ms.map(|age_ms| age_ms + now.since_ms(link.heard_at));
-      link.role == LinkRole::Upstream && age_ms.is_some_and(|age_ms| age_ms <= Self::FRESH_MS)
+      let is_source = link.role == LinkRole::Upstream && link.is_relay;
+      is_source && age_ms.is_some_and(|age_ms| age_ms <= Self::FRESH_MS)
     })
   }
 
@@ -152,6 +162,26 @@
     }
   }
 
+  /// Leaves a neighbour that is no watcher of the own data hall for one that is.
+  fn prefer_watchers(&mut self) {
+    let linked: BTreeSet<&BoxId> = self.links.values().map(|link| &link.peer).collect();
+    let is_free = |box_id: &&BoxId| {
+      !linked.contains(box_id)
+        && !self.connecting.contains_key(*box_id)
+        && !self.avoided.contains_key(*box_id)
+    };
+    if self.upstreams().len() < Self::NEIGHBOURS || !self.watchers.iter().any(|one| is_free(&one)) {
+      return;
+    }
+    let other = self
+      .links
+      .iter()
+      .find(|(_, link)| link.role == LinkRole::Upstream && !self.watchers.contains(&link.peer));
+    if let Some(link) = other.map(|(id, _)| *id) {
+      self.close_link(link);
+    }
+  }
+
   fn upstreams(&self) -> Vec<LinkId> {
     let upstreams = self.links.iter().filter(|(_, link)| link.role == LinkRole::Upstream);
     upstreams.map(|(id, _)| *id).collect()
@@ -247,6 +277,7 @@
     };
     known.version = beat.version.max(known.version);
     known.store_age_ms = beat.store_age_ms;
+    known.is_relay = beat.is_relay;
     if known.role != LinkRole::Upstream {
       return;
     }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -30,11 +30,12 @@
   mut body: RequestBody,
   attempts: &mut Vec<Attempt>,
 ) -> AttemptResult {
+  let mut failure = None;
   shared.budget.borrow_mut().earn(&forwarded.service);
   loop {
     let choice = choose(shared, forwarded, attempts);
     let Some(first) = Try::start(shared, forwarded, body.for_attempt(), choice) else {
-      return Err(none_left(forwarded, attempts));
+      return failure.unwrap_or_else(|| Err(none_left(forwarded, attempts)));
     };
     let ended = match hedge_after(shared, forwarded, &body) {
       Some(patience) => run_hedged(shared, forwarded, &mut body, attempts, first, patience).await,
@@ -47,6 +48,8 @@
     if is_last || !may_retry(shared, forwarded, &known) {
       return outcome;
     }
+    // Where nobody else answers, what a backend server said of its failure is the answer.
+    failure = Some(outcome).filter(Result::is_ok).or(failure);
   }
 }
 
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -217,3 +217,25 @@
   fleet.run(1_000);
   assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(7)), NOBODY);
 }
+
+/// A store that fails everybody for a moment leaves nobody with neighbours that know as little.
+#[test]
+fn a_change_is_in_force_in_time_after_the_store_failed_everybody_for_a_moment() {
+  const MANY: usize = 24;
+  for pause_ms in (0..6_000).step_by(250) {
+    let mut fleet = Followers::new();
+    fleet.write_version(1);
+    for index in 0..MANY {
+      fleet.start(index, 1_000);
+    }
+    fleet.run(4_000);
+    fleet.unserved.extend((0..MANY).map(Followers::box_id));
+    fleet.run(400);
+    fleet.unserved.clear();
+    fleet.run(3_000 + pause_ms);
+    fleet.write_version(2);
+    fleet.run(2_000);
+    let late = fleet.lacking(MANY, |fleet, index| fleet.version(index) == Some(2));
+    assert_eq!(late, NOBODY, "{pause_ms} ms later");
+  }
+}
