--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod following;
 mod neighbours;
+mod updates;
 
 /// Decides how a daemon holds the newest configuration and the news about all boxes where the
 /// platform's operators write configurations into the store themselves.
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -4,8 +4,6 @@
 impl Follower {
   /// Milliseconds for which a box is not tried again after a link to it failed.
   const AVOID_MS: u64 = 3_000;
-  /// Milliseconds for which a daemon waits for a version that a neighbour holds.
-  const BEHIND_MS: u64 = 500;
   /// Milliseconds between two beats of a link.
   const BEAT_MS: u64 = 500;
   /// Milliseconds for which opening a link may take.
@@ -13,14 +11,10 @@
   /// Milliseconds since the store's word within which a neighbour's knowledge counts as fresh: a
   /// watcher's renewal, the longest wait for its answer, and a beat.
   const FRESH_MS: u64 = 1_800;
-  /// Bytes of one object of the configuration on a link, as measured on configurations of 340 routes.
-  const OBJECT_BYTES: usize = 200;
-  /// Milliseconds for which updates may fill a box's link, a small part of what a change may take.
-  const PUSH_MS: usize = 300;
   /// Neighbours that a daemon subscribes to, so that one may fail.
   const NEIGHBOURS: usize = 2;
   /// Milliseconds without a word after which a neighbour counts as gone: two beats, and a late one.
-  const SILENCE_MS: u64 = 1_300;
+  pub(super) const SILENCE_MS: u64 = 1_300;
   /// Milliseconds without the store's word after which a neighbour is left for another one.
   const STALE_MS: u64 = 4_000;
 
@@ -69,31 +63,6 @@
     heard_at.map(|at| self.now.time.since_ms(at))
   }
 
-  /// A neighbour holds a newer version, and what should bring it here got lost or takes too long: the
-  /// store is read, or where it does not serve this box the neighbour is asked for the whole.
-  fn catch_up(&mut self) {
-    let held = self.catalog.version();
-    let ahead = self.links.iter().find(|(_, link)| {
-      link.role == LinkRole::Upstream && link.version.map(|(version, _)| version) > held
-    });
-    let Some(link) = ahead.map(|(id, _)| *id) else {
-      self.behind_since = None;
-      return;
-    };
-    let now = self.now.time;
-    let since = *self.behind_since.get_or_insert(now);
-    if now.since_ms(since) < Self::BEHIND_MS || matches!(self.watch, WatchPhase::Listing { .. }) {
-      return;
-    }
-    self.behind_since = None;
-    self.log("a neighbour holds a newer version that did not arrive: it is asked for");
-    if self.failing_since.is_some() {
-      let reason = "the update did not arrive".to_string();
-      return self.send(link, Message::Refused { reason });
-    }
-    self.read_configuration(false);
-  }
-
   /// Tells all neighbours how fresh this daemon's knowledge is.
   pub(super) fn send_beats(&mut self) {
     let links: Vec<LinkId> = self.links.keys().copied().collect();
@@ -328,95 +297,4 @@
       self.send(link, Message::News(endpoints.to_vec()));
     }
   }
-
-  fn update_received(&mut self, link: LinkId, update: Update) {
-    let from = self.links.get(&link).map(|link| link.peer.clone());
-    match self.catalog.take(update, from, self.now.unix_ms) {
-      Ok(()) => self.switched(),
-      Err(Error::Backwards { .. }) => {}
-      Err(err) => {
-        self.log(format!("an update was refused: {err}"));
-        self.send(link, Message::Refused { reason: err.to_string() });
-      }
-    }
-  }
-
-  /// A neighbour could not apply an update: it gets the whole, but not again and again.
-  fn update_refused(&mut self, link: LinkId, reason: &str) {
-    self.log(format!("a neighbour refused an update: {reason}"));
-    let now = self.now.time;
-    let Some(known) = self.links.get_mut(&link) else {
-      return;
-    };
-    if known.whole_sent_at.is_some_and(|at| now.since_ms(at) < Self::SILENCE_MS) {
-      return;
-    }
-    known.whole_sent_at = Some(now);
-    if let Some(update) = self.catalog.update_for(None) {
-      self.send(link, Message::Update(update));
-    }
-  }
-
-  /// A newer version is in force here: bring it to the neighbours that lack it.
-  pub(super) fn switched(&mut self) {
-    let Some(configuration) = self.catalog.configuration().cloned() else {
-      return;
-    };
-    self.act(Action::Apply(configuration));
-    let links: Vec<LinkId> = self.links.keys().copied().collect();
-    for link in links {
-      self.push_update(link);
-    }
-  }
-
-  fn push_update(&mut self, link: LinkId) {
-    let now = self.now.time;
-    let Some((version, known)) = self.catalog.version().zip(self.links.get_mut(&link)) else {
-      return;
-    };
-    if known.role != LinkRole::Downstream || !known.wants(now, version, Self::SILENCE_MS) {
-      return;
-    }
-    known.sent = Some((version, now));
-    if self.is_too_large(link) {
-      return self.send(link, Message::Accepted { version });
-    }
-    let Some(known) = self.links.get_mut(&link) else {
-      return;
-    };
-    // What was sent is on its way, so the next update goes on from there.
-    let held = known.sent_held.take().max(known.version);
-    known.sent_held = self.catalog.held();
-    if let Some(update) = self.catalog.update_for(held) {
-      self.send(link, Message::Update(update));
-    }
-  }
-
-  /// Whether the update that a neighbour lacks would fill this box's link for too long, sent to all
-  /// who need it. They read the store instead, whose link is large.
-  fn is_too_large(&self, link: LinkId) -> bool {
-    if self.own.link_mbps == 0 {
-      return false;
-    }
-    let held = self.links.get(&link).and_then(|known| known.sent_held.max(known.version));
-    let bytes = self.catalog.objects_since(held) * Self::OBJECT_BYTES;
-    let sharers = self.links.values().filter(|link| link.role == LinkRole::Downstream).count();
-    let bytes_per_ms = usize::try_from(self.own.link_mbps).unwrap_or(usize::MAX) * 125;
-    bytes * sharers > bytes_per_ms * Self::PUSH_MS
-  }
-
-  /// The store has a version that a neighbour would rather not send.
-  fn version_told(&mut self, link: LinkId, version: Version) {
-    if self.catalog.version() >= Some(version) {
-      return;
-    }
-    if self.failing_since.is_some() {
-      let reason = "the store does not serve this box".to_string();
-      return self.send(link, Message::Refused { reason });
-    }
-    // A read that is out may bring an older version; the neighbour's next beat tells.
-    if !matches!(self.watch, WatchPhase::Listing { .. }) {
-      self.read_configuration(false);
-    }
-  }
 }
