--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -88,7 +88,7 @@
       return;
     }
     if self.is_linked_downstream(&box_id) {
-      self.sponsor(&box_id);
+      self.keep_entry_of(&box_id);
     }
     if self.lapsed.is_empty() {
       self.directory_at = self.directory_at.min(self.now.time.after(Self::LAPSED_GRACE_MS / 2));
@@ -124,7 +124,7 @@
   }
 
   /// Keeps the entry of a box in the store that lives but that the store does not serve.
-  pub(super) fn sponsor(&mut self, box_id: &BoxId) {
+  pub(super) fn keep_entry_of(&mut self, box_id: &BoxId) {
     let Some(lease) = self.registration.lease().filter(|_| self.failing_since.is_none()) else {
       return;
     };
@@ -132,7 +132,7 @@
       return;
     };
     let value = to_json(endpoint);
-    self.sponsored.insert(box_id.clone());
+    self.kept_entries.insert(box_id.clone());
     self.log(format!("the entry of box {box_id} is kept for it: it lives, and the store lacks it"));
     let key = keys::endpoint(box_id);
     self.call_store(StoreRequest::Put { key, lease: Some(lease), value });
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -52,7 +52,7 @@
   rng: ChaCha8Rng,
   source: Arc<dyn Source>,
   /// Boxes whose entry this daemon keeps in the store for them.
-  sponsored: BTreeSet<BoxId>,
+  kept_entries: BTreeSet<BoxId>,
   started_at: Time,
   watch: WatchPhase,
   watch_failures: u32,
@@ -119,7 +119,7 @@
       registration: Registration::default(),
       rng: ChaCha8Rng::seed_from_u64(seed),
       source,
-      sponsored: BTreeSet::new(),
+      kept_entries: BTreeSet::new(),
       started_at: now.time,
       watch: WatchPhase::Backoff { until: now.time },
       watch_failures: 0,
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -193,7 +193,7 @@
     if closed.role == LinkRole::Upstream {
       self.avoided.insert(closed.peer.clone(), self.now.time.after(Self::AVOID_MS));
     }
-    if !self.is_linked_downstream(&closed.peer) && self.sponsored.remove(&closed.peer) {
+    if !self.is_linked_downstream(&closed.peer) && self.kept_entries.remove(&closed.peer) {
       self.call_store(StoreRequest::Delete { key: keys::endpoint(&closed.peer) });
     }
   }
@@ -235,7 +235,7 @@
     self.push_update(link);
     self.send_beat(link);
     if self.lapsed.contains_key(&subscribe.endpoint.peer.box_id) {
-      self.sponsor(&subscribe.endpoint.peer.box_id);
+      self.keep_entry_of(&subscribe.endpoint.peer.box_id);
     }
   }
 
@@ -271,13 +271,13 @@
         fresh.push(endpoint.clone());
       }
     }
-    let sponsored: Vec<BoxId> = fresh
+    let kept_entries: Vec<BoxId> = fresh
       .iter()
       .map(|endpoint| endpoint.peer.box_id.clone())
-      .filter(|box_id| self.sponsored.contains(box_id))
+      .filter(|box_id| self.kept_entries.contains(box_id))
       .collect();
-    for box_id in sponsored {
-      self.sponsor(&box_id);
+    for box_id in kept_entries {
+      self.keep_entry_of(&box_id);
     }
     self.news_taken(&fresh, Some(link));
   }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -34,6 +34,10 @@
 /// Largest answer in bytes: a page of about a megabyte in base64, with room for its frame.
 const ANSWER_BYTES_MAX: usize = 4 << 20;
 
+/// How many times as long as another call a read of whole values may take: half a megabyte of
+/// configuration needs half a second on a link of 10 Mbit/s that nothing else uses.
+const READ_PATIENCE: u64 = 4;
+
 /// Milliseconds after which to call again where the store refuses a call for its load.
 const BUSY_RETRY_MS: u64 = 100;
 
@@ -129,7 +133,8 @@
       if stale {
         path = format!("{path}&AllowStale=1");
       }
-      let (_, body) = self.exchange::<()>(Method::GET, &path, None, 0).await?;
+      let more_ms = self.timeout_ms * (READ_PATIENCE - 1);
+      let (_, body) = self.exchange::<()>(Method::GET, &path, None, more_ms).await?;
       let page: PageReply = decode(&body)?;
       let revision = *first_revision.get_or_insert(Revision(page.store_revision));
       let read: Result<Vec<Entry>, String> = page.items.iter().map(Item::entry).collect();
