--- a/crates/ferryyoke-bench/src/fleet.rs
+++ b/crates/ferryyoke-bench/src/fleet.rs
@@ -9,7 +9,7 @@
   pub(super) directory: tempfile::TempDir,
   pub(super) executable: PathBuf,
   /// Keeps the ports of the fleet from others.
-  pub(super) _held_ports: Vec<Socket>,
+  pub(super) _held_ports: Vec<HeldPort>,
   pub(super) pool: Rc<web::Pool>,
   /// The store's process.
   pub store: Process,
--- a/crates/ferryyoke-bench/src/fleet_builder.rs
+++ b/crates/ferryyoke-bench/src/fleet_builder.rs
@@ -13,9 +13,8 @@
   tokens: Vec<serde_json::Value>,
 }
 
-/// Ports of one box. They stay bound, without listening, for as long as the fleet lives: so the
-/// kernel gives them to nobody else, and a daemon can be started on them again and again.
-struct Ports([Socket; 5]);
+/// Ports of one box, held for as long as the fleet lives.
+struct Ports([HeldPort; 5]);
 
 impl FleetBuilder {
   /// A fleet of daemons that run `executable`, which must act as `ferryyoke` on demand.
@@ -90,14 +89,14 @@
   /// Starts the store and the backend servers, and writes the settings of the daemons.
   pub fn prepare(self) -> Result<Fleet> {
     let directory = tempfile::tempdir()?;
-    let store_port = hold_port()?;
-    let store_address = address_of(&store_port)?;
+    let store_port = HeldPort::take()?;
+    let store_address = store_port.address;
     let ports: Vec<Ports> = (0..self.boxes).map(|_| Ports::take()).collect::<Result<_>>()?;
     let peers = self.peers(&ports)?;
     let mut boxes = Vec::new();
     for (index, ports) in ports.iter().enumerate() {
-      let one = self.fleet_box(index, ports, directory.path())?;
-      let settings = self.settings(index, ports, &peers, store_address)?;
+      let one = self.fleet_box(index, ports, directory.path());
+      let settings = self.settings(index, ports, &peers, store_address);
       fs::write(one.settings_path(), settings.to_string())?;
       boxes.push(one);
     }
@@ -130,7 +129,7 @@
   fn peers(&self, ports: &[Ports]) -> Result<Vec<serde_json::Value>> {
     let peer = |(index, ports): (usize, &Ports)| {
       Ok(serde_json::json!({
-        "address": ports.address(Ports::LINKS)?,
+        "address": ports.address(Ports::LINKS),
         "box": Self::box_id(index),
         "data_hall": self.data_hall(index),
       }))
@@ -138,18 +137,18 @@
     ports.iter().enumerate().map(peer).collect()
   }
 
-  fn fleet_box(&self, index: usize, ports: &Ports, directory: &Path) -> Result<FleetBox> {
-    Ok(FleetBox {
-      administration: ports.address(Ports::ADMINISTRATION)?,
-      backend_server: ports.address(Ports::BACKEND_SERVER)?,
+  fn fleet_box(&self, index: usize, ports: &Ports, directory: &Path) -> FleetBox {
+    FleetBox {
+      administration: ports.address(Ports::ADMINISTRATION),
+      backend_server: ports.address(Ports::BACKEND_SERVER),
       box_id: Self::box_id(index),
-      callers: ports.address(Ports::CALLERS)?,
+      callers: ports.address(Ports::CALLERS),
       daemon: None,
       directory: directory.into(),
       executable: self.executable.clone(),
       pool: Rc::new(web::Pool::new(Fleet::TIMEOUT_MS)),
       service: self.service(index),
-    })
+    }
   }
 
   fn settings(
@@ -158,16 +157,16 @@
     ports: &Ports,
     peers: &[serde_json::Value],
     store: SocketAddr,
-  ) -> Result<serde_json::Value> {
-    Ok(serde_json::json!({
+  ) -> serde_json::Value {
+    serde_json::json!({
       "addresses": {
-        "administration": ports.address(Ports::ADMINISTRATION)?,
-        "callers": ports.address(Ports::CALLERS)?,
-        "forward": ports.address(Ports::FORWARD)?,
-        "links": ports.address(Ports::LINKS)?,
+        "administration": ports.address(Ports::ADMINISTRATION),
+        "callers": ports.address(Ports::CALLERS),
+        "forward": ports.address(Ports::FORWARD),
+        "links": ports.address(Ports::LINKS),
       },
       "backend_server": {
-        "address": ports.address(Ports::BACKEND_SERVER)?, "connections": 130, "slots": self.slots,
+        "address": ports.address(Ports::BACKEND_SERVER), "connections": 130, "slots": self.slots,
       },
       "box": Self::box_id(index),
       "data_hall": self.data_hall(index),
@@ -180,7 +179,7 @@
       "stop_deadline_ms": 60_000,
       "store": { "address": store },
       "tokens": self.tokens,
-    }))
+    })
   }
 
   fn start_store(&self, directory: &Path, address: SocketAddr) -> Result<Process> {
@@ -207,23 +206,11 @@
 
   /// Ports that the kernel chooses.
   fn take() -> Result<Self> {
-    Ok(Self([hold_port()?, hold_port()?, hold_port()?, hold_port()?, hold_port()?]))
+    let take = HeldPort::take;
+    Ok(Self([take()?, take()?, take()?, take()?, take()?]))
   }
 
-  fn address(&self, index: usize) -> Result<SocketAddr> {
-    address_of(&self.0[index])
+  fn address(&self, index: usize) -> SocketAddr {
+    self.0[index].address
   }
 }
-
-/// A port that the kernel chooses, bound and not listened on.
-fn hold_port() -> Result<Socket> {
-  let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-  socket.set_reuse_address(true)?;
-  socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-  Ok(socket)
-}
-
-fn address_of(socket: &Socket) -> Result<SocketAddr> {
-  let address = socket.local_addr()?.as_socket();
-  address.ok_or_else(|| Error::Unexpected("a port without an address".into()))
-}
--- a/crates/ferryyoke-bench/src/lib.rs
+++ b/crates/ferryyoke-bench/src/lib.rs
@@ -40,6 +40,7 @@
   fleet::Fleet,
   fleet_box::FleetBox,
   fleet_builder::FleetBuilder,
+  held_port::HeldPort,
   load::{Connection, Generator, LoadResult},
   process::Process,
   sample::Sample,
@@ -53,6 +54,7 @@
 mod fleet;
 mod fleet_box;
 mod fleet_builder;
+mod held_port;
 mod load;
 mod process;
 mod sample;
--- /dev/null
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -0,0 +1,184 @@
+use super::*;
+
+use super::run::{LOOK_MS, Run};
+
+/// Carrying out faults, each from its beginning to its end.
+impl Run {
+  pub(super) async fn harm(&self, fault: Fault) -> Result {
+    match fault {
+      Fault::Change => self.change(),
+      Fault::Cut { index, for_ms, one_way } => {
+        self.boxes[index].silence(true, !one_way);
+        self.trouble_at(&[index], for_ms).await;
+        // What was held back is lost, as bytes are whose sender gave up.
+        self.boxes[index].reset();
+        self.boxes[index].silence(false, false);
+        Ok(())
+      }
+      Fault::Delay { index, for_ms, delay_ms } => {
+        self.boxes[index].delay(delay_ms);
+        self.trouble_at(&[index], for_ms).await;
+        self.boxes[index].delay(0);
+        Ok(())
+      }
+      Fault::Drain { index } => {
+        self.boxes[index].backend_server.replace();
+        Ok(())
+      }
+      Fault::Freeze { index, for_ms } => {
+        self.boxes[index].signal("STOP")?;
+        self.trouble_at(&[index], for_ms).await;
+        self.boxes[index].signal("CONT").map(drop)
+      }
+      Fault::Kill { indexes, down_ms } => self.kill(&indexes, down_ms).await,
+      Fault::Reload { index } => self.boxes[index].signal("HUP").map(drop),
+      Fault::Reset { index } => {
+        self.boxes[index].reset();
+        self.trouble_at(&[index], 0).await;
+        Ok(())
+      }
+      Fault::Stop { indexes, gap_ms } => {
+        for index in indexes {
+          self.stop(index).await?;
+          pause(gap_ms).await;
+        }
+        Ok(())
+      }
+      Fault::StoreTurnsAway { indexes, for_ms } => {
+        for index in &indexes {
+          self.boxes[*index].store.silence(true, true);
+        }
+        self.trouble_at(&indexes, for_ms).await;
+        for index in &indexes {
+          self.boxes[*index].store.reset();
+          self.boxes[*index].store.silence(false, false);
+        }
+        Ok(())
+      }
+      Fault::StoreDown { .. }
+      | Fault::StoreForgets
+      | Fault::StoreLoses { .. }
+      | Fault::StoreSlow { .. } => {
+        self.harm_store(fault).await;
+        Ok(())
+      }
+    }
+  }
+
+  async fn harm_store(&self, fault: Fault) {
+    /// Milliseconds for which the store loses answers, at most.
+    const LOSES_MS: Ms = 2_000;
+    match fault {
+      Fault::StoreDown { for_ms, lapse } => {
+        self.store.set_faults(|faults| faults.down = true);
+        self.trouble_at_store(for_ms).await;
+        if lapse {
+          self.store.lapse();
+        }
+        self.store.set_faults(|faults| faults.down = false);
+      }
+      Fault::StoreLoses { writes } => {
+        self.store.set_faults(|faults| faults.lost_writes = writes);
+        self.trouble_at_store(LOSES_MS).await;
+        self.store.set_faults(|faults| faults.lost_writes = 0);
+      }
+      Fault::StoreSlow { for_ms, delay_ms } => {
+        self.store.set_faults(|faults| faults.delay_ms = delay_ms);
+        self.trouble_at_store(for_ms).await;
+        self.store.set_faults(|faults| faults.delay_ms = 0);
+      }
+      _ => self.store.forget(),
+    }
+  }
+
+  /// Waits, and notes that some boxes are in trouble meanwhile.
+  async fn trouble_at(&self, indexes: &[usize], for_ms: Ms) {
+    let spans = self.begin_trouble(indexes);
+    pause(for_ms).await;
+    self.end_trouble(indexes, &spans);
+  }
+
+  fn begin_trouble(&self, indexes: &[usize]) -> Vec<usize> {
+    let (now, mut record) = (self.now(), self.record.borrow_mut());
+    let mut begin = |index: &usize| record.box_trouble.entry(*index).or_default().begin(now);
+    indexes.iter().map(&mut begin).collect()
+  }
+
+  fn end_trouble(&self, indexes: &[usize], spans: &[usize]) {
+    let (now, mut record) = (self.now(), self.record.borrow_mut());
+    for (index, span) in indexes.iter().zip(spans) {
+      record.box_trouble.entry(*index).or_default().end(*span, now);
+    }
+  }
+
+  /// Waits, and notes that the store is in trouble meanwhile.
+  async fn trouble_at_store(&self, for_ms: Ms) {
+    let span = self.record.borrow_mut().store_trouble.begin(self.now());
+    pause(for_ms).await;
+    self.record.borrow_mut().store_trouble.end(span, self.now());
+  }
+
+  /// The operators add a route.
+  fn change(&self) -> Result {
+    let added = self.record.borrow().changes.len();
+    self.store.accept(platform::configuration(&SoakBox::SERVICES, added))?;
+    let now = self.now();
+    self.record.borrow_mut().changes.push(now);
+    Ok(())
+  }
+
+  async fn kill(&self, indexes: &[usize], down_ms: Ms) -> Result {
+    let spans = self.begin_trouble(indexes);
+    for index in indexes {
+      self.boxes[*index].kill()?;
+    }
+    pause(down_ms).await;
+    for index in indexes {
+      self.boxes[*index].start()?;
+    }
+    self.end_trouble(indexes, &spans);
+    Ok(())
+  }
+
+  async fn stop(&self, index: usize) -> Result {
+    let (one, now) = (&self.boxes[index], self.now());
+    let life = one.life.get();
+    if !one.signal("TERM")? {
+      return Ok(());
+    }
+    let span = self.record.borrow_mut().planned.entry(index).or_default().begin(now);
+    self.record.borrow_mut().stops.push((index, now));
+    // Something else may end this life meanwhile.
+    while one.life.get() == life && !self.is_stopped(index, now)? {
+      pause(LOOK_MS).await;
+    }
+    one.start()?;
+    let now = self.now();
+    self.record.borrow_mut().planned.entry(index).or_default().end(span, now);
+    Ok(())
+  }
+
+  /// Whether a daemon that was asked to stop did so. One that is too late is killed.
+  fn is_stopped(&self, index: usize, asked_ms: Ms) -> Result<bool> {
+    /// Milliseconds beyond its time after which a stop counts as failed.
+    const LATE_MS: Ms = 2_000;
+    if let Some(code) = self.boxes[index].exit_code()? {
+      if code != 0 {
+        self.violate("a planned stop ends in order", format!("box {index} exits with {code}"));
+      }
+      return Ok(true);
+    }
+    if self.now() <= asked_ms + SoakBox::STOP_MS + LATE_MS {
+      return Ok(false);
+    }
+    let trouble = self.record.borrow().box_trouble.get(&index).cloned().unwrap_or_default();
+    if !trouble.overlaps(asked_ms, self.now()) {
+      self.violate("a planned stop ends in time", format!("box {index} still runs"));
+    }
+    self.boxes[index].kill()
+  }
+}
+
+async fn pause(for_ms: Ms) {
+  monoio::time::sleep(Duration::from_millis(for_ms)).await;
+}
--- /dev/null
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -0,0 +1,59 @@
+//! A randomized soak: real daemons on loopback, faults from outside them, and what callers and
+//! backend servers saw checked against what ferryyoke promises.
+//!
+//! A seed gives the same plan of faults each time. Everything that a run starts, it ends by its id.
+
+use {
+  bytes::Bytes,
+  clap::{Arg, ArgMatches, Command},
+  ferryyoke::{
+    standin::Keyspace,
+    store::{Entry, Event, Key, LeaseId, Refusal, Reply, Revision, StoreRequest},
+    values::{Digest, DurationMs, Time},
+    web::{self, AnyBody, Incoming},
+  },
+  ferryyoke_bench::{AS_FERRYYOKE, Error, HeldPort, Process, Result},
+  futures_util::future::{Either, select},
+  http::{Method, Request, Response, StatusCode},
+  monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt, Splitable},
+    net::{TcpListener, TcpStream},
+  },
+  rand::{Rng, SeedableRng, seq::IndexedRandom},
+  rand_chacha::ChaCha8Rng,
+  serde::{Deserialize, Serialize},
+  std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    ffi::OsString,
+    fmt::{self, Display, Formatter},
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, Instant},
+  },
+};
+
+pub use self::{
+  caller::{Attempt, Kind, Outcome},
+  commands::execute,
+  plan::{Fault, Plan, Step},
+  record::{Probe, Record, Run, Violation},
+};
+
+use self::{fault_proxy::FaultProxy, soak_box::SoakBox, trouble::Trouble};
+
+mod caller;
+mod commands;
+mod fault_proxy;
+mod harm;
+mod plan;
+mod platform;
+mod record;
+mod run;
+mod soak_box;
+mod trouble;
+
+/// Milliseconds on a clock that starts with the run.
+type Ms = u64;
--- /dev/null
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -0,0 +1,104 @@
+use super::*;
+
+/// When each fault of a run begins. The same seed gives the same plan.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Plan {
+  /// Milliseconds that the run takes, from the first caller to the last.
+  pub length_ms: Ms,
+  /// The faults, by their beginning.
+  pub steps: Vec<Step>,
+}
+
+/// A fault and when it begins.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Step {
+  /// Milliseconds from the start of the run.
+  pub at_ms: Ms,
+  /// What happens.
+  pub fault: Fault,
+}
+
+/// What goes wrong, or is done as planned, from outside the daemons. `index` names a box, and `for_ms`
+/// tells how long it lasts.
+#[allow(missing_docs)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+  /// Connections from other daemons to a box carry nothing, in one direction or both.
+  Cut { index: usize, for_ms: Ms, one_way: bool },
+  /// Connections from other daemons to a box are slow.
+  Delay { index: usize, for_ms: Ms, delay_ms: Ms },
+  /// A backend server drains and another process takes its place.
+  Drain { index: usize },
+  /// A daemon stands still.
+  Freeze { index: usize, for_ms: Ms },
+  /// Daemons are killed at once and started again.
+  Kill { indexes: Vec<usize>, down_ms: Ms },
+  /// Connections from other daemons to a box are reset.
+  Reset { index: usize },
+  /// A daemon reads its settings again.
+  Reload { index: usize },
+  /// The operators add a route.
+  Change,
+  /// Daemons are stopped as planned, one after the other, and started again.
+  Stop { indexes: Vec<usize>, gap_ms: Ms },
+  /// The store serves nobody; leases run out meanwhile, or wait.
+  StoreDown { for_ms: Ms, lapse: bool },
+  /// The store forgets its history.
+  StoreForgets,
+  /// The store loses answers to writes that it carried out.
+  StoreLoses { writes: u32 },
+  /// The store answers late.
+  StoreSlow { for_ms: Ms, delay_ms: Ms },
+  /// The store does not serve some boxes.
+  StoreTurnsAway { indexes: Vec<usize>, for_ms: Ms },
+}
+
+impl Plan {
+  /// Milliseconds between two faults, at most: they come in series and overlap.
+  const GAP_MAX_MS: Ms = 1_600;
+  /// Milliseconds without new faults at the start, in which the fleet finds itself.
+  const QUIET_START_MS: Ms = 1_000;
+  /// Milliseconds without new faults at the end, after which everything must work again.
+  pub const QUIET_END_MS: Ms = 9_000;
+
+  /// The plan of a seed for a fleet of so many boxes.
+  pub fn of(seed: u64, boxes: usize, length_ms: Ms) -> Self {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    while at_ms + Self::QUIET_END_MS < length_ms {
+      steps.push(Step { at_ms, fault: Fault::random(&mut rng, boxes) });
+      at_ms += rng.random_range(50..Self::GAP_MAX_MS);
+    }
+    Self { length_ms, steps }
+  }
+}
+
+impl Fault {
+  fn random(rng: &mut ChaCha8Rng, boxes: usize) -> Self {
+    let index = rng.random_range(0..boxes);
+    let for_ms = rng.random_range(300..5_000);
+    let delay_ms = rng.random_range(20..400);
+    let some = |rng: &mut ChaCha8Rng, most: usize| -> Vec<usize> {
+      let count = rng.random_range(1..=most.max(1));
+      rand::seq::index::sample(rng, boxes, count).into_vec()
+    };
+    match rng.random_range(0..18) {
+      0 => Self::Cut { index, for_ms, one_way: rng.random() },
+      1 => Self::Delay { index, for_ms, delay_ms },
+      2 | 3 => Self::Drain { index },
+      4 => Self::Freeze { index, for_ms },
+      5 | 6 => Self::Kill { indexes: some(rng, boxes), down_ms: for_ms / 4 },
+      7 => Self::Reset { index },
+      8 => Self::Reload { index },
+      9..=11 => Self::Change,
+      12 => Self::Stop { indexes: some(rng, boxes / 2), gap_ms: for_ms / 2 },
+      13 => Self::StoreDown { for_ms, lapse: rng.random() },
+      14 => Self::StoreForgets,
+      15 => Self::StoreLoses { writes: rng.random_range(1..6) },
+      16 => Self::StoreSlow { for_ms, delay_ms },
+      _ => Self::StoreTurnsAway { indexes: some(rng, boxes / 2), for_ms },
+    }
+  }
+}
--- /dev/null
+++ b/crates/ferryyoke-soak/src/platform/mod.rs
@@ -0,0 +1,21 @@
+//! Stand-ins that speak as the users' platform does: its store, its backend servers, and the form of
+//! its operators' configuration.
+
+use super::*;
+
+pub use self::{
+  backend_server::BackendServer,
+  configuration::{added_path, configuration},
+  store::StoreServer,
+};
+
+mod backend_server;
+mod configuration;
+mod store;
+
+/// Names a caller's request.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Milliseconds that a caller waits.
+pub const TIME_LEFT_MS: &str = "x-deadline-ms";
+/// The question whether a daemon takes callers.
+pub const READINESS_PATH: &str = "/ferryyoke/ready";
--- /dev/null
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -0,0 +1,252 @@
+use super::*;
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+
+/// A stand-in of the platform's store.
+pub struct StoreServer {
+  /// Where it listens.
+  pub address: SocketAddr,
+  state: Rc<RefCell<State>>,
+}
+
+/// What the store does wrong at present.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+  /// Milliseconds by which every answer is late.
+  pub delay_ms: Ms,
+  /// Serve nobody.
+  pub down: bool,
+  /// Carry out this many of the next writes and lose their answers.
+  pub lost_writes: u32,
+}
+
+struct State {
+  clock: Instant,
+  faults: StoreFaults,
+  keyspace: Keyspace,
+}
+
+impl StoreServer {
+  /// Milliseconds between two looks of a waiting watch.
+  const LOOK_MS: Ms = 10;
+
+  /// Starts an empty store.
+  pub fn start() -> Result<Self> {
+    let listener = web::Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let address = listener.address()?;
+    let (clock, faults, keyspace) = (Instant::now(), StoreFaults::default(), Keyspace::default());
+    let state = Rc::new(RefCell::new(State { clock, faults, keyspace }));
+    let serving = state.clone();
+    web::Server::start(listener, move |request| serve(serving.clone(), request));
+    Ok(Self { address, state })
+  }
+
+  /// Changes what the store does wrong.
+  pub fn set_faults(&self, change: impl FnOnce(&mut StoreFaults)) {
+    change(&mut self.state.borrow_mut().faults);
+  }
+
+  /// Forgets what watches could go on from.
+  pub fn forget(&self) {
+    self.state.borrow_mut().keyspace.forget_history();
+  }
+
+  /// Ends all leases.
+  pub fn lapse(&self) {
+    self.state.borrow_mut().keyspace.lapse_leases();
+  }
+
+  /// The operators put a configuration in.
+  pub fn accept(&self, configuration: String) -> Result {
+    let key = Key::of(&["op", "config"]);
+    let put = StoreRequest::Put { key, lease: None, value: configuration };
+    let result = self.state.borrow_mut().call(&put);
+    result.map(drop).map_err(|refusal| Error::Unexpected(refusal.to_string()))
+  }
+}
+
+impl State {
+  fn call(&mut self, request: &StoreRequest) -> std::result::Result<Reply, Refusal> {
+    let now = Time(u64::try_from(self.clock.elapsed().as_millis()).unwrap_or(u64::MAX));
+    self.keyspace.call(now, request)
+  }
+}
+
+async fn serve(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
+  let faults = state.borrow().faults;
+  monoio::time::sleep(Duration::from_millis(1 + faults.delay_ms)).await;
+  if state.borrow().faults.down {
+    return web::text(StatusCode::SERVICE_UNAVAILABLE, "down");
+  }
+  let path = request.uri().path().to_string();
+  let query = Query::of(request.uri().query().unwrap_or_default());
+  let Ok(body) = web::collect(request.into_body(), 4 << 20).await else {
+    return web::text(StatusCode::PAYLOAD_TOO_LARGE, "too large");
+  };
+  let Some(call) = read(&path, &query, &body) else {
+    return web::text(StatusCode::BAD_REQUEST, "not a call of the store");
+  };
+  let result = if let StoreRequest::Watch { wait_ms, .. } = &call {
+    watch(&state, &call, *wait_ms).await
+  } else {
+    state.borrow_mut().call(&call)
+  };
+  let is_lost = call.is_write() && state.borrow().faults.lost_writes > 0;
+  if is_lost {
+    state.borrow_mut().faults.lost_writes -= 1;
+    std::future::pending::<()>().await;
+  }
+  answer(result)
+}
+
+async fn watch(
+  state: &Rc<RefCell<State>>,
+  call: &StoreRequest,
+  wait_ms: Ms,
+) -> std::result::Result<Reply, Refusal> {
+  let started = Instant::now();
+  loop {
+    let reply = state.borrow_mut().call(call)?;
+    let has_news = matches!(&reply, Reply::Changes { events, .. } if !events.is_empty());
+    if has_news || started.elapsed() > Duration::from_millis(wait_ms) {
+      return Ok(reply);
+    }
+    monoio::time::sleep(Duration::from_millis(StoreServer::LOOK_MS)).await;
+  }
+}
+
+/// The query of a call.
+struct Query(BTreeMap<String, String>);
+
+impl Query {
+  fn of(text: &str) -> Self {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    Self(pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect())
+  }
+
+  fn key(&self, name: &str) -> Option<Key> {
+    self.0.get(name).map(|text| Key::of(&[text]))
+  }
+
+  fn number(&self, name: &str) -> Option<u64> {
+    self.0.get(name)?.parse().ok()
+  }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Transaction {
+  expected_rev: Vec<Expected>,
+  puts: Vec<Put>,
+  remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Expected {
+  revision: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Put {
+  key: String,
+  lease: u64,
+  value: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Grant {
+  ttl: DurationText,
+}
+
+#[derive(Deserialize)]
+struct DurationText(String);
+
+fn read(path: &str, query: &Query, body: &[u8]) -> Option<StoreRequest> {
+  let prefix = || query.key("PathPrefix");
+  let lease = |text: &str| text.parse().ok().map(LeaseId);
+  Some(match path.strip_prefix("/ferryyoke/kv-")? {
+    "key" => StoreRequest::Read { key: query.key("Key")? },
+    "range" => StoreRequest::List { prefix: prefix()? },
+    "watch" => StoreRequest::Watch {
+      after: Revision(query.number("after")?),
+      prefix: prefix()?,
+      wait_ms: query.number("WaitMs")?,
+    },
+    "lease" => {
+      let grant: Grant = serde_json::from_slice(body).ok()?;
+      let ttl: DurationMs = grant.ttl.0.parse().ok()?;
+      StoreRequest::GrantLease { ttl_ms: ttl.0 }
+    }
+    "txn" => read_transaction(serde_json::from_slice(body).ok()?)?,
+    other => match other.split_once('/')? {
+      ("keep", id) => StoreRequest::RenewLease { lease: lease(id)? },
+      ("lease-end", id) => StoreRequest::RevokeLease { lease: lease(id)? },
+      _ => return None,
+    },
+  })
+}
+
+/// The transactions that daemons send: one key to write, under a condition or not, or to remove.
+fn read_transaction(transaction: Transaction) -> Option<StoreRequest> {
+  if let Some(key) = transaction.remove.first() {
+    return Some(StoreRequest::Delete { key: Key::of(&[key]) });
+  }
+  let put = transaction.puts.into_iter().next()?;
+  let value = String::from_utf8(BASE64_STANDARD.decode(put.value).ok()?).ok()?;
+  let key = Key::of(&[&put.key]);
+  let lease = (put.lease > 0).then_some(LeaseId(put.lease));
+  Some(match transaction.expected_rev.first().map(|expected| Revision(expected.revision)) {
+    None => StoreRequest::Put { key, lease, value },
+    Some(Revision(0)) => StoreRequest::Create { key, lease, value },
+    Some(revision) => StoreRequest::CompareAndSwap { key, revision, value },
+  })
+}
+
+fn item(entry: &Entry) -> serde_json::Value {
+  serde_json::json!({
+    "Key": entry.key.to_string(), "Lease": 0, "Revision": entry.revision.0,
+    "Value": BASE64_STANDARD.encode(&entry.value),
+  })
+}
+
+fn event(event: &Event) -> serde_json::Value {
+  event.entry.as_ref().map_or_else(
+    || {
+      let key = event.key.to_string();
+      serde_json::json!({ "Key": key, "Revision": event.revision.0, "Tombstone": true })
+    },
+    item,
+  )
+}
+
+fn answer(result: std::result::Result<Reply, Refusal>) -> Response<AnyBody> {
+  let body = match result {
+    Ok(Reply::Changes { events, revision }) => serde_json::json!({
+      "CurrentRev": revision.0, "events": events.iter().map(event).collect::<Vec<_>>(),
+    }),
+    Ok(Reply::Done) => serde_json::json!({ "Revision": 0 }),
+    Ok(Reply::Entries { entries, revision }) => serde_json::json!({
+      "CurrentRev": revision.0, "HasMore": false,
+      "items": entries.iter().map(item).collect::<Vec<_>>(),
+    }),
+    Ok(Reply::Entry { entry: Some(entry), revision }) => {
+      let mut value = item(&entry);
+      value["CurrentRev"] = revision.0.into();
+      value
+    }
+    Ok(Reply::Lease { lease }) => serde_json::json!({ "Lease": lease.0, "Ttl": "15s" }),
+    Ok(Reply::Written { revision }) => serde_json::json!({ "Revision": revision.0 }),
+    Ok(Reply::Entry { entry: None, .. }) | Err(Refusal::LeaseEnded) => {
+      return web::text(StatusCode::NOT_FOUND, "no such key or lease");
+    }
+    Err(Refusal::Compacted) => return web::text(StatusCode::GONE, "that history is gone"),
+    Err(Refusal::Exists | Refusal::RevisionMoved) => {
+      return web::text(StatusCode::PRECONDITION_FAILED, "the condition does not hold");
+    }
+    Err(refusal) => return web::text(StatusCode::BAD_REQUEST, refusal.to_string()),
+  };
+  web::json(StatusCode::OK, &body)
+}
--- /dev/null
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -0,0 +1,186 @@
+use super::*;
+
+/// Everything that callers, backend servers and operators saw in one run.
+#[derive(Default)]
+pub struct Record {
+  /// What callers sent, and what came of it.
+  pub attempts: Vec<Attempt>,
+  /// When each added route was accepted, by its number.
+  pub changes: Vec<Ms>,
+  /// When an instance's leaving was acknowledged.
+  pub left: BTreeMap<String, Ms>,
+  /// What probes for added routes saw: box, life of its daemon, when sent, and whether the route with
+  /// that number was there.
+  pub probes: Vec<Probe>,
+  /// Runs at backend servers: instance, request, when.
+  pub runs: Vec<Run>,
+  /// Trouble at the store.
+  pub store_trouble: Trouble,
+  /// Trouble at each box.
+  pub box_trouble: BTreeMap<usize, Trouble>,
+  /// From a planned stop of each box until its daemon runs again.
+  pub planned: BTreeMap<usize, Trouble>,
+  /// Planned stops: box and when.
+  pub stops: Vec<(usize, Ms)>,
+  /// What was found while the run was under way.
+  pub violations: Vec<Violation>,
+}
+
+/// A probe for an added route at a box.
+#[derive(Clone, Debug)]
+pub struct Probe {
+  /// The box.
+  pub index: usize,
+  /// Whether the daemon knew the route.
+  pub known: bool,
+  /// Counts the starts of its daemon.
+  pub life: u32,
+  /// The number of the route.
+  pub route: usize,
+  /// When it was sent.
+  pub sent_ms: Ms,
+}
+
+/// One run of a request at a backend server.
+#[derive(Clone, Debug)]
+pub struct Run {
+  /// When it began.
+  pub at_ms: Ms,
+  /// The process that ran it.
+  pub instance: String,
+  /// The request.
+  pub request_id: String,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Violation {
+  /// What was promised.
+  pub promise: &'static str,
+  /// What was seen instead.
+  pub seen: String,
+}
+
+impl Display for Violation {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    write!(f, "{}: {}", self.promise, self.seen)
+  }
+}
+
+impl Record {
+  /// Milliseconds within which a change is in force.
+  const APPLY_MS: Ms = 2_000;
+  /// Milliseconds without trouble after which a box counts as in touch.
+  const CONTACT_MS: Ms = 3_000;
+  /// Milliseconds after the acknowledgement within which work may still reach a leaving process.
+  const DRAIN_MS: Ms = 2_000;
+  /// Milliseconds beyond its time within which a request must have come to an end.
+  const HANG_MS: Ms = 1_500;
+  /// Milliseconds that the soak's own clock and scheduling may be off, on a busy machine.
+  const SLACK_MS: Ms = 500;
+
+  /// Checks the whole run.
+  pub fn check(&mut self) -> Vec<Violation> {
+    let mut found = std::mem::take(&mut self.violations);
+    self.check_runs(&mut found);
+    self.check_drains(&mut found);
+    self.check_configuration(&mut found);
+    self.check_answers(&mut found);
+    found.sort();
+    found.dedup();
+    found
+  }
+
+  /// Whether a box was free of trouble long enough before, and until, some span.
+  fn in_touch(&self, index: usize, from: Ms, to: Ms) -> bool {
+    let since = from.saturating_sub(Self::CONTACT_MS);
+    let is_planned = self.planned.get(&index).is_some_and(|span| span.overlaps(since, to));
+    !is_planned && !self.store_trouble.overlaps(since, to) && !self.had_trouble(index, since, to)
+  }
+
+  fn had_trouble(&self, index: usize, from: Ms, to: Ms) -> bool {
+    self.box_trouble.get(&index).is_some_and(|trouble| trouble.overlaps(from, to))
+  }
+
+  fn check_runs(&self, found: &mut Vec<Violation>) {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for run in &self.runs {
+      *runs.entry(&run.request_id).or_default() += 1;
+    }
+    for attempt in self.attempts.iter().filter(|attempt| !attempt.kind.is_repeatable()) {
+      let count = runs.get(attempt.id.as_str()).copied().unwrap_or(0);
+      let id = &attempt.id;
+      if count > 1 {
+        found.push(Violation {
+          promise: "runs at most once",
+          seen: format!("{id} ran {count} times"),
+        });
+      }
+      if count > 0 && matches!(attempt.outcome, Outcome::NotRun(_)) {
+        let seen = format!("{id} was refused with {:?} and ran", attempt.outcome);
+        found.push(Violation { promise: "a refusal says that it did not run", seen });
+      }
+    }
+  }
+
+  fn check_drains(&self, found: &mut Vec<Violation>) {
+    for run in &self.runs {
+      let Some(left_ms) = self.left.get(&run.instance) else {
+        continue;
+      };
+      let late_ms = run.at_ms.saturating_sub(*left_ms);
+      if late_ms > Self::DRAIN_MS + Self::SLACK_MS {
+        let seen = format!("{} ran {} {late_ms} ms after it left", run.instance, run.request_id);
+        found.push(Violation { promise: "no work after a drain", seen });
+      }
+    }
+  }
+
+  fn check_configuration(&self, found: &mut Vec<Violation>) {
+    let mut newest: BTreeMap<(usize, u32), (usize, Ms)> = BTreeMap::new();
+    for probe in &self.probes {
+      let accepted_ms = self.changes[probe.route];
+      let seen = format!(
+        "box {} lacked route {} at {} ms, accepted at {accepted_ms} ms",
+        probe.index, probe.route, probe.sent_ms
+      );
+      let life = newest.entry((probe.index, probe.life)).or_insert((0, Ms::MAX));
+      if probe.known {
+        *life = (life.0.max(probe.route), life.1.min(probe.sent_ms));
+        continue;
+      }
+      if life.1 != Ms::MAX && probe.route <= life.0 {
+        found.push(Violation { promise: "never an older configuration", seen });
+      } else if probe.sent_ms > accepted_ms + Self::APPLY_MS + Self::SLACK_MS
+        && self.in_touch(probe.index, accepted_ms, probe.sent_ms)
+      {
+        found.push(Violation { promise: "a change is in force in time", seen });
+      }
+    }
+  }
+
+  fn check_answers(&self, found: &mut Vec<Violation>) {
+    let ran: BTreeSet<&str> = self.runs.iter().map(|run| run.request_id.as_str()).collect();
+    for attempt in &self.attempts {
+      let took_ms = attempt.ended_ms.saturating_sub(attempt.sent_ms);
+      let calm = !self.had_trouble(attempt.index, attempt.sent_ms, attempt.ended_ms);
+      let (id, outcome) = (&attempt.id, &attempt.outcome);
+      if let Outcome::Wrong(what) = outcome {
+        let seen = format!("{id}: {what}");
+        found.push(Violation { promise: "whole answers to the own request", seen });
+      }
+      if calm && took_ms > attempt.time_left_ms + Self::HANG_MS {
+        let seen = format!("{id} took {took_ms} ms of {}: {outcome:?}", attempt.time_left_ms);
+        found.push(Violation { promise: "nothing hangs", seen });
+      }
+      // Requests on their way when the stop began.
+      let stopped = self.stops.iter().any(|(index, at_ms)| {
+        *index == attempt.index && attempt.sent_ms < at_ms + 1_000 && attempt.ended_ms >= *at_ms
+      });
+      if stopped && calm && *outcome == Outcome::Cut && ran.contains(id.as_str()) {
+        let seen = format!("{id} ran, and its caller at box {} was cut off", attempt.index);
+        found.push(Violation { promise: "a planned stop cuts nothing", seen });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -0,0 +1,259 @@
+use super::*;
+
+use rand::random;
+
+/// A run under way.
+pub(super) struct Run {
+  pub(super) boxes: Vec<SoakBox>,
+  is_over: Cell<bool>,
+  pub(super) record: Rc<RefCell<Record>>,
+  started: Instant,
+  pub(super) store: platform::StoreServer,
+}
+
+/// What a run came to.
+#[derive(Debug, Serialize)]
+pub struct Summary {
+  /// Requests that callers sent.
+  pub attempts: usize,
+  /// Requests that were answered.
+  pub answered: usize,
+  /// Routes that were added.
+  pub changes: usize,
+  /// Faults of the plan.
+  pub faults: usize,
+  /// The seed.
+  pub seed: u64,
+  /// Promises that were broken.
+  pub violations: Vec<Violation>,
+}
+
+/// Milliseconds between two looks at something that takes time.
+pub(super) const LOOK_MS: Ms = 20;
+
+/// Carries out the plan of a seed. Settings and logs go into `directory`.
+pub async fn run(
+  seed: u64,
+  plan: Plan,
+  boxes: usize,
+  executable: &Path,
+  directory: &Path,
+) -> Result<Summary> {
+  let started = Instant::now();
+  let record = Rc::new(RefCell::new(Record::default()));
+  let store = platform::StoreServer::start()?;
+  store.accept(platform::configuration(&SoakBox::SERVICES, 0))?;
+  let prepare =
+    |index| SoakBox::prepare(index, directory, executable, store.address, &record, started);
+  let boxes: Vec<SoakBox> = (0..boxes).map(prepare).collect::<Result<_>>()?;
+  // Route 0 is none of the added ones.
+  record.borrow_mut().changes.push(0);
+  let run = Rc::new(Run { boxes, is_over: Cell::default(), record, started, store });
+  for one in &run.boxes {
+    one.start()?;
+  }
+  run.wait_until_ready().await?;
+  let base_ms = run.now();
+  for index in 0..run.boxes.len() {
+    for caller in 0..2 {
+      let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (index as u64) << 8 ^ caller << 40);
+      let calling = run.clone();
+      monoio::spawn(async move { calling.call(index, &mut rng).await });
+    }
+    let probing = run.clone();
+    monoio::spawn(async move { probing.probe(index).await });
+  }
+  let faults = plan.steps.len();
+  for step in plan.steps {
+    run.wait_until(base_ms + step.at_ms).await;
+    let harming = run.clone();
+    monoio::spawn(async move {
+      if let Err(err) = harming.harm(step.fault.clone()).await {
+        harming.violate("the soak itself works", format!("{:?}: {err}", step.fault));
+      }
+    });
+  }
+  run.wait_until(base_ms + plan.length_ms).await;
+  run.is_over.set(true);
+  // The last requests come to their end.
+  monoio::time::sleep(Duration::from_secs(3)).await;
+  run.check_recovery().await;
+  run.check_exits()?;
+  for one in &run.boxes {
+    one.kill()?;
+  }
+  let mut record = run.record.borrow_mut();
+  let violations = record.check();
+  let is_answered = |attempt: &&Attempt| attempt.outcome == Outcome::Answered;
+  Ok(Summary {
+    attempts: record.attempts.len(),
+    answered: record.attempts.iter().filter(is_answered).count(),
+    changes: record.changes.len() - 1,
+    faults,
+    seed,
+    violations,
+  })
+}
+
+impl Run {
+  pub(super) fn now(&self) -> Ms {
+    u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+  }
+
+  async fn wait_until(&self, at_ms: Ms) {
+    monoio::time::sleep(Duration::from_millis(at_ms.saturating_sub(self.now()))).await;
+  }
+
+  pub(super) fn violate(&self, promise: &'static str, seen: String) {
+    self.record.borrow_mut().violations.push(Violation { promise, seen });
+  }
+
+  async fn wait_until_ready(&self) -> Result {
+    const PATIENCE_MS: Ms = 20_000;
+    for one in &self.boxes {
+      while !self.is_ready(one).await {
+        if self.now() > PATIENCE_MS {
+          let log = one.log();
+          return Err(Error::Unexpected(format!("box {} is not ready:\n{log}", one.index)));
+        }
+        monoio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+      }
+    }
+    // Backend servers report, and boxes find one another.
+    monoio::time::sleep(Duration::from_secs(3)).await;
+    Ok(())
+  }
+
+  async fn is_ready(&self, one: &SoakBox) -> bool {
+    let pool = Rc::new(web::Pool::new(1_000));
+    let request = Request::get(platform::READINESS_PATH).header(http::header::HOST, "soak");
+    let request = request.body(web::empty());
+    let Ok(request) = request else {
+      return false;
+    };
+    let answer = pool.exchange(one.readiness, request, 4_096).await;
+    answer.is_ok_and(|(status, _)| status.is_success())
+  }
+
+  /// Sends requests at a box for as long as the run lasts, on connections that are kept.
+  async fn call(&self, index: usize, rng: &mut ChaCha8Rng) {
+    let pool = Rc::new(web::Pool::new(1_000));
+    while !self.is_over.get() {
+      let kind = *Kind::ALL.choose(rng).expect("there are kinds");
+      let attempt = self.attempt(&pool, index, kind, rng).await;
+      self.record.borrow_mut().attempts.push(attempt);
+      monoio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+  }
+
+  async fn attempt(
+    &self,
+    pool: &Rc<web::Pool>,
+    index: usize,
+    kind: Kind,
+    rng: &mut ChaCha8Rng,
+  ) -> Attempt {
+    /// Milliseconds beyond its time that a caller waits, to see how late an answer is.
+    const WATCH_MS: Ms = 6_000;
+    let id = format!("{:016x}", random::<u64>());
+    let (method, body) = kind.request(rng);
+    let time_left_ms = rng.random_range(300..2_500);
+    let path = format!("{}{}", kind.path(), rng.random_range(0..100));
+    let exchange = self.exchange(pool, index, method, &path, &id, &body, time_left_ms);
+    let limit = Duration::from_millis(time_left_ms + WATCH_MS);
+    let sent_ms = self.now();
+    let outcome = match monoio::time::timeout(limit, exchange).await {
+      Ok(Ok((status, answer))) => caller::judge(&id, &body, status, &answer),
+      Ok(Err(web::Error::Unreachable { .. } | web::Error::Unsent { .. })) => Outcome::Unsent,
+      Ok(Err(_)) | Err(_) => Outcome::Cut,
+    };
+    Attempt { ended_ms: self.now(), id, index, kind, outcome, sent_ms, time_left_ms }
+  }
+
+  #[allow(clippy::too_many_arguments)]
+  async fn exchange(
+    &self,
+    pool: &Rc<web::Pool>,
+    index: usize,
+    method: Method,
+    path: &str,
+    id: &str,
+    body: &Bytes,
+    time_left_ms: Ms,
+  ) -> web::Result<(StatusCode, Bytes)> {
+    let request = Request::builder()
+      .method(method)
+      .uri(path)
+      .header(http::header::HOST, "soak.example")
+      .header(platform::REQUEST_ID, id)
+      .header(platform::TIME_LEFT_MS, time_left_ms)
+      .body(web::full(body.clone()))
+      .expect("a fixed head");
+    pool.exchange(self.boxes[index].callers, request, 1 << 20).await
+  }
+
+  /// Asks a box for the newest added route again and again.
+  async fn probe(&self, index: usize) {
+    const PAUSE_MS: Ms = 200;
+    let pool = Rc::new(web::Pool::new(1_000));
+    while !self.is_over.get() {
+      let route = self.record.borrow().changes.len() - 1;
+      let (life, sent_ms) = (self.boxes[index].life.get(), self.now());
+      if route > 0 {
+        let status = self.ask_route(&pool, index, route).await;
+        let known = match status {
+          Some(StatusCode::OK) => Some(true),
+          Some(StatusCode::NOT_FOUND) => Some(false),
+          _ => None,
+        };
+        if let Some(known) = known.filter(|_| life == self.boxes[index].life.get()) {
+          let probe = Probe { index, known, life, route, sent_ms };
+          self.record.borrow_mut().probes.push(probe);
+        }
+      }
+      monoio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+  }
+
+  async fn ask_route(
+    &self,
+    pool: &Rc<web::Pool>,
+    index: usize,
+    route: usize,
+  ) -> Option<StatusCode> {
+    let (id, path) = (format!("{:016x}", random::<u64>()), platform::added_path(route));
+    let none = Bytes::new();
+    let exchange = self.exchange(pool, index, Method::GET, &path, &id, &none, 1_000);
+    let answer = monoio::time::timeout(Duration::from_secs(2), exchange).await;
+    answer.ok()?.ok().map(|(status, _)| status)
+  }
+
+  /// Everything works again once the faults are over.
+  async fn check_recovery(&self) {
+    let pool = Rc::new(web::Pool::new(1_000));
+    let route = self.record.borrow().changes.len() - 1;
+    for index in 0..self.boxes.len() {
+      let mut rng = ChaCha8Rng::seed_from_u64(index as u64);
+      let attempt = self.attempt(&pool, index, Kind::Read, &mut rng).await;
+      if attempt.outcome != Outcome::Answered {
+        let seen = format!("box {index} answers a read with {:?}", attempt.outcome);
+        self.violate("all works once the faults are over", seen);
+      }
+      if route > 0 && self.ask_route(&pool, index, route).await != Some(StatusCode::OK) {
+        let seen = format!("box {index} does not serve the newest route");
+        self.violate("all works once the faults are over", seen);
+      }
+    }
+  }
+
+  /// No daemon ended by itself.
+  fn check_exits(&self) -> Result {
+    for one in &self.boxes {
+      if let Some(code) = one.exit_code()? {
+        let seen = format!("box {} exits with {code}", one.index);
+        self.violate("daemons do not end by themselves", seen);
+      }
+    }
+    Ok(())
+  }
+}
--- /dev/null
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -0,0 +1,160 @@
+use super::*;
+
+/// One box: its daemon, its backend server, and the proxies around the daemon.
+pub struct SoakBox {
+  /// Where callers come.
+  pub callers: SocketAddr,
+  /// The backend server.
+  pub backend_server: platform::BackendServer,
+  daemon: RefCell<Option<Process>>,
+  directory: PathBuf,
+  executable: PathBuf,
+  /// In front of what other daemons forward.
+  forward: FaultProxy,
+  _held_ports: Vec<HeldPort>,
+  /// Which box it is.
+  pub index: usize,
+  /// Counts the starts of the daemon.
+  pub life: Cell<u32>,
+  /// In front of links of other daemons.
+  links: FaultProxy,
+  /// Where the platform asks whether the daemon takes callers.
+  pub readiness: SocketAddr,
+  /// Between the daemon and the store.
+  pub store: FaultProxy,
+}
+
+impl SoakBox {
+  /// Data halls that boxes stand in, by turns.
+  const HALLS: usize = 3;
+  /// The services that boxes serve, by turns.
+  pub const SERVICES: [&'static str; 2] = ["archive", "registry"];
+  /// Milliseconds that a planned stop may take.
+  pub const STOP_MS: Ms = 6_000;
+
+  /// Prepares a box in `directory`; its daemon does not run yet.
+  pub fn prepare(
+    index: usize,
+    directory: &Path,
+    executable: &Path,
+    store: SocketAddr,
+    record: &Rc<RefCell<Record>>,
+    started: Instant,
+  ) -> Result<Self> {
+    let ports: Vec<HeldPort> = (0..8).map(|_| HeldPort::take()).collect::<Result<_>>()?;
+    let address = |port: usize| ports[port].address;
+    let service = Self::SERVICES[index % Self::SERVICES.len()];
+    let (forward, links) = (FaultProxy::start(address(2))?, FaultProxy::start(address(3))?);
+    let store = FaultProxy::start(store)?;
+    let settings = serde_json::json!({
+      "addresses": {
+        "administration": address(0), "announced_forward": forward.address,
+        "announced_links": links.address, "callers": address(1), "forward": address(2),
+        "links": address(3),
+      },
+      "backend_server": { "address": address(4) },
+      "box": format!("box-{index}"),
+      "data_hall": format!("hall-{}", index % Self::HALLS),
+      "deployment": {
+        "apply": "2s", "control": address(5), "link_mbps": 1_000.0, "metrics": address(6),
+        "readiness": address(7), "retry_extra": 60, "retry_ratio": 0.2, "retry_window": "10s",
+      },
+      "fleet_key": { "environment": "FERRYYOKE_FLEET_KEY" },
+      "log": { "format": "json" },
+      "profile": "prompt",
+      "region": "region",
+      "service": service,
+      "stop_deadline_ms": Self::STOP_MS,
+      "store": { "address": store.address, "timeout_ms": 1_000 },
+    });
+    fs::write(Self::settings_path(directory, index), settings.to_string())?;
+    let backend_server = platform::BackendServer::start(
+      web::Listener::bind(address(4))?,
+      address(5),
+      service,
+      &format!("box{index}"),
+      record.clone(),
+      started,
+    );
+    Ok(Self {
+      callers: address(1),
+      backend_server,
+      daemon: RefCell::default(),
+      directory: directory.into(),
+      executable: executable.into(),
+      forward,
+      index,
+      life: Cell::default(),
+      links,
+      readiness: address(7),
+      store,
+      _held_ports: ports,
+    })
+  }
+
+  fn settings_path(directory: &Path, index: usize) -> PathBuf {
+    directory.join(format!("box-{index}.json"))
+  }
+
+  fn log_path(&self) -> PathBuf {
+    self.directory.join(format!("box-{}-life-{}.log", self.index, self.life.get()))
+  }
+
+  /// What the daemon logged in its present life.
+  pub fn log(&self) -> String {
+    fs::read_to_string(self.log_path()).unwrap_or_default()
+  }
+
+  /// Starts the daemon, where it does not run.
+  pub fn start(&self) -> Result {
+    if self.daemon.borrow().is_some() {
+      return Ok(());
+    }
+    self.life.set(self.life.get() + 1);
+    let settings = Self::settings_path(&self.directory, self.index).display().to_string();
+    let words = ["run".into(), "--settings".into(), settings];
+    let log = self.log_path();
+    *self.daemon.borrow_mut() = Some(Process::start(&self.executable, &words, &log)?);
+    Ok(())
+  }
+
+  /// Holds back what other daemons send to this box, and what comes back to them.
+  pub fn silence(&self, towards: bool, back: bool) {
+    self.forward.silence(towards, back);
+    self.links.silence(towards, back);
+  }
+
+  /// Makes what other daemons send to this box late.
+  pub fn delay(&self, delay_ms: Ms) {
+    self.forward.delay(delay_ms);
+    self.links.delay(delay_ms);
+  }
+
+  /// Resets the connections of other daemons to this box.
+  pub fn reset(&self) {
+    self.forward.reset();
+    self.links.reset();
+  }
+
+  /// Kills the daemon. Returns whether it ran.
+  pub fn kill(&self) -> Result<bool> {
+    let daemon = self.daemon.borrow_mut().take();
+    daemon.map_or(Ok(false), |mut daemon| daemon.kill().map(|()| true))
+  }
+
+  /// Signals the daemon. Returns whether it runs.
+  pub fn signal(&self, name: &str) -> Result<bool> {
+    let daemon = self.daemon.borrow();
+    daemon.as_ref().map_or(Ok(false), |daemon| daemon.signal(name).map(|()| true))
+  }
+
+  /// The daemon's exit code, once it ended by itself; it can be started again then.
+  pub fn exit_code(&self) -> Result<Option<i32>> {
+    let mut daemon = self.daemon.borrow_mut();
+    let code = daemon.as_mut().map(Process::exit_code).transpose()?.flatten();
+    if code.is_some() {
+      *daemon = None;
+    }
+    Ok(code)
+  }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -14,11 +14,14 @@
 
 pub use self::{arguments::arguments, error::Error};
 
+use self::settings_watch::SettingsWatch;
+
 mod arguments;
 mod check;
 mod error;
 pub mod query;
 mod run;
+mod settings_watch;
 mod standins;
 
 /// Result of a command.
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -23,12 +23,24 @@
     }
   });
   let daemon = Daemon::start(settings, listeners, clock, log.clone(), rand::random());
-  while signals.next().await.map_err(|err| Error::Daemon(daemon::Error::Runtime(err)))?
-    == Request::Reload
-  {
+  let mut watch = SettingsWatch::new(path);
+  while next(&signals, &mut watch).await? == Request::Reload {
+    watch.note_read();
     daemon.reload(Settings::load(path));
   }
   daemon.stop().await;
   log.flush();
   Ok(())
 }
+
+/// What is asked for next: by a signal, or by a settings file that changed without one.
+async fn next(signals: &Signals, watch: &mut SettingsWatch) -> Result<Request> {
+  let signal = Box::pin(signals.next());
+  let changed = Box::pin(watch.changed());
+  match futures_util::future::select(signal, changed).await {
+    futures_util::future::Either::Left((asked, _)) => {
+      asked.map_err(|err| Error::Daemon(daemon::Error::Runtime(err)))
+    }
+    futures_util::future::Either::Right(((), _)) => Ok(Request::Reload),
+  }
+}
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -72,10 +72,11 @@
       }
     };
     shared.log.set_level(fresh.log_level);
+    shared.stop_deadline_ms.set(fresh.stop_deadline_ms);
     let waiting = fresh.differences_that_wait(&shared.settings).join(", ");
     info!(
       shared.log.logger, "the settings were read again";
-      "in_force" => "log level", "wait_for_a_restart" => waiting
+      "in_force" => "log level, stop deadline", "wait_for_a_restart" => waiting
     );
   }
 
@@ -87,7 +88,7 @@
     info!(shared.log.logger, "a planned stop begins");
     shared.start_stopping();
     self.node.distribution.handle(Event::EndpointState(EndpointState::Leaving));
-    let deadline_ms = shared.settings.stop_deadline_ms;
+    let deadline_ms = shared.stop_deadline_ms.get();
     let announce_ms = Self::ANNOUNCE_MAX_MS.min(deadline_ms / 3);
     monoio::time::sleep(Duration::from_millis(announce_ms)).await;
     shared.refuse_work();
@@ -147,12 +148,12 @@
 fn identity(shared: &Shared) -> Identity {
   let settings = &shared.settings;
   let peer = Peer {
-    address: settings.addresses.links,
+    address: settings.addresses.announced_links,
     box_id: settings.box_id.clone(),
     data_hall: settings.data_hall.clone(),
   };
   let endpoint = Endpoint {
-    forward_address: settings.addresses.forward,
+    forward_address: settings.addresses.announced_forward,
     link_mbps: settings.deployment.as_ref().map_or(0, Deployment::whole_link_mbps),
     incarnation: shared.names.incarnation,
     peer,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -44,6 +44,8 @@
   pub settings: Settings,
   /// Shares requests of a route among services.
   pub splitter: RefCell<Splitter>,
+  /// Longest planned stop in milliseconds; the settings' one until they are read again.
+  pub stop_deadline_ms: Cell<u64>,
   /// Statements of operators under way.
   pub statements_at_work: Cell<usize>,
   stopping: Cell<bool>,
@@ -98,6 +100,7 @@
       refuses_work: Cell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       router: RefCell::default(),
+      stop_deadline_ms: Cell::new(settings.stop_deadline_ms),
       settings,
       splitter: RefCell::default(),
       statements_at_work: Cell::default(),
--- a/src/settings/addresses.rs
+++ b/src/settings/addresses.rs
@@ -1,8 +1,12 @@
 use super::*;
 
-/// Where a daemon listens. All four differ.
+/// Where a daemon listens, and is reached. The four that it listens on differ.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Addresses {
+  /// Where other daemons reach `forward`, where that differs from what it listens on.
+  pub announced_forward: SocketAddr,
+  /// Where other daemons reach `links`, where that differs from what it listens on.
+  pub announced_links: SocketAddr,
   /// For operators: the administration API, metrics and health.
   pub administration: SocketAddr,
   /// For callers.
@@ -16,7 +20,8 @@
 impl Addresses {
   pub(super) fn read(node: &Node) -> Option<Self> {
     const KEYS: [&str; 4] = ["administration", "callers", "forward", "links"];
-    node.object(&KEYS);
+    const ANNOUNCED: [&str; 2] = ["announced_forward", "announced_links"];
+    node.object(&[&KEYS[..], &ANNOUNCED[..]].concat());
     let found = KEYS.map(|key| node.field(key).address());
     for (index, address) in found.iter().enumerate() {
       let earlier = found[..index].iter().position(|other| other == address);
@@ -25,7 +30,13 @@
       }
     }
     let [administration, callers, forward, links] = found;
+    let announced = |key: &str, own: Option<SocketAddr>| {
+      let node = node.field(key);
+      if node.is_present() { node.address() } else { own }
+    };
     Some(Self {
+      announced_forward: announced("announced_forward", forward)?,
+      announced_links: announced("announced_links", links)?,
       administration: administration?,
       callers: callers?,
       forward: forward?,
--- a/src/standin/keyspace.rs
+++ b/src/standin/keyspace.rs
@@ -74,6 +74,12 @@
     !over.is_empty()
   }
 
+  /// Forgets all changes: watches from before now are told so.
+  pub fn forget_history(&mut self) {
+    self.events.clear();
+    self.forgotten = self.revision;
+  }
+
   /// Ends all leases before their time.
   pub fn lapse_leases(&mut self) {
     let leases: Vec<LeaseId> = self.leases.keys().copied().collect();
