Believe a process only once it is confirmed, and call the store less at a start

Cause: a daemon that was killed after it had acknowledged a drain knew nothing of it in its next life; a late report "ready" from before the drain made it send work again. The late report of a process from before this life could also displace the running one, which then counted as gone for good. And at a start every box took itself for a watcher, for it knew no other, and wrote its entry three times.

Change: `BackendRecord` takes a process that this life has not seen as running once the health endpoint names it, or after three reports in order; one that leaves is believed at once. A box watches the store only once it knows the fleet, or has read a configuration that nobody else watches; an entry that says nothing new about taking work is gathered.

Ruled out: keeping drains in the store, a call for each acknowledgement, which an outage would hold up.

--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -48,12 +48,13 @@
 /// Milliseconds between two looks for the process of a backend server that reports by itself.
 const FIND_PERIOD_MS: u64 = 250;
 
-/// Finds out which process of the backend server runs, until it reported by itself. A daemon that
-/// was started anew need not wait for the next report.
+/// Finds out which process of the backend server runs, wherever its reports leave that in doubt. A
+/// daemon that was started anew need not wait for the next report.
 pub async fn find_instance(node: Rc<Node>) {
   let shared = &node.shared;
-  while shared.backend.borrow().instance().is_none() {
-    if let Some(instance) = ask_instance(shared).await {
+  loop {
+    let is_in_doubt = shared.backend.borrow().is_in_doubt();
+    if is_in_doubt && let Some(instance) = ask_instance(shared).await {
       node.backend_probed(&instance);
     }
     monoio::time::sleep(Duration::from_millis(FIND_PERIOD_MS)).await;
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -29,8 +29,10 @@
 
   /// Whether this daemon asks the store itself, rather than its neighbours.
   fn must_watch(&self) -> bool {
-    self.catalog.version().is_none()
-      || self.is_watcher()
+    // Where the store has no configuration yet, a neighbour that watches it tells of the first one.
+    let is_unread = self.catalog.version().is_none() && self.watch_revision().is_none();
+    is_unread
+      || (self.is_watcher() && self.knows_fleet())
       || !(self.is_settling() || self.has_fresh_neighbour())
   }
 
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -165,6 +165,12 @@
     self.watchers.contains(&self.own.peer.box_id)
   }
 
+  /// Whether the daemon has read which boxes there are, or had the time to. Before that it would take
+  /// itself for the best watcher of its data hall.
+  fn knows_fleet(&self) -> bool {
+    self.directory_revision > Revision(0) || !self.is_settling()
+  }
+
   /// Whether the daemon was started a moment ago and has not found its neighbours yet.
   fn is_settling(&self) -> bool {
     self.now.time.since_ms(self.started_at) < Self::SETTLING_MS
--- a/src/distribution/registration.rs
+++ b/src/distribution/registration.rs
@@ -14,6 +14,8 @@
   retry_at: Time,
   /// Since when the entry in the store is behind.
   stale_since: Option<Time>,
+  /// Whether the entry that the store last confirmed in this life says that the box takes work.
+  is_written_live: bool,
   /// The incarnation and sequence that the store last confirmed.
   written: Option<(Incarnation, u64)>,
   /// The store's revision at that write.
@@ -23,7 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Pending {
   Grant,
-  Put((Incarnation, u64)),
+  /// What is written, and whether it says that the box takes work.
+  Put((Incarnation, u64), bool),
   Renew,
 }
 
@@ -39,6 +42,9 @@
 }
 
 impl Registration {
+  /// Milliseconds for which an entry waits until the box takes work, where the store has none that says
+  /// so yet: the backend server is usually found within that time, and both are one write.
+  const FIRST_MS: u64 = 1_000;
   /// Milliseconds for which good news about the box is gathered before it is written.
   const GATHER_MS: u64 = 100;
   /// Shortest pause after a failure, in milliseconds: a few answer times of a healthy store.
@@ -68,12 +74,12 @@
     };
     if self.written != Some(announced) {
       let since = *self.stale_since.get_or_insert(now);
-      let is_urgent = entry.state != EndpointState::Live;
-      if !is_urgent && now.since_ms(since) < Self::GATHER_MS {
+      if now.since_ms(since) < self.gather_ms(entry.state) {
         return None;
       }
       self.stale_since = None;
-      self.pending = Some((call, Pending::Put(announced)));
+      let is_live = entry.state == EndpointState::Live;
+      self.pending = Some((call, Pending::Put(announced, is_live)));
       let key = keys::endpoint(&entry.peer.box_id);
       return Some(StoreRequest::Put { key, lease: Some(lease), value: to_json(entry) });
     }
@@ -85,6 +91,15 @@
     None
   }
 
+  /// Milliseconds for which news is gathered. That a box takes no more work is written at once.
+  fn gather_ms(&self, state: EndpointState) -> u64 {
+    match state {
+      EndpointState::Live => Self::GATHER_MS,
+      _ if !self.is_written_live => Self::FIRST_MS,
+      _ => 0,
+    }
+  }
+
   /// Takes in the answer to one of the registration's calls; nothing where the call is not its own.
   pub fn answered(
     &mut self,
@@ -96,7 +111,8 @@
     let (_, pending) = self.pending.take_if(|(own, _)| *own == call)?;
     match (pending, result) {
       (Pending::Grant, Ok(Reply::Lease { lease })) => self.lease = Some(*lease),
-      (Pending::Put(announced), Ok(Reply::Written { revision })) => {
+      (Pending::Put(announced, is_live), Ok(Reply::Written { revision })) => {
+        self.is_written_live = is_live;
         self.written = Some(announced);
         self.written_at = *revision;
       }
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -3,9 +3,13 @@
 /// What a daemon knows of the backend server beside it, from what that one reports itself.
 ///
 /// A report may arrive late, from before a drain or from a process that has ended: the sequence
-/// orders the reports of one process, and a process that left is never taken back.
+/// orders the reports of one process, and a process that left is never taken back. A process that this
+/// life of the daemon has not seen yet may have left before it: its report alone is not believed. The
+/// health endpoint must name it, or it must go on reporting.
 #[derive(Clone, Debug, Default)]
 pub struct BackendRecord {
+  /// A process that reported and is not believed yet. Never the running one.
+  candidate: Option<Candidate>,
   /// Until when the process is slow, for it started a moment ago.
   cold_until: Time,
   /// The running process.
@@ -20,6 +24,15 @@
   state: BackendState,
 }
 
+/// A process whose reports are not confirmed.
+#[derive(Clone, Debug)]
+struct Candidate {
+  /// Its newest report.
+  report: BackendReport,
+  /// How many reports came, each newer than the one before it.
+  reports: u32,
+}
+
 /// Whether the backend server takes work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum BackendState {
@@ -53,16 +66,63 @@
   /// Processes that left and are remembered, far more than can have reports under way.
   const LEFT_MAX: usize = 16;
 
+  /// Reports after which a process is believed although no health endpoint names it. Late ones come one
+  /// or two at a time.
+  const REPORTS_MIN: u32 = 3;
+
   /// Takes in a report. Returns whether it told something newer than what was known.
   pub fn reported(&mut self, now: Time, report: &BackendReport) -> bool {
-    let known = self.instance.as_ref() == Some(&report.instance);
-    let is_late = known && report.sequence <= self.sequence;
-    if is_late || self.left.contains(&report.instance) {
+    if self.left.contains(&report.instance) {
       return false;
     }
-    if !known {
-      self.replace(Some(report.instance.clone()));
+    if self.instance.as_ref() == Some(&report.instance) {
+      let is_newer = report.sequence > self.sequence;
+      if is_newer {
+        self.take(now, report);
+      }
+      return is_newer;
+    }
+    if report.leaving {
+      self.leaving_reported(now, report);
+      return true;
+    }
+    self.candidate_reported(now, report)
+  }
+
+  /// A process that is not the running one says that it leaves.
+  fn leaving_reported(&mut self, now: Time, report: &BackendReport) {
+    if self.instance.is_none() {
+      return self.adopt(now, report);
     }
+    self.candidate.take_if(|candidate| candidate.report.instance == report.instance);
+    self.remember_left(report.instance.clone());
+  }
+
+  /// A process that is not the running one says that it is ready.
+  fn candidate_reported(&mut self, now: Time, report: &BackendReport) -> bool {
+    let same = |candidate: &&Candidate| candidate.report.instance == report.instance;
+    let known = self.candidate.as_ref().filter(same);
+    if known.is_some_and(|candidate| report.sequence <= candidate.report.sequence) {
+      return false;
+    }
+    let reports = 1 + known.map_or(0, |candidate| candidate.reports);
+    if reports >= Self::REPORTS_MIN {
+      self.adopt(now, report);
+    } else {
+      self.candidate = Some(Candidate { report: report.clone(), reports });
+    }
+    true
+  }
+
+  /// A process is believed to be the running one.
+  fn adopt(&mut self, now: Time, report: &BackendReport) {
+    self.candidate = None;
+    self.replace(Some(report.instance.clone()));
+    self.take(now, report);
+  }
+
+  /// Takes over what the running process reports.
+  fn take(&mut self, now: Time, report: &BackendReport) {
     self.sequence = report.sequence;
     self.cold_until = now.after(report.cold_left_ms);
     self.service = Some(report.service.clone());
@@ -71,7 +131,6 @@
     if self.state != BackendState::Leaving {
       self.state = if report.leaving { BackendState::Leaving } else { BackendState::Ready };
     }
-    true
   }
 
   /// A process said that it goes.
@@ -79,17 +138,37 @@
     if self.instance.as_ref() == Some(instance) {
       self.state = BackendState::Leaving;
     }
+    self.candidate.take_if(|candidate| candidate.report.instance == *instance);
     self.remember_left(instance.clone());
   }
 
-  /// The health endpoint answered for a process, before any report of it came in this life.
-  pub fn probed(&mut self, instance: InstanceId) {
-    if self.instance.is_none() && !self.left.contains(&instance) {
-      self.instance = Some(instance);
+  /// The health endpoint answered that a process is well.
+  pub fn probed(&mut self, now: Time, instance: &InstanceId) {
+    if self.left.contains(instance) {
+      return;
+    }
+    let named = |candidate: &mut Candidate| candidate.report.instance == *instance;
+    if let Some(candidate) = self.candidate.take_if(named) {
+      return self.adopt(now, &candidate.report);
+    }
+    if self.instance.is_none() {
+      self.instance = Some(instance.clone());
+    }
+    if self.instance.as_ref() != Some(instance) {
+      return;
+    }
+    // Whoever else reported is not the one that runs.
+    self.candidate = None;
+    if self.state == BackendState::Unknown {
       self.state = BackendState::Ready;
     }
   }
 
+  /// Whether the health endpoint should be asked which process runs.
+  pub fn is_in_doubt(&self) -> bool {
+    self.candidate.is_some() || self.state == BackendState::Unknown
+  }
+
   /// The address refuses connections, or another process answers there.
   pub fn vanished(&mut self) {
     if self.state == BackendState::Ready {
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,41 +11,61 @@
 impl Node {
   /// The backend server reported.
   pub fn backend_reported(&self, report: &BackendReport) {
-    let shared = &self.shared;
-    let now = shared.now().time;
-    let before = shared.backend_state();
-    let former = shared.backend.borrow().instance().cloned();
-    if !shared.backend.borrow_mut().reported(now, report) {
+    let now = self.shared.now().time;
+    let is_newer =
+      self.change_backend(&report.instance, report.sequence, |record| record.reported(now, report));
+    if !is_newer {
       debug!(
-        shared.log.logger, "a late report of a backend server was passed over";
+        self.shared.log.logger, "a late report of a backend server was passed over";
         "instance" => report.instance.as_str(), "sequence" => report.sequence
       );
-      return;
-    }
-    if former.is_some_and(|former| former != report.instance) {
-      shared.monitor.borrow_mut().forget();
     }
-    let admitted = shared.limiter.borrow_mut().set_slots(now, report.slots as usize);
-    for ticket in admitted {
-      shared.admit(ticket);
-    }
-    let (service, slots) = (report.service.clone(), report.slots);
-    self.distribution.handle(Event::EndpointServes { service, slots });
-    self.announce_backend(before, &report.instance, report.sequence);
   }
 
   /// The backend server said that it goes.
   pub fn backend_deregistered(&self, instance: &InstanceId) {
-    let before = self.shared.backend_state();
-    self.shared.backend.borrow_mut().deregistered(instance);
-    self.announce_backend(before, instance, 0);
+    self.change_backend(instance, 0, |record| record.deregistered(instance));
   }
 
   /// The health endpoint answered for a process.
   pub fn backend_probed(&self, instance: &InstanceId) {
-    let before = self.shared.backend_state();
-    self.shared.backend.borrow_mut().probed(instance.clone());
-    self.announce_backend(before, instance, 0);
+    let now = self.shared.now().time;
+    self.change_backend(instance, 0, |record| record.probed(now, instance));
+  }
+
+  /// Changes what is known of the backend server, and tells the fleet and the log what came of it.
+  fn change_backend<T>(
+    &self,
+    instance: &InstanceId,
+    sequence: u64,
+    change: impl FnOnce(&mut BackendRecord) -> T,
+  ) -> T {
+    let shared = &self.shared;
+    let (before, former) = (shared.backend_state(), shared.backend.borrow().instance().cloned());
+    let outcome = change(&mut shared.backend.borrow_mut());
+    if former.is_some() && former.as_ref() != shared.backend.borrow().instance() {
+      shared.monitor.borrow_mut().forget();
+    }
+    self.take_over_slots();
+    self.announce_backend(before, instance, sequence);
+    outcome
+  }
+
+  /// Brings the limiter, and the fleet, to what the backend server reported.
+  fn take_over_slots(&self) {
+    let shared = &self.shared;
+    let reported = {
+      let record = shared.backend.borrow();
+      record.slots().zip(record.service().cloned())
+    };
+    let Some((slots, service)) = reported else {
+      return;
+    };
+    let admitted = shared.limiter.borrow_mut().set_slots(shared.now().time, slots as usize);
+    for ticket in admitted {
+      shared.admit(ticket);
+    }
+    self.distribution.handle(Event::EndpointServes { service, slots });
   }
 
   /// Tells the fleet, and the log, what the backend server can do from now on.
