Let a box that becomes a watcher go on where its neighbours stood

Ruled out: a process that stood still (it logged requests all the time), links that carried nothing (beats would have been missed after 1.3 s).

Change: a watcher's beats tell the store's revision up to which its version holds all changes; a subscriber that holds as much goes on from there. The test in virtual time read 27 configurations for one change before, and nine at most after.

--- a/src/distribution/beat.rs
+++ b/src/distribution/beat.rs
@@ -12,6 +12,10 @@
   /// Whether the sender holds a relay slot.
   #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
   pub is_relay: bool,
+  /// The store's revision up to which the sender's version holds all changes, where the sender watches
+  /// the store: a neighbour that holds as much goes on from there.
+  #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+  pub revision: Option<Revision>,
   /// Milliseconds since the store last confirmed the sender's version; nothing where it never did.
   #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
   pub store_age_ms: Option<u64>,
--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -13,6 +13,7 @@
       applied_unix_ms: is_new.then(|| self.applied_unix_ms()),
       endpoints: self.endpoints.fingerprint(),
       is_relay: self.is_relay(),
+      revision: None,
       store_age_ms: self.store_age_ms(),
       version: self.catalog.held(),
     }
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -59,6 +59,13 @@
     }
   }
 
+  /// What is held has all changes up to a revision: a watch that rests goes on from there.
+  pub(super) fn skip_to(&mut self, revision: Option<Revision>) {
+    if let WatchPhase::Resting { after } = &mut self.watch {
+      *after = revision.max(*after);
+    }
+  }
+
   /// The revision from which a watch would go on, where one was seen.
   pub(super) fn watch_revision(&self) -> Option<Revision> {
     match self.watch {
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -44,6 +44,7 @@
       applied_unix_ms: None,
       endpoints: self.endpoints.fingerprint(),
       is_relay: self.is_served_watcher(),
+      revision: self.watch_revision().filter(|_| self.is_served_watcher()),
       store_age_ms: self.knowledge_age_ms(),
       version: self.catalog.held(),
     };
@@ -250,7 +251,11 @@
     if known.role != LinkRole::Upstream {
       return;
     }
+    let is_known_long = now.since_ms(known.opened_at) > Self::STALE_MS;
     let held = beat.version.map(|(version, _)| version);
+    if held <= self.catalog.version() {
+      self.skip_to(beat.revision);
+    }
     if let Some(age_ms) = beat.store_age_ms
       && held <= self.catalog.version()
     {
@@ -258,7 +263,6 @@
       self.confirmed_at = self.confirmed_at.max(Some(at));
     }
     let is_stale = beat.store_age_ms.is_none_or(|age_ms| age_ms > Self::STALE_MS);
-    let is_known_long = now.since_ms(known.opened_at) > Self::STALE_MS;
     if is_stale && is_known_long {
       self.close_link(link);
     }
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -44,6 +44,27 @@
   assert!(calls <= 4 * BOXES as u64, "{calls} calls for five changes in quick succession");
 }
 
+/// Each configuration is large, and the box's link may be narrow.
+#[test]
+fn a_box_that_becomes_a_watcher_does_not_read_what_it_was_told_before() {
+  let mut fleet = fleet();
+  for version in 2..=21 {
+    fleet.write_version(version);
+    fleet.run(500);
+  }
+  fleet.run(2_000);
+  let before = fleet.watched_configurations;
+  for index in 0..6 {
+    fleet.change_state(index, EndpointState::Leaving);
+  }
+  fleet.run(3_000);
+  fleet.write_version(22);
+  fleet.run(500);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(22)), NOBODY);
+  let read = fleet.watched_configurations - before;
+  assert!(read <= BOXES, "{read} configurations were read for one change");
+}
+
 #[test]
 fn boxes_that_the_store_turns_away_get_changes_and_news_from_neighbours() {
   let mut fleet = fleet();
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -62,6 +62,8 @@
   pub store_tenths: u64,
   /// Boxes that the store does not serve.
   pub unserved: BTreeSet<BoxId>,
+  /// Whole configurations that watches brought.
+  pub watched_configurations: usize,
   watches: Vec<(BoxId, u64, StoreRequest, u64)>,
 }
 
@@ -79,6 +81,7 @@
       pushed_objects: 0,
       store_tenths: 0,
       unserved: BTreeSet::new(),
+      watched_configurations: 0,
       watches: Vec::new(),
     }
   }
@@ -287,6 +290,10 @@
       if is_idle && self.now < until {
         self.watches.push((box_id, call, request, until));
       } else {
+        if let Ok(Reply::Changes { events, .. }) = &result {
+          let under = |key: &Key| key.is_under(&Key::of(&["op", "config"]));
+          self.watched_configurations += events.iter().filter(|one| under(&one.key)).count();
+        }
         self.answer(&box_id, call, result.map_err(store::Error::from));
       }
     }
