Prove that an upload goes on to the next box where the first has no room

Ruled out: a test with two boxes, which passed with the mend taken out, for the daemon had learned from other requests which box was busy.

Change: twelve boxes, three of the service's four busy, and uploads from daemons that have sent nothing yet. With the mend taken out it fails at the second upload with 503; with it all seven are answered.

--- a/crates/ferryyoke-bench/tests/requests.rs
+++ b/crates/ferryyoke-bench/tests/requests.rs
@@ -230,13 +230,8 @@
     fleet.configure().await?;
     let daemon = fleet.boxes[0].daemon.as_ref().expect("it runs");
     let before_kb = daemon.memory_kb("VmHWM")?;
-    let piece = bytes::Bytes::from(vec![7; 64 << 10]);
     let pieces = 1_600;
-    let stream = futures_util::stream::iter(
-      (0..pieces)
-        .map(move |_| Ok::<_, std::convert::Infallible>(http_body::Frame::data(piece.clone()))),
-    );
-    let body = web::AnyBody::streamed(http_body_util::StreamBody::new(stream));
+    let body = streamed(pieces);
     let callers = fleet.boxes[0].callers;
     let request = Request::post("/intake/recording").header("host", callers.to_string());
     let request = request.body(body).map_err(|err| Error::Unexpected(err.to_string()))?;
@@ -251,6 +246,52 @@
   });
 }
 
+/// A body of no told length, in pieces.
+fn streamed(pieces: usize) -> web::AnyBody {
+  let piece = bytes::Bytes::from(vec![7; 64 << 10]);
+  let frames = (0..pieces)
+    .map(move |_| Ok::<_, std::convert::Infallible>(http_body::Frame::data(piece.clone())));
+  web::AnyBody::streamed(http_body_util::StreamBody::new(futures_util::stream::iter(frames)))
+}
+
+#[test]
+fn an_upload_goes_on_to_the_next_box_where_the_first_has_no_room() {
+  run(async {
+    let fleet = fleet().boxes(12).slots(1).start()?;
+    fleet.configure().await?;
+    // Four boxes serve the service, and three of them are busy for long.
+    let busy = [2, 5, 8];
+    let slow = BackendFaults { delay_ms: 6_000, ..BackendFaults::default() };
+    for index in busy {
+      fleet.boxes[index].set_backend_faults(&slow).await?;
+    }
+    let callers = fleet.boxes[0].callers;
+    for number in 0..24 {
+      monoio::spawn(async move {
+        let request = Request::get(format!("/intake/{number}")).header("host", callers.to_string());
+        let request = request.body(web::empty()).expect("a fixed head");
+        let pool = std::rc::Rc::new(web::Pool::new(1_000));
+        pool.exchange(callers, request, 1 << 20).await.ok();
+      });
+    }
+    for index in busy {
+      while fleet.boxes[index].journal().await?.runs.is_empty() {
+        pause_ms(10).await;
+      }
+    }
+    // Daemons that have sent nothing yet do not know which boxes are busy.
+    let pool = std::rc::Rc::new(web::Pool::new(1_000));
+    for index in [1, 3, 4, 6, 7, 9, 10] {
+      let callers = fleet.boxes[index].callers;
+      let request = Request::post("/intake/upload").header("host", callers.to_string());
+      let request = request.body(streamed(4)).map_err(|err| Error::Unexpected(err.to_string()))?;
+      let (status, body) = pool.exchange(callers, request, 1 << 20).await?;
+      assert_eq!(status, 200, "from box {index}: {body:?}");
+    }
+    Ok(())
+  });
+}
+
 /// Sends raw bytes and returns what comes back until the daemon closes, or a second passes.
 fn raw(callers: SocketAddr, bytes: &[u8]) -> String {
   let mut stream = TcpStream::connect(callers).expect("a connection");
