Let the soak's store carry out writes seconds after their answers were lost

Cause: a write whose answer is lost may be done at once or seconds later, and the stand-in did it at once only. Ruled out: doing so in the product's stand-in store, whose callers are fuzzed in virtual time.

Change: the plan draws how late; the write is carried out then, whatever became of its caller.

--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -77,8 +77,11 @@
         }
         self.store.set_faults(|faults| faults.down = false);
       }
-      Fault::StoreLoses { writes } => {
-        self.store.set_faults(|faults| faults.lost_writes = writes);
+      Fault::StoreLoses { late_ms, writes } => {
+        self.store.set_faults(|faults| {
+          faults.late_ms = late_ms;
+          faults.lost_writes = writes;
+        });
         self.trouble_at_store(LOSES_MS).await;
         self.store.set_faults(|faults| faults.lost_writes = 0);
       }
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -46,8 +46,8 @@
   StoreDown { for_ms: Ms, lapse: bool },
   /// The store forgets its history.
   StoreForgets,
-  /// The store loses answers to writes that it carried out.
-  StoreLoses { writes: u32 },
+  /// The store loses answers to writes, which it carries out at once or later.
+  StoreLoses { late_ms: Ms, writes: u32 },
   /// The store answers late.
   StoreSlow { for_ms: Ms, delay_ms: Ms },
   /// The store does not serve some boxes.
@@ -96,7 +96,7 @@
       12 => Self::Stop { indexes: some(rng, boxes / 2), gap_ms: for_ms / 2 },
       13 => Self::StoreDown { for_ms, lapse: rng.random() },
       14 => Self::StoreForgets,
-      15 => Self::StoreLoses { writes: rng.random_range(1..6) },
+      15 => Self::StoreLoses { late_ms: delay_ms * 10, writes: rng.random_range(1..6) },
       16 => Self::StoreSlow { for_ms, delay_ms },
       _ => Self::StoreTurnsAway { indexes: some(rng, boxes / 2), for_ms },
     }
--- a/crates/ferryyoke-soak/src/platform/store.rs
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -16,7 +16,9 @@
   pub delay_ms: Ms,
   /// Serve nobody.
   pub down: bool,
-  /// Carry out this many of the next writes and lose their answers.
+  /// Milliseconds until a write whose answer is lost is carried out.
+  pub late_ms: Ms,
+  /// Lose the answers of this many of the next writes.
   pub lost_writes: u32,
 }
 
@@ -86,19 +88,26 @@
   let Some(call) = read(&path, &query, &body) else {
     return web::text(StatusCode::BAD_REQUEST, "not a call of the store");
   };
+  if call.is_write() && state.borrow().faults.lost_writes > 0 {
+    state.borrow_mut().faults.lost_writes -= 1;
+    monoio::spawn(carry_out_later(state, call, faults.late_ms));
+    return std::future::pending().await;
+  }
   let result = if let StoreRequest::Watch { wait_ms, .. } = &call {
     watch(&state, &call, *wait_ms).await
   } else {
     state.borrow_mut().call(&call)
   };
-  let is_lost = call.is_write() && state.borrow().faults.lost_writes > 0;
-  if is_lost {
-    state.borrow_mut().faults.lost_writes -= 1;
-    std::future::pending::<()>().await;
-  }
   answer(result)
 }
 
+/// Carries out a write that nobody hears of, also where its caller gave up meanwhile.
+async fn carry_out_later(state: Rc<RefCell<State>>, call: StoreRequest, late_ms: Ms) {
+  monoio::time::sleep(Duration::from_millis(late_ms)).await;
+  // Whether the store refuses it by then is nobody's concern either.
+  let _ = state.borrow_mut().call(&call);
+}
+
 async fn watch(
   state: &Rc<RefCell<State>>,
   call: &StoreRequest,
