--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -10,7 +10,7 @@
   configuration::Configuration, drain::Drain, error::Error, handling::Handling, head::Head,
   object::Object, object_name::ObjectName, operation::Operation, patch::Patch, policy::Policy,
   revised::Revised, route::Route, service::Service, source::Source, summary::Summary,
-  weighted_service::WeightedService,
+  unreadable::Unreadable, weighted_service::WeightedService,
 };
 
 mod accepted_change;
@@ -32,6 +32,7 @@
 mod service;
 mod source;
 mod summary;
+mod unreadable;
 mod weighted_service;
 
 /// Result of a step on the configuration.
--- a/src/configuration/source.rs
+++ b/src/configuration/source.rs
@@ -8,5 +8,5 @@
   fn key(&self) -> store::Key;
 
   /// The configuration in a value of that key, or what is wrong with it.
-  fn read(&self, value: &str) -> std::result::Result<Configuration, String>;
+  fn read(&self, value: &str) -> std::result::Result<Configuration, Unreadable>;
 }
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -39,6 +39,13 @@
   Log(String),
   /// Open a link; [`Event::LinkOpened`] or [`Event::LinkFailed`] follows.
   OpenLink(Peer),
+  /// A configuration in the store was not taken: tell operators.
+  Refuse {
+    /// What is wrong with it.
+    reason: String,
+    /// Its version, where that much could be read.
+    version: Option<Version>,
+  },
   /// Send a message.
   Send {
     /// The link.
--- a/src/distribution/catalog.rs
+++ b/src/distribution/catalog.rs
@@ -72,6 +72,11 @@
     self.refusals.iter()
   }
 
+  /// Remembers that something was not taken, for those who ask why a box holds what it holds.
+  pub fn note_refusal(&mut self, unix_ms: u64, err: Error) {
+    push_bounded(&mut self.refusals, (unix_ms, err), Self::RECORDS_MAX);
+  }
+
   /// Takes in an update, or keeps all as it was and says why.
   pub fn take(&mut self, update: Update, from: Option<BoxId>, unix_ms: u64) -> Result {
     let offered = update.version();
@@ -86,7 +91,7 @@
       if matches!(err, Error::Backwards { held, offered } if held == offered) {
         return Err(err);
       }
-      push_bounded(&mut self.refusals, (unix_ms, err.clone()), Self::RECORDS_MAX);
+      self.note_refusal(unix_ms, err.clone());
       return Err(err);
     }
     let provenance = Provenance { applied_unix_ms: unix_ms, from, version: offered };
@@ -129,7 +134,7 @@
     let version = configuration.version;
     let checked = self.check_forward(version).and_then(|()| Ok(configuration.validate()?));
     if let Err(err) = checked {
-      push_bounded(&mut self.refusals, (unix_ms, err.clone()), Self::RECORDS_MAX);
+      self.note_refusal(unix_ms, err.clone());
       return Err(err);
     }
     let digest = configuration.digest();
--- a/src/distribution/error.rs
+++ b/src/distribution/error.rs
@@ -31,6 +31,8 @@
     /// The version held.
     held: Option<Version>,
   },
+  /// A source holds something that is not a configuration.
+  Unreadable(Unreadable),
 }
 
 impl Display for Error {
@@ -55,6 +57,7 @@
       Self::Gap { base, held: None } => {
         write!(f, "the update starts from version {base}, and no version is held")
       }
+      Self::Unreadable(unreadable) => unreadable.fmt(f),
     }
   }
 }
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -195,14 +195,21 @@
   fn take_configuration(&mut self, value: &str) {
     let configuration = match self.source.read(value) {
       Ok(configuration) => configuration,
-      Err(reason) => return self.log(format!("the store's configuration was refused: {reason}")),
+      Err(unreadable) => return self.refuse_unreadable(unreadable),
     };
     if self.catalog.version() >= Some(configuration.version) {
       return;
     }
+    let version = Some(configuration.version);
     match self.catalog.take_whole(configuration, self.now.unix_ms) {
       Ok(()) => self.switched(),
-      Err(err) => self.log(format!("the store's configuration was refused: {err}")),
+      Err(err) => self.act(Action::Refuse { reason: err.to_string(), version }),
     }
   }
+
+  fn refuse_unreadable(&mut self, unreadable: Unreadable) {
+    let Unreadable { reason, version } = unreadable.clone();
+    self.catalog.note_refusal(self.now.unix_ms, Error::Unreadable(unreadable));
+    self.act(Action::Refuse { reason, version });
+  }
 }
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -7,7 +7,9 @@
 use super::*;
 
 use crate::{
-  configuration::{AcceptedChange, Change, Configuration, Head, Patch, Source, Summary},
+  configuration::{
+    AcceptedChange, Change, Configuration, Head, Patch, Source, Summary, Unreadable,
+  },
   fleet::{Endpoint, EndpointState, EndpointTable, Peer},
   requests::RequestRecord,
   store::{Entry, Key, LeaseId, Refusal, Reply, Revision, StoreRequest},
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -116,6 +116,9 @@
       Action::OpenLink(peer) => {
         monoio::spawn(self.clone().open_link(peer));
       }
+      Action::Refuse { reason, version } => {
+        self.shared.note_refused_configuration(&reason, version)
+      }
       Action::Send { link, message } => self.send(link, message),
     }
   }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -37,6 +37,8 @@
   /// What became of the last requests.
   pub records: RefCell<RecordBook>,
   pub(super) refuses_work: Cell<bool>,
+  /// Why the last configuration was not taken; nothing once one was taken after it.
+  refused_configuration: RefCell<Option<String>>,
   /// Randomness for decisions.
   pub rng: RefCell<ChaCha8Rng>,
   router: RefCell<Rc<Router>>,
@@ -97,6 +99,7 @@
       names,
       peer_pool: pool(),
       records: RefCell::default(),
+      refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       router: RefCell::default(),
@@ -131,6 +134,7 @@
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
+    *self.refused_configuration.borrow_mut() = None;
   }
 
   /// Calls the store.
@@ -207,11 +211,30 @@
   }
 
   /// Why the daemon should not get callers; nothing where it should.
-  pub fn why_not_ready(&self) -> Option<&'static str> {
+  pub fn why_not_ready(&self) -> Option<String> {
     if self.is_stopping() {
-      return Some("stopping");
+      return Some("stopping".into());
     }
-    self.configuration().is_none().then_some("no configuration yet")
+    self.configuration().is_none().then(|| self.why_unconfigured())
+  }
+
+  /// Why there is no configuration in force.
+  pub fn why_unconfigured(&self) -> String {
+    match self.refused_configuration.borrow().as_ref() {
+      Some(refused) => format!("no configuration yet, for the store's was refused: {refused}"),
+      None => "no configuration yet".into(),
+    }
+  }
+
+  /// A configuration in the store was not taken. The one in force stays.
+  pub fn note_refused_configuration(&self, reason: &str, version: Option<Version>) {
+    self.metrics.configurations_refused.inc();
+    let told = version.map_or("unknown".into(), |version| version.to_string());
+    warn!(
+      self.log.logger, "the store's configuration was refused";
+      "version" => &told, "reason" => reason
+    );
+    *self.refused_configuration.borrow_mut() = Some(format!("version {told}: {reason}"));
   }
 
   /// A random seed for a decision.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,7 +8,7 @@
 use crate::{
   configuration::{
     CallerLimits, Configuration, Handling, Patch, Policy, Revised, Route, Service, Source,
-    WeightedService,
+    Unreadable, WeightedService,
   },
   fleet::BackendReport,
   node::{Dialect, Node},
--- a/src/platform/operator_source.rs
+++ b/src/platform/operator_source.rs
@@ -29,7 +29,7 @@
 #[serde(rename_all = "PascalCase")]
 struct OperatorRoute {
   host: String,
-  /// `safe` may run more than once; `unsafe` and `upload` may not.
+  /// `safe` and `download` may run more than once; `unsafe` and `upload` may not.
   kind: String,
   /// Backend servers to which one request may be sent, not tries.
   max_attempts: u32,
@@ -75,12 +75,18 @@
     Key::of(&["op", "config"])
   }
 
-  fn read(&self, value: &str) -> Result<Configuration, String> {
-    let read: OperatorConfiguration = serde_json::from_str(value).map_err(|err| err.to_string())?;
-    translate(read)
+  fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
+    let read = serde_json::from_str(value).map_err(|err| err.to_string());
+    read.and_then(translate).map_err(|reason| Unreadable { reason, version: version_of(value) })
   }
 }
 
+/// The version that a configuration names which cannot be read otherwise.
+fn version_of(value: &str) -> Option<Version> {
+  let value: serde_json::Value = serde_json::from_str(value).ok()?;
+  value["Version"].as_u64().map(Version)
+}
+
 /// The team and the policy that stand for the platform's operators.
 const OPERATORS: &str = "platform";
 
@@ -120,7 +126,7 @@
 
 fn translate_route(route: OperatorRoute, owner: Team) -> Result<Route, String> {
   let repeatable = match route.kind.as_str() {
-    "safe" => true,
+    "download" | "safe" => true,
     "unsafe" | "upload" => false,
     other => return Err(format!("route {}: `{other}` is not a kind of request", route.name)),
   };
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -89,7 +89,7 @@
   head: &http::request::Parts,
 ) -> std::result::Result<RouteMatch, Refusal> {
   if shared.configuration().is_none() {
-    let reason = "this box has no configuration yet";
+    let reason = format!("this box has {}", shared.why_unconfigured());
     let retry_after_ms = UNCONFIGURED_RETRY_MS;
     return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms));
   }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -17,6 +17,8 @@
 pub struct Metrics {
   /// When the configuration in force was applied, in milliseconds since 1970.
   pub applied_unix_ms: Gauge,
+  /// Configurations in the store that were not taken.
+  pub configurations_refused: Counter,
   /// Caller classes and services that have labels of their own so far.
   known: RefCell<BTreeSet<String>>,
   link_bytes: Family<ByteLabels, Counter>,
@@ -42,6 +44,12 @@
       Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.000_1, 2.0, 18)));
     let link_bytes = Family::default();
     let links_refused = Family::default();
+    let configurations_refused: Counter = Counter::default();
+    registry.register(
+      "configurations_refused",
+      "Configurations in the store that were not taken",
+      configurations_refused.clone(),
+    );
     let live_endpoints: Gauge = Gauge::default();
     registry.register(
       "live_endpoints",
@@ -67,6 +75,7 @@
     registry.register("configuration_version", "The version in force", version.clone());
     Self {
       applied_unix_ms,
+      configurations_refused,
       known: RefCell::default(),
       link_bytes,
       live_endpoints,
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -229,6 +229,21 @@
 }
 
 /// Versions go forward only, whatever order they come in.
+#[test]
+fn a_refused_configuration_is_told_and_the_one_in_force_stays() {
+  let mut fleet = fleet();
+  fleet.write_text("not a configuration".into());
+  fleet.run(1_000);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(1)), NOBODY);
+  let refused_by = |fleet: &Followers, index: usize| {
+    fleet.refused.iter().any(|(box_id, _)| *box_id == Followers::box_id(index))
+  };
+  assert!((0..BOXES).any(|index| refused_by(&fleet, index)), "{:?}", fleet.refused);
+  fleet.write_version(2);
+  fleet.run(1_000);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(2)), NOBODY);
+}
+
 #[test]
 fn no_box_goes_back() {
   let mut fleet = fleet();
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -2,7 +2,7 @@
 
 use {
   ferryyoke::{
-    configuration::{Configuration, Patch, Policy, Revised, Service, Source},
+    configuration::{Configuration, Patch, Policy, Revised, Service, Source, Unreadable},
     distribution::{
       Action, Distribution, Event, Follower, Identity, LinkId, Message, Moment, Timing, Update,
     },
@@ -31,8 +31,8 @@
     Key::of(&["op", "config"])
   }
 
-  fn read(&self, value: &str) -> Result<Configuration, String> {
-    serde_json::from_str(value).map_err(|err| err.to_string())
+  fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
+    serde_json::from_str(value).map_err(Unreadable::unknown_version)
   }
 }
 
@@ -57,6 +57,8 @@
   pub now: u64,
   /// Objects that updates on links carried.
   pub pushed_objects: usize,
+  /// Configurations that boxes refused, with the reason.
+  pub refused: Vec<(BoxId, String)>,
   /// Calls to the store that were carried out or refused, in tenths: a renewal and a stale read count
   /// one tenth.
   pub store_tenths: u64,
@@ -79,6 +81,7 @@
       logged: Vec::new(),
       now: 1_000,
       pushed_objects: 0,
+      refused: Vec::new(),
       store_tenths: 0,
       unserved: BTreeSet::new(),
       watched_configurations: 0,
@@ -169,7 +172,11 @@
       let name = format!("service-{index}").parse().expect("a name");
       configuration.services.insert(name, Revised { revision, value });
     }
-    let value = serde_json::to_string(&configuration).expect("JSON");
+    self.write_text(serde_json::to_string(&configuration).expect("JSON"));
+  }
+
+  /// The operators write some text where the configuration belongs.
+  pub fn write_text(&mut self, value: String) {
     let request = StoreRequest::Put { key: Key::of(&["op", "config"]), lease: None, value };
     self.keyspace.call(Time(self.now), &request).expect("written");
   }
@@ -227,6 +234,7 @@
     match action {
       Action::CallStore { call, request } => self.call_store(box_id, call, request),
       Action::CloseLink { link } => self.close(&(box_id.clone(), link)),
+      Action::Refuse { reason, .. } => self.refused.push((box_id.clone(), reason)),
       Action::Log(text) => self.logged.push(format!("{} {box_id}: {text}", self.now)),
       Action::OpenLink(peer) => self.open(box_id, &peer.box_id),
       Action::Send { link, message } => self.send(box_id, link, message),
