--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -117,7 +117,7 @@
         monoio::spawn(self.clone().open_link(peer));
       }
       Action::Refuse { reason, version } => {
-        self.shared.note_refused_configuration(&reason, version)
+        self.shared.note_refused_configuration(&reason, version);
       }
       Action::Send { link, message } => self.send(link, message),
     }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -1,27 +1,8 @@
-//! Choosing a backend server, trying it, and trying another one where that is safe.
+//! Carries out what [`Dispatch`] decides for a request: tries at backend servers, one after the other
+//! or two beside each other.
 
 use super::*;
 
-/// Milliseconds after which a caller comes back where no backend server is there.
-const NO_BACKEND_RETRY_MS: u64 = 1_000;
-
-/// Boxes that are tried for one request, those included that pass it to no backend server. A bound
-/// on the work that a full service can cause.
-const TRIES_MAX: usize = 7;
-
-/// Boxes that are asked whether they can run a request at once, before it waits for a slot of one of
-/// them. With half of the boxes full, fifteen of sixteen requests find a free slot by then.
-const ASKED_MAX: usize = 4;
-
-/// Boxes at which a request may not wait, for too many do already, before it is refused: the next one
-/// is likely to be as full.
-const FULL_MAX: usize = 4;
-
-/// The part of the time until its answer is due for which a try goes on alone. A request that takes long
-/// takes long anywhere, so a second try before that gains nothing (measured); after that the answer is
-/// likely lost.
-const HEDGE_PART: f64 = 1.2;
-
 /// Largest answer in bytes that is held until it is whole, where its request may run again: so one
 /// that breaks off can be asked for elsewhere.
 const HELD_ANSWER_MAX: usize = 65_536;
@@ -38,180 +19,40 @@
   body: RequestBody,
   attempts: &mut Vec<Attempt>,
 ) -> AttemptResult {
-  let mut failure = None;
-  let mut full = 0;
-  let stakes = stakes(shared, forwarded, &body);
-  shared.budget.borrow_mut().earn(&forwarded.service);
+  let mut dispatch = Dispatch::new(forwarded.terms(&body));
+  let mut tries = Tries::default();
+  let mut event = DispatchEvent::Started;
   loop {
-    let (forwarded, choice) = choose(shared, forwarded, &stakes, attempts);
-    let forwarded = &forwarded;
-    let Some(first) = Try::start(shared, forwarded, body.for_attempt(), choice) else {
-      return failure.unwrap_or_else(|| Err(none_left(forwarded, attempts)));
-    };
-    let ended = match hedge_after(shared, forwarded, &body) {
-      Some(patience) => run_hedged(shared, forwarded, &body, attempts, first, patience).await,
-      None => first.await,
-    };
-    let (outcome, known) = note(ended, attempts);
-    let arrived = attempts.iter().filter(|attempt| attempt.outcome.arrived()).count();
-    full += usize::from(forwarded.insists && known.is_declined());
-    let is_late = known.is_declined() && shared.now().time >= forwarded.urgency.patience;
-    let is_last = arrived >= forwarded.attempts_max as usize
-      || attempts.len() >= TRIES_MAX
-      || full >= FULL_MAX
-      || is_late
-      || !body.is_left();
-    if is_last || !may_retry(shared, forwarded, &known) {
-      return outcome;
-    }
-    // Where nobody else answers, what a backend server said of its failure is the answer.
-    failure = Some(outcome).filter(Result::is_ok).or(failure);
-  }
-}
-
-/// Notes a try that ended.
-fn note(ended: EndedTry, attempts: &mut Vec<Attempt>) -> (AttemptResult, AttemptOutcome) {
-  let known = ended.attempt.outcome.clone();
-  attempts.push(ended.attempt);
-  (ended.result, known)
-}
-
-/// How long the first try of a request that may run twice goes on alone; nothing where no second one
-/// may follow.
-fn hedge_after(shared: &Shared, forwarded: &Forwarded, body: &RequestBody) -> Option<Duration> {
-  let may_run_twice = forwarded.repeatable && forwarded.attempts_max > 1 && body.is_left();
-  if !may_run_twice || !shared.budget.borrow().has_spare(&forwarded.service) {
-    return None;
-  }
-  let due_ms = forwarded.urgency.due.since_ms(shared.now().time);
-  #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
-  let patience_ms = (due_ms as f64 * HEDGE_PART) as u64;
-  (patience_ms > 0).then(|| Duration::from_millis(patience_ms))
-}
-
-/// Runs a try, and a second one at another box where the first takes long and that box has room. The
-/// first answer wins, and the other try is dropped.
-async fn run_hedged(
-  shared: &Rc<Shared>,
-  forwarded: &Forwarded,
-  body: &RequestBody,
-  attempts: &mut Vec<Attempt>,
-  mut first: Try,
-  patience: Duration,
-) -> EndedTry {
-  let alone = monoio::time::timeout(patience, &mut first).await;
-  if let Ok(ended) = alone {
-    return ended;
-  }
-  let stakes = stakes(shared, forwarded, body);
-  let mut tried: Vec<&BoxId> = attempts.iter().map(|attempt| &attempt.box_id).collect();
-  tried.push(first.box_id());
-  let choice = choose_but(shared, forwarded, &stakes, &tried);
-  let has_room = choice.chosen.as_ref().is_some_and(|endpoint| {
-    let now = shared.now().time;
-    shared.balancer.borrow().has_room(now, &endpoint.peer.box_id)
-  });
-  if !has_room || !shared.budget.borrow_mut().spend_spare(&forwarded.service) {
-    return first.await;
-  }
-  let Some(second) = Try::start(shared, forwarded, body.for_attempt(), choice) else {
-    return first.await;
-  };
-  match futures_util::future::select(first, second).await {
-    futures_util::future::Either::Left((ended, other))
-    | futures_util::future::Either::Right((ended, other)) => {
-      if ended.result.is_ok() {
-        attempts.push(other.dropped());
-        return ended;
-      }
-      let (_, _) = note(ended, attempts);
-      other.await
+    match decide(shared, &mut dispatch, &forwarded.service, event) {
+      DispatchStep::Answer { id } => return tries.finish(id, attempts),
+      DispatchStep::Refuse(outcome) => return Err(outcome),
+      DispatchStep::Try(order) => tries.start(shared, forwarded, body.for_attempt(), order),
+      DispatchStep::Wait => {}
     }
+    event = tries.next(shared, dispatch.wake_at(), &body, attempts).await;
   }
 }
 
-/// A try may be followed by another one where the request did not run, or may run again; within the
-/// service's budget and the deadline.
-fn may_retry(shared: &Shared, forwarded: &Forwarded, outcome: &AttemptOutcome) -> bool {
-  let failed = StatusCode::INTERNAL_SERVER_ERROR.as_u16();
-  let safe = match outcome {
-    AttemptOutcome::Answered { status } => forwarded.retry_failures && *status == failed,
-    AttemptOutcome::NotRun { .. } => true,
-    AttemptOutcome::Unknown { .. } => forwarded.repeatable,
-  };
-  safe
-    && shared.now().time < forwarded.deadline
-    // Where no backend server saw the request, the next try is the first one.
-    && (!outcome.arrived() || shared.budget.borrow_mut().spend(&forwarded.service))
-}
-
-fn none_left(forwarded: &Forwarded, attempts: &[Attempt]) -> AttemptOutcome {
-  if let Some(last) = attempts.last() {
-    return last.outcome.clone();
-  }
-  let reason = format!("no backend server of {} takes work", forwarded.service);
-  AttemptOutcome::not_run(reason, NO_BACKEND_RETRY_MS)
-}
-
-fn stakes(shared: &Shared, forwarded: &Forwarded, body: &RequestBody) -> Stakes {
-  Stakes {
-    body_bytes: body.known_bytes(),
-    due_ms: forwarded.urgency.due.since_ms(shared.now().time),
-    repeatable: forwarded.repeatable,
-  }
-}
-
-/// The next box: first some that may have room are asked whether they can run the request at once,
-/// then it waits at one of those that declined, or at another one.
-fn choose(
+fn decide(
   shared: &Shared,
-  forwarded: &Forwarded,
-  stakes: &Stakes,
-  attempts: &[Attempt],
-) -> (Forwarded, Choice) {
-  let boxes = |keep: &dyn Fn(&Attempt) -> bool| -> Vec<&BoxId> {
-    attempts.iter().filter(|attempt| keep(attempt)).map(|attempt| &attempt.box_id).collect()
-  };
-  let asked = attempts.iter().filter(|attempt| attempt.outcome.is_declined()).count();
-  if asked < ASKED_MAX {
-    let choice = choose_but(shared, forwarded, stakes, &boxes(&|_| true));
-    let is_only = choice.verdicts.iter().filter(|(_, verdict)| verdict.is_usable()).count() <= 1;
-    if choice.chosen.is_some() && !choice.is_full && !(is_only && attempts.is_empty()) {
-      return (forwarded.insisting(false), choice);
-    }
-  }
-  // A box that declined to let a request wait is not asked a third time.
-  let refused = boxes(&|one| {
-    let declined = attempts.iter().filter(|other| other.box_id == one.box_id);
-    !one.outcome.is_declined() || declined.count() > 1
-  });
-  (forwarded.insisting(true), choose_but(shared, forwarded, stakes, &refused))
-}
-
-fn choose_but(shared: &Shared, forwarded: &Forwarded, stakes: &Stakes, tried: &[&BoxId]) -> Choice {
+  dispatch: &mut Dispatch,
+  service: &ServiceName,
+  event: DispatchEvent,
+) -> DispatchStep {
   let configuration = shared.configuration();
-  let unusable = |endpoint: &Endpoint| {
-    let box_id = &endpoint.peer.box_id;
-    if tried.contains(&box_id) {
-      return Some(Verdict::Tried);
-    }
-    if endpoint.state.is_gone() {
-      return Some(Verdict::Gone);
-    }
-    let drained = configuration.as_ref().is_some_and(|one| one.drains.contains_key(box_id));
-    (drained || endpoint.state == EndpointState::Draining).then_some(Verdict::Draining)
+  let is_drained = |box_id: &BoxId| {
+    configuration.as_ref().is_some_and(|configuration| configuration.drains.contains_key(box_id))
   };
-  let endpoints = shared.endpoints_of(&forwarded.service);
-  let candidates: Vec<&Endpoint> = endpoints.iter().collect();
-  let now = shared.now().time;
-  shared.balancer.borrow_mut().choose(
-    now,
-    &candidates,
-    &shared.settings.data_hall,
-    stakes,
-    unusable,
-    &mut shared.rng.borrow_mut(),
-  )
+  let mut around = Surroundings {
+    balancer: &mut shared.balancer.borrow_mut(),
+    budget: &mut shared.budget.borrow_mut(),
+    candidates: &shared.endpoints_of(service),
+    data_hall: &shared.settings.data_hall,
+    is_drained: &is_drained,
+    now: shared.now().time,
+    rng: &mut shared.rng.borrow_mut(),
+  };
+  dispatch.handle(event, &mut around)
 }
 
 /// One try at one backend server, with what the balancer learns from it.
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -54,6 +54,19 @@
     request
   }
 
+  /// What decides the request's way.
+  pub fn terms(&self, body: &RequestBody) -> Terms {
+    Terms {
+      attempts_max: self.attempts_max,
+      body_bytes: body.known_bytes(),
+      deadline: self.deadline,
+      repeatable: self.repeatable,
+      retry_failures: self.retry_failures,
+      service: self.service.clone(),
+      urgency: self.urgency,
+    }
+  }
+
   /// The same request for a try that waits, or does not.
   pub fn insisting(&self, insists: bool) -> Self {
     Self { insists, ..self.clone() }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,12 +7,13 @@
 use super::*;
 
 use crate::{
-  fleet::{BackendState, Endpoint, EndpointState},
+  fleet::{BackendState, Endpoint},
   node::Shared,
   requests::{
-    Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Choice, Claim, ClaimState,
-    ClaimStep, ClaimTicket, Completion, Condition, Demand, RequestKey, RequestRecord, RouteMatch,
-    Settlement, Stakes, Ticket, Urgency, Verdict,
+    Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Claim, ClaimState, ClaimStep,
+    ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchEvent, DispatchStep, RequestKey,
+    RequestRecord, RouteMatch, Settlement, Surroundings, Terms, Ticket, TryId, TryOrder, Urgency,
+    Verdict,
   },
   store::Revision,
   telemetry::Log,
@@ -22,15 +23,9 @@
 pub use self::{carry::serve_caller, egress::serve_peer};
 
 use self::{
-  attempt_result::AttemptResult,
-  forwarded::Forwarded,
-  guarded_body::GuardedBody,
-  held_slot::HeldSlot,
-  incoming_request::IncomingRequest,
-  lent_body::LentBody,
-  one_try::{EndedTry, Try},
-  refusal::Refusal,
-  request_body::RequestBody,
+  attempt_result::AttemptResult, forwarded::Forwarded, guarded_body::GuardedBody,
+  held_slot::HeldSlot, incoming_request::IncomingRequest, lent_body::LentBody, refusal::Refusal,
+  request_body::RequestBody, tries::Tries,
 };
 
 mod attempt_result;
@@ -44,6 +39,6 @@
 mod held_slot;
 mod incoming_request;
 mod lent_body;
-mod one_try;
 mod refusal;
 mod request_body;
+mod tries;
--- /dev/null
+++ b/src/requests/dispatch.rs
@@ -0,0 +1,248 @@
+use super::*;
+
+/// Decides the way of one request: which boxes are tried, whether it waits there, whether a second try
+/// runs beside the first, whether a failure is tried again, and when it is given up.
+///
+/// A state machine without I/O: each event leads to one step, which the proxy carries out.
+#[derive(Debug)]
+pub struct Dispatch {
+  /// Tries that ended, in order.
+  ended: Vec<EndedTry>,
+  /// Boxes so far at which the request could not even wait.
+  full: usize,
+  /// When a second try may start beside the first.
+  hedge_at: Option<Time>,
+  /// An answer that tells of a failure. The caller gets it where nobody else answers.
+  kept: Option<TryId>,
+  last_id: u64,
+  /// Tries under way: two at most.
+  running: Vec<RunningTry>,
+  terms: Terms,
+}
+
+#[derive(Debug)]
+struct EndedTry {
+  box_id: BoxId,
+  outcome: AttemptOutcome,
+}
+
+#[derive(Debug)]
+struct RunningTry {
+  box_id: BoxId,
+  id: TryId,
+  insists: bool,
+}
+
+impl Dispatch {
+  /// Boxes that are asked whether they can run a request at once, before it waits for a slot of one of
+  /// them. With half of the boxes full, fifteen of sixteen requests find a free slot by then.
+  const ASKED_MAX: usize = 4;
+  /// Boxes at which a request may not wait, for too many do already, before it is refused: the next one
+  /// is likely to be as full.
+  const FULL_MAX: usize = 4;
+  /// The part of the time until its answer is due for which a try goes on alone. A request that takes
+  /// long takes long anywhere, so a second try before that gains nothing (measured); after that the
+  /// answer is likely lost.
+  const HEDGE_PART: f64 = 1.2;
+  /// Milliseconds after which a caller comes back where no backend server is there.
+  const NO_BACKEND_RETRY_MS: u64 = 1_000;
+  /// Boxes that are tried for one request, those included that pass it to no backend server. A bound
+  /// on the work that a full service can cause.
+  const TRIES_MAX: usize = 7;
+
+  /// A request that has not set out yet.
+  pub fn new(terms: Terms) -> Self {
+    Self {
+      ended: Vec::new(),
+      full: 0,
+      hedge_at: None,
+      kept: None,
+      last_id: 0,
+      running: Vec::new(),
+      terms,
+    }
+  }
+
+  /// When the decision wants to be woken, if nothing else happens before.
+  pub fn wake_at(&self) -> Option<Time> {
+    self.hedge_at.filter(|_| !self.running.is_empty())
+  }
+
+  /// Takes an event and says what to do.
+  pub fn handle(&mut self, event: DispatchEvent, around: &mut Surroundings) -> DispatchStep {
+    match event {
+      DispatchEvent::Started => {
+        around.budget.earn(&self.terms.service);
+        let step = self.try_next(around);
+        self.hedge_at = self.first_hedge(around);
+        step
+      }
+      DispatchEvent::Ended { body_left, id, outcome } => {
+        self.try_ended(id, outcome, body_left, around)
+      }
+      DispatchEvent::Woken => self.hedge(around),
+    }
+  }
+
+  fn try_ended(
+    &mut self,
+    id: TryId,
+    outcome: AttemptOutcome,
+    body_left: bool,
+    around: &mut Surroundings,
+  ) -> DispatchStep {
+    let Some(index) = self.running.iter().position(|one| one.id == id) else {
+      return DispatchStep::Wait;
+    };
+    let ended = self.running.remove(index);
+    let is_answer = matches!(outcome, AttemptOutcome::Answered { .. });
+    self.full += usize::from(ended.insists && outcome.is_declined());
+    self.ended.push(EndedTry { box_id: ended.box_id, outcome: outcome.clone() });
+    let is_hedged = !self.running.is_empty();
+    if is_hedged && is_answer {
+      return DispatchStep::Answer { id };
+    }
+    if is_hedged {
+      return DispatchStep::Wait;
+    }
+    if self.is_last(&outcome, body_left, around.now) || !self.may_retry(&outcome, around) {
+      return if is_answer { DispatchStep::Answer { id } } else { self.give_up(outcome) };
+    }
+    if is_answer {
+      self.kept = Some(id);
+    }
+    self.hedge_at = None;
+    let step = self.try_next(around);
+    self.hedge_at = self.first_hedge(around);
+    step
+  }
+
+  /// Whether no further try follows, however the last one ended.
+  fn is_last(&self, outcome: &AttemptOutcome, body_left: bool, now: Time) -> bool {
+    let arrived = self.ended.iter().filter(|one| one.outcome.arrived()).count();
+    let is_late = outcome.is_declined() && now >= self.terms.urgency.patience;
+    arrived >= self.terms.attempts_max as usize
+      || self.ended.len() >= Self::TRIES_MAX
+      || self.full >= Self::FULL_MAX
+      || is_late
+      || !body_left
+  }
+
+  /// A try may be followed by another one where the request did not run, or may run again; within the
+  /// service's budget and the deadline.
+  fn may_retry(&self, outcome: &AttemptOutcome, around: &mut Surroundings) -> bool {
+    let failed = StatusCode::INTERNAL_SERVER_ERROR.as_u16();
+    let safe = match outcome {
+      AttemptOutcome::Answered { status } => self.terms.retry_failures && *status == failed,
+      AttemptOutcome::NotRun { .. } => true,
+      AttemptOutcome::Unknown { .. } => self.terms.repeatable,
+    };
+    safe
+      && around.now < self.terms.deadline
+      // Where no backend server saw the request, the next try is the first one.
+      && (!outcome.arrived() || around.budget.spend(&self.terms.service))
+  }
+
+  /// There is no further try: what a backend server said of its failure is the answer, where one did.
+  fn give_up(&self, outcome: AttemptOutcome) -> DispatchStep {
+    self.kept.map_or(DispatchStep::Refuse(outcome), |id| DispatchStep::Answer { id })
+  }
+
+  /// The next box: first some that may have room are asked whether they can run the request at once,
+  /// then it waits at one of those that declined, or at another one.
+  fn try_next(&mut self, around: &mut Surroundings) -> DispatchStep {
+    let (insists, choice) = self.choose_next(around);
+    let Choice { chosen: Some(endpoint), .. } = &choice else {
+      return self.give_up(self.none_left());
+    };
+    let endpoint = endpoint.clone();
+    self.start(endpoint, insists, choice)
+  }
+
+  fn choose_next(&self, around: &mut Surroundings) -> (bool, Choice) {
+    let asked = self.ended.iter().filter(|one| one.outcome.is_declined()).count();
+    if asked < Self::ASKED_MAX {
+      let tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
+      let choice = self.choose_but(&tried, around);
+      let usable = choice.verdicts.iter().filter(|(_, verdict)| verdict.is_usable()).count();
+      let is_only = usable <= 1 && self.ended.is_empty();
+      if choice.chosen.is_some() && !choice.is_full && !is_only {
+        return (false, choice);
+      }
+    }
+    // A box that declined to let a request wait is not asked a third time.
+    let refused = |one: &&EndedTry| {
+      let same = self.ended.iter().filter(|other| other.box_id == one.box_id);
+      !one.outcome.is_declined() || same.count() > 1
+    };
+    let tried: Vec<&BoxId> = self.ended.iter().filter(refused).map(|one| &one.box_id).collect();
+    (true, self.choose_but(&tried, around))
+  }
+
+  fn choose_but(&self, tried: &[&BoxId], around: &mut Surroundings) -> Choice {
+    let is_drained = around.is_drained;
+    let unusable = |endpoint: &Endpoint| {
+      let box_id = &endpoint.peer.box_id;
+      if tried.contains(&box_id) {
+        return Some(Verdict::Tried);
+      }
+      if endpoint.state.is_gone() {
+        return Some(Verdict::Gone);
+      }
+      let is_draining = is_drained(box_id) || endpoint.state == EndpointState::Draining;
+      is_draining.then_some(Verdict::Draining)
+    };
+    let candidates: Vec<&Endpoint> = around.candidates.iter().collect();
+    let stakes = self.terms.stakes(around.now);
+    let (now, data_hall) = (around.now, around.data_hall);
+    around.balancer.choose(now, &candidates, data_hall, &stakes, unusable, around.rng)
+  }
+
+  fn start(&mut self, endpoint: Endpoint, insists: bool, choice: Choice) -> DispatchStep {
+    self.last_id += 1;
+    let id = TryId(self.last_id);
+    let box_id = endpoint.peer.box_id.clone();
+    self.running.push(RunningTry { box_id, id, insists });
+    DispatchStep::Try(TryOrder { endpoint, id, insists, verdicts: choice.told_verdicts() })
+  }
+
+  fn none_left(&self) -> AttemptOutcome {
+    if let Some(last) = self.ended.last() {
+      return last.outcome.clone();
+    }
+    let reason = format!("no backend server of {} takes work", self.terms.service);
+    AttemptOutcome::not_run(reason, Self::NO_BACKEND_RETRY_MS)
+  }
+
+  /// Until when the try that starts now goes on alone; nothing where no second one may follow.
+  fn first_hedge(&self, around: &Surroundings) -> Option<Time> {
+    let may_run_twice = self.terms.repeatable && self.terms.attempts_max > 1;
+    if !may_run_twice || !around.budget.has_spare(&self.terms.service) {
+      return None;
+    }
+    let due_ms = self.terms.urgency.due.since_ms(around.now);
+    #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
+    let patience_ms = (due_ms as f64 * Self::HEDGE_PART) as u64;
+    (patience_ms > 0).then(|| around.now.after(patience_ms))
+  }
+
+  /// The first try takes long: a second one starts at another box, where that one has room. The first
+  /// answer wins.
+  fn hedge(&mut self, around: &mut Surroundings) -> DispatchStep {
+    self.hedge_at = None;
+    let [first] = &self.running[..] else {
+      return DispatchStep::Wait;
+    };
+    let mut tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
+    tried.push(&first.box_id);
+    let choice = self.choose_but(&tried, around);
+    let Some(endpoint) = choice.chosen.clone() else {
+      return DispatchStep::Wait;
+    };
+    let has_room = around.balancer.has_room(around.now, &endpoint.peer.box_id);
+    if !has_room || !around.budget.spend_spare(&self.terms.service) {
+      return DispatchStep::Wait;
+    }
+    self.start(endpoint, true, choice)
+  }
+}
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::{
   configuration::{Configuration, Handling, Route, WeightedService},
-  fleet::Endpoint,
+  fleet::{Endpoint, EndpointState},
   store::{Entry, Key, Refusal, Reply, Revision, StoreRequest},
 };
 
@@ -26,6 +26,9 @@
   completion::Completion,
   condition::Condition,
   demand::Demand,
+  dispatch::Dispatch,
+  dispatch_event::DispatchEvent,
+  dispatch_step::{DispatchStep, TryOrder},
   limiter::Limiter,
   link_budget::LinkBudget,
   record_book::RecordBook,
@@ -37,7 +40,10 @@
   settlement::Settlement,
   splitter::Splitter,
   stakes::Stakes,
+  surroundings::Surroundings,
+  terms::Terms,
   ticket::Ticket,
+  try_id::TryId,
   urgency::Urgency,
   verdict::Verdict,
 };
@@ -57,6 +63,9 @@
 mod completion;
 mod condition;
 mod demand;
+mod dispatch;
+mod dispatch_event;
+mod dispatch_step;
 mod limiter;
 mod link_budget;
 mod record_book;
@@ -68,6 +77,9 @@
 mod settlement;
 mod splitter;
 mod stakes;
+mod surroundings;
+mod terms;
 mod ticket;
+mod try_id;
 mod urgency;
 mod verdict;
--- /dev/null
+++ b/src/requests/surroundings.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// What the daemon knows at the moment of a decision about a request.
+pub struct Surroundings<'a> {
+  /// What is known of the backend servers.
+  pub balancer: &'a mut Balancer,
+  /// What may be spent on retries.
+  pub budget: &'a mut RetryBudget,
+  /// The backend servers of the request's service.
+  pub candidates: &'a [Endpoint],
+  /// The data hall of this daemon.
+  pub data_hall: &'a DataHall,
+  /// Whether operators drain a box.
+  pub is_drained: &'a dyn Fn(&BoxId) -> bool,
+  /// The present moment.
+  pub now: Time,
+  /// Randomness.
+  pub rng: &'a mut ChaCha8Rng,
+}
--- /dev/null
+++ b/src/requests/terms.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+/// What is known of a request when it sets out, as far as it decides its way.
+#[derive(Clone, Debug)]
+pub struct Terms {
+  /// Backend servers to which it may be sent; at least 1.
+  pub attempts_max: u32,
+  /// Bytes of its body, as far as known.
+  pub body_bytes: u64,
+  /// When its final answer is due.
+  pub deadline: Time,
+  /// Whether it may run more than once.
+  pub repeatable: bool,
+  /// Whether an answer that tells of a failure is asked for elsewhere.
+  pub retry_failures: bool,
+  /// The service that receives it.
+  pub service: ServiceName,
+  /// How urgent it is.
+  pub urgency: Urgency,
+}
+
+impl Terms {
+  /// What it has to lose by the choice of its backend server.
+  pub fn stakes(&self, now: Time) -> Stakes {
+    Stakes {
+      body_bytes: self.body_bytes,
+      due_ms: self.urgency.due.since_ms(now),
+      repeatable: self.repeatable,
+    }
+  }
+}
--- /dev/null
+++ b/src/requests/try_id.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+text::number! {
+  /// Names one try of a request, in the order in which they start.
+  TryId, "try"
+}
