--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -60,9 +60,9 @@
   shared: &Rc<Shared>,
   forwarded: &Forwarded,
   body: RequestBody,
-  endpoint: &Endpoint,
+  order: &TryOrder,
 ) -> AttemptResult {
-  let box_id = endpoint.peer.box_id.clone();
+  let box_id = order.endpoint.peer.box_id.clone();
   let under_way = UnderWay::start(shared, &box_id);
   let started_us = shared.elapsed_us();
   let (answer, condition) = if box_id == shared.settings.box_id {
@@ -70,7 +70,12 @@
     (answer, Some(shared.condition()))
   } else {
     let mut condition = None;
-    let answer = send_to_peer(shared, forwarded, &body, endpoint, &mut condition).await;
+    let client = shared.peer_pool.checkout_within(order.endpoint.forward_address, order.connect_ms);
+    let client = match client.await {
+      Ok(client) => client,
+      Err(err) => return Err(unreachable(shared, &box_id, &err)),
+    };
+    let answer = send_to_peer(shared, forwarded, &body, client, &mut condition).await;
     (answer, condition)
   };
   let answer = match answer {
@@ -88,17 +93,20 @@
   answer.map(|response| under_way.until_end_of(response))
 }
 
+/// Notes that a box cannot be reached.
+fn unreachable(shared: &Shared, box_id: &BoxId, err: &web::Error) -> AttemptOutcome {
+  let now = shared.now().time;
+  shared.balancer.borrow_mut().completed(now, box_id, Completion::Unreachable);
+  AttemptOutcome::not_run(err.to_string(), 0)
+}
+
 async fn send_to_peer(
   shared: &Rc<Shared>,
   forwarded: &Forwarded,
   body: &RequestBody,
-  endpoint: &Endpoint,
+  client: Client,
   condition: &mut Option<Condition>,
 ) -> AttemptResult {
-  let address = endpoint.forward_address;
-  let client = shared.peer_pool.checkout(address).await;
-  // Zero tells the balancer that the box could not be reached.
-  let client = client.map_err(|err| AttemptOutcome::not_run(err.to_string(), 0))?;
   let now = shared.now().time;
   let time_left_ms = forwarded.deadline.since_ms(now);
   let mut request = forwarded.request(body.for_try(), now);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,7 +7,7 @@
 use super::*;
 
 use crate::{
-  fleet::{BackendState, Endpoint},
+  fleet::BackendState,
   node::Shared,
   requests::{
     Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Claim, ClaimState, ClaimStep,
@@ -17,7 +17,7 @@
   },
   store::Revision,
   telemetry::Log,
-  web::{AnyBody, Incoming, Mark, ResponseBody},
+  web::{AnyBody, Client, Incoming, Mark, ResponseBody},
 };
 
 pub use self::{carry::serve_caller, egress::serve_peer};
--- a/src/proxy/tries.rs
+++ b/src/proxy/tries.rs
@@ -19,11 +19,11 @@
     body: RequestBody,
     order: TryOrder,
   ) {
-    let TryOrder { endpoint, id, insists, verdicts } = order;
-    let box_id = endpoint.peer.box_id.clone();
-    let (running_shared, forwarded) = (shared.clone(), forwarded.insisting(insists));
+    let (box_id, id) = (order.endpoint.peer.box_id.clone(), order.id);
+    let verdicts = order.verdicts.clone();
+    let (running_shared, forwarded) = (shared.clone(), forwarded.insisting(order.insists));
     let running =
-      Box::pin(async move { forward::attempt(&running_shared, &forwarded, body, &endpoint).await });
+      Box::pin(async move { forward::attempt(&running_shared, &forwarded, body, &order).await });
     let (shared, started_us) = (shared.clone(), shared.elapsed_us());
     self.running.push(Try { box_id, id, running, shared, started_us, verdicts });
   }
--- a/src/requests/balancer.rs
+++ b/src/requests/balancer.rs
@@ -257,6 +257,7 @@
       Completion::Failed => view.fail(now),
       Completion::Served { condition, latency_us } => view.serve(now, latency_us, condition),
       Completion::Shed { condition } => view.shed(now, condition),
+      Completion::Unreachable => view.rest(now),
     }
   }
 
@@ -316,6 +317,11 @@
     if self.failures < Balancer::FAILURES_MAX && !is_probe {
       return;
     }
+    self.rest(now);
+  }
+
+  /// Rests from now on, longer each time.
+  fn rest(&mut self, now: Time) {
     let pause_ms = Balancer::EJECTION_MIN_MS << self.ejections.min(5);
     self.ejected_until = Some(now.after(pause_ms.min(Balancer::EJECTION_MAX_MS)));
     self.ejections += 1;
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -3,7 +3,7 @@
 /// How a try at a backend server ended, for the balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Completion {
-  /// It could not be reached, broke, or took too long.
+  /// The connection broke, or it took too long.
   Failed,
   /// It answered.
   Served {
@@ -17,4 +17,6 @@
     /// What its daemon says of it, where it said something.
     condition: Option<Condition>,
   },
+  /// No connection to it came up.
+  Unreachable,
 }
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{urgency::part, *};
 
 /// Decides the way of one request: which boxes are tried, whether it waits there, whether a second try
 /// runs beside the first, whether a failure is tried again, and when it is given up.
@@ -40,6 +40,13 @@
   /// Boxes at which a request may not wait, for too many do already, before it is refused: the next one
   /// is likely to be as full.
   const FULL_MAX: usize = 4;
+  /// The part of the time until the answer is due that a new connection may take. Where nobody listens,
+  /// a box that left without a word or is cut off, the request still goes elsewhere in time.
+  const CONNECT_PART: f64 = 0.25;
+  /// Milliseconds that a new connection may take at least: many round trips between regions.
+  const CONNECT_MIN_MS: u64 = 50;
+  /// Milliseconds that a new connection may take at most: by then its first packet was lost.
+  const CONNECT_MAX_MS: u64 = 1_000;
   /// The part of the time until its answer is due for which a try goes on alone. A request that takes
   /// long takes long anywhere, so a second try before that gains nothing (measured); after that the
   /// answer is likely lost.
@@ -156,7 +163,7 @@
       return self.give_up(self.none_left());
     };
     let endpoint = endpoint.clone();
-    self.start(endpoint, insists, choice)
+    self.start(endpoint, insists, choice, around.now)
   }
 
   fn choose_next(&self, around: &mut Surroundings) -> (bool, Choice) {
@@ -198,12 +205,24 @@
     around.balancer.choose(now, &candidates, data_hall, &stakes, unusable, around.rng)
   }
 
-  fn start(&mut self, endpoint: Endpoint, insists: bool, choice: Choice) -> DispatchStep {
+  fn start(
+    &mut self,
+    endpoint: Endpoint,
+    insists: bool,
+    choice: Choice,
+    now: Time,
+  ) -> DispatchStep {
     self.last_id += 1;
     let id = TryId(self.last_id);
     let box_id = endpoint.peer.box_id.clone();
     self.running.push(RunningTry { box_id, id, insists });
-    DispatchStep::Try(TryOrder { endpoint, id, insists, verdicts: choice.told_verdicts() })
+    let (connect_ms, verdicts) = (self.connect_ms(now), choice.told_verdicts());
+    DispatchStep::Try(TryOrder { connect_ms, endpoint, id, insists, verdicts })
+  }
+
+  fn connect_ms(&self, now: Time) -> u64 {
+    let due_ms = self.terms.urgency.due.since_ms(now);
+    part(due_ms, Self::CONNECT_PART).clamp(Self::CONNECT_MIN_MS, Self::CONNECT_MAX_MS)
   }
 
   fn none_left(&self) -> AttemptOutcome {
@@ -221,8 +240,7 @@
       return None;
     }
     let due_ms = self.terms.urgency.due.since_ms(around.now);
-    #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
-    let patience_ms = (due_ms as f64 * Self::HEDGE_PART) as u64;
+    let patience_ms = part(due_ms, Self::HEDGE_PART);
     (patience_ms > 0).then(|| around.now.after(patience_ms))
   }
 
@@ -243,6 +261,6 @@
     if !has_room || !around.budget.spend_spare(&self.terms.service) {
       return DispatchStep::Wait;
     }
-    self.start(endpoint, true, choice)
+    self.start(endpoint, true, choice, around.now)
   }
 }
--- a/src/requests/dispatch_step.rs
+++ b/src/requests/dispatch_step.rs
@@ -19,6 +19,8 @@
 /// A try to be started.
 #[derive(Clone, Debug)]
 pub struct TryOrder {
+  /// Milliseconds for which a new connection to the box may take to come up.
+  pub connect_ms: u64,
   /// The box.
   pub endpoint: Endpoint,
   /// The try.
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -40,7 +40,8 @@
   }
 }
 
-fn part(duration_ms: u64, part: f64) -> u64 {
+/// A part of a time.
+pub(super) fn part(duration_ms: u64, part: f64) -> u64 {
   #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
   let part_ms = (duration_ms as f64 * part) as u64;
   part_ms
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -27,6 +27,15 @@
     self.connect(address).await
   }
 
+  /// A connection to `address`, kept or new, where it comes up within `connect_ms`.
+  pub async fn checkout_within(&self, address: SocketAddr, connect_ms: u64) -> Result<Client> {
+    let limit = Duration::from_millis(connect_ms);
+    monoio::time::timeout(limit, self.checkout(address)).await.unwrap_or_else(|_| {
+      let reason = format!("did not come up within {connect_ms} ms");
+      Err(Error::Unreachable { address, reason, refused: false })
+    })
+  }
+
   fn pop(&self, address: SocketAddr) -> Option<Client> {
     self.idle.borrow_mut().get_mut(&address)?.pop()
   }
