--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -14,6 +14,8 @@
   pub balancer: RefCell<Balancer>,
   /// Bounds retries.
   pub budget: RefCell<RetryBudget>,
+  /// How long callers usually wait.
+  pub caller_times: RefCell<CallerTimes>,
   /// What callers may send.
   pub caller_limits: Rc<Cell<ServerLimits>>,
   /// Tells the time.
@@ -90,6 +92,7 @@
       balancer: RefCell::default(),
       budget: RefCell::default(),
       caller_limits: Rc::default(),
+      caller_times: RefCell::default(),
       configuration: RefCell::default(),
       endpoints: RefCell::default(),
       clock,
@@ -136,6 +139,7 @@
     }
     let is_known = |route: &RouteName| configuration.routes.contains_key(route);
     self.answer_sizes.borrow_mut().retain(is_known);
+    self.caller_times.borrow_mut().retain(is_known);
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -60,6 +60,9 @@
   let policy_attempts = policy.map_or(1, |policy| policy.attempts);
   let now = shared.now().time;
   let deadline = now.after(time_left_ms);
+  let elapsed_ms = incoming
+    .time_left_ms
+    .map_or(0, |left_ms| shared.caller_times.borrow_mut().note(&matched.route, left_ms));
   let is_call = shared.at_work.borrow().is_call(&incoming.id);
   let forwarded = Forwarded {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
@@ -72,7 +75,7 @@
     repeatable: matched.repeatable && head.method.is_idempotent(),
     service,
     retry_failures: handling.retry_failures,
-    urgency: Urgency::of(now, deadline, handling, is_call),
+    urgency: Urgency::of(now, deadline, handling, is_call, elapsed_ms),
     version: recorder.record.version,
     head: pass_on(head, &incoming),
   };
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -53,6 +53,11 @@
   const HEDGE_PART: f64 = 1.2;
   /// Milliseconds after which a caller comes back where no backend server is there.
   const NO_BACKEND_RETRY_MS: u64 = 1_000;
+  /// The part of its remaining time after which a caller comes back to a service that is full. Callers
+  /// wait a third of it at most.
+  const RETURN_PART: f64 = 0.33;
+  /// By what the time until a caller's return is multiplied, at random.
+  const RETURN_SPREAD: std::ops::Range<f64> = 0.8..1.2;
   /// Boxes that are tried for one request, those included that pass it to no backend server. A bound
   /// on the work that a full service can cause.
   const TRIES_MAX: usize = 7;
@@ -113,7 +118,7 @@
       return DispatchStep::Wait;
     }
     if self.is_last(&outcome, body_left, around.now) || !self.may_retry(&outcome, around) {
-      return if is_answer { DispatchStep::Answer { id } } else { self.give_up(outcome) };
+      return if is_answer { DispatchStep::Answer { id } } else { self.give_up(outcome, around) };
     }
     if is_answer {
       self.kept = Some(id);
@@ -151,8 +156,24 @@
   }
 
   /// There is no further try: what a backend server said of its failure is the answer, where one did.
-  fn give_up(&self, outcome: AttemptOutcome) -> DispatchStep {
-    self.kept.map_or(DispatchStep::Refuse(outcome), |id| DispatchStep::Answer { id })
+  fn give_up(&self, outcome: AttemptOutcome, around: &mut Surroundings) -> DispatchStep {
+    if let Some(id) = self.kept {
+      return DispatchStep::Answer { id };
+    }
+    DispatchStep::Refuse(self.put_off(outcome, around))
+  }
+
+  /// Where the service is full, the caller comes back after a good part of its time. At once it would
+  /// meet the same requests again, and take a slot from one that can still be in time; and callers that
+  /// are refused together do not return together.
+  fn put_off(&self, outcome: AttemptOutcome, around: &mut Surroundings) -> AttemptOutcome {
+    let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
+      return outcome;
+    };
+    let left_ms = self.terms.deadline.since_ms(around.now);
+    let spread = around.rng.random_range(Self::RETURN_SPREAD);
+    let retry_after_ms = retry_after_ms.max(part(left_ms, Self::RETURN_PART * spread));
+    AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
   }
 
   /// The next box: first some that may have room are asked whether they can run the request at once,
@@ -160,7 +181,7 @@
   fn try_next(&mut self, around: &mut Surroundings) -> DispatchStep {
     let (insists, choice) = self.choose_next(around);
     let Choice { chosen: Some(endpoint), .. } = &choice else {
-      return self.give_up(self.none_left());
+      return self.give_up(self.none_left(), around);
     };
     let endpoint = endpoint.clone();
     self.start(endpoint, insists, choice, around.now)
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -34,6 +34,9 @@
 }
 
 impl Limiter {
+  /// The part of a usual run that must be left until an answer is due, for it to be there in time. Half
+  /// of the runs take less than about two thirds.
+  const HURRIED_PART: f64 = 0.5;
   /// Weight of the newest hold in the average.
   const HOLD_WEIGHT: f64 = 0.1;
 
@@ -129,7 +132,7 @@
   fn admit(&mut self, now: Time) -> Vec<Ticket> {
     let mut admitted = Vec::new();
     while self.running.len() < self.slots {
-      let Some(next) = self.next() else {
+      let Some(next) = self.next(now) else {
         break;
       };
       let waiting = self.waiting.swap_remove(next);
@@ -140,15 +143,25 @@
     admitted
   }
 
-  /// The highest rank goes first, within it the class with the fewest running requests, and within
-  /// that one whose answer is due first.
-  fn next(&self) -> Option<usize> {
+  /// The highest rank goes first, and within it the class with the fewest running requests. Within that
+  /// one those that can still be served in time, and of them the newest: under overload some are served
+  /// late or not at all in any order, and this one makes the fewest late.
+  fn next(&self, now: Time) -> Option<usize> {
     let running_of =
       |class: &CallerClass| self.running.values().filter(|(running, _)| running == class).count();
-    let order = |one: &Waiting| (one.priority, running_of(&one.class), one.due, one.ticket);
+    let order = |one: &Waiting| {
+      let is_late = self.is_late(now, one.due);
+      (one.priority, running_of(&one.class), is_late, std::cmp::Reverse((one.since, one.ticket)))
+    };
     (0..self.waiting.len()).min_by_key(|index| order(&self.waiting[*index]))
   }
 
+  /// Whether an answer that is due at `due` can hardly be there in time.
+  #[allow(clippy::cast_precision_loss)]
+  fn is_late(&self, now: Time, due: Time) -> bool {
+    (due.since_ms(now) as f64) < self.hold_ms * Self::HURRIED_PART
+  }
+
   /// Running and waiting requests in percent of the slots.
   pub fn load_percent(&self) -> u32 {
     let load = (self.running.len() + self.waiting.len()) * 100 / self.slots;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -19,6 +19,7 @@
   backend_monitor::BackendMonitor,
   balancer::{Balancer, Choice},
   caller_class::CallerClass,
+  caller_times::CallerTimes,
   claim::Claim,
   claim_record::ClaimRecord,
   claim_state::ClaimState,
@@ -57,6 +58,7 @@
 mod backend_monitor;
 mod balancer;
 mod caller_class;
+mod caller_times;
 mod claim;
 mod claim_record;
 mod claim_state;
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -22,21 +22,34 @@
   /// work that its parent has behind it.
   const CALL_PART: f64 = 0.75;
 
-  /// The urgency of a request that arrives now. `is_call` says that a running request needs it.
-  pub fn of(now: Time, deadline: Time, handling: &Handling, is_call: bool) -> Self {
+  /// The urgency of a request that arrives now, `elapsed_ms` after its caller's first try. `is_call`
+  /// says that a running request needs it.
+  ///
+  /// A caller counts from its first try: one that came back has less time until its answer is due. Once
+  /// it is overdue it takes a slot that is free, and waits for none, so that it does not make others
+  /// late too.
+  pub fn of(
+    now: Time,
+    deadline: Time,
+    handling: &Handling,
+    is_call: bool,
+    elapsed_ms: u64,
+  ) -> Self {
     let left_ms = deadline.since_ms(now);
     let target_ms = handling.target_ms.unwrap_or(left_ms);
+    if is_call {
+      let patience = now.after(part(left_ms, Self::CALL_PART));
+      return Self { due: now.after(target_ms.min(left_ms)), patience, priority: 0 };
+    }
+    let is_overdue = handling.target_ms.is_some_and(|target_ms| elapsed_ms >= target_ms);
     let early = Self::REFUSAL_PART * (1.0 - Self::WAY_BACK_PART);
     let patience_ms = match handling.target_ms {
-      _ if is_call => part(left_ms, Self::CALL_PART),
+      Some(_) if is_overdue => 0,
       Some(target_ms) => part(target_ms, early).min(left_ms),
       None => left_ms,
     };
-    Self {
-      due: now.after(target_ms.min(left_ms)),
-      patience: now.after(patience_ms),
-      priority: if is_call { 0 } else { handling.priority },
-    }
+    let due_ms = target_ms.saturating_sub(elapsed_ms).min(left_ms);
+    Self { due: now.after(due_ms), patience: now.after(patience_ms), priority: handling.priority }
   }
 }
 
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -5,10 +5,10 @@
     configuration::{Handling, WeightedService},
     fleet::{BackendRecord, BackendReport, BackendState},
     requests::{
-      Arrival, AtWork, CallerClass, Demand, Limiter, LinkBudget, RetryBudget, RetryLimits,
-      Splitter, Ticket, Urgency,
+      Arrival, AtWork, CallerClass, CallerTimes, Demand, Limiter, LinkBudget, RetryBudget,
+      RetryLimits, Splitter, Ticket, Urgency,
     },
-    values::{InstanceId, RequestId, ServiceName, Time},
+    values::{InstanceId, RequestId, RouteName, ServiceName, Time},
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
@@ -77,15 +77,20 @@
 }
 
 #[test]
-fn the_higher_rank_goes_first_and_then_what_is_due_first() {
+fn the_higher_rank_goes_first_and_then_the_newest_that_can_be_in_time() {
   let mut limiter = Limiter::new(1, 10);
   limiter.arrive(Time(0), Ticket(0), demand(2, 10));
-  limiter.arrive(Time(0), Ticket(1), demand(2, 20));
-  limiter.arrive(Time(0), Ticket(2), demand(1, 900));
-  limiter.arrive(Time(0), Ticket(3), demand(1, 800));
-  assert_eq!(limiter.leave(Time(1), Ticket(0)), [Ticket(3)]);
-  assert_eq!(limiter.leave(Time(2), Ticket(3)), [Ticket(2)]);
-  assert_eq!(limiter.leave(Time(3), Ticket(2)), [Ticket(1)]);
+  limiter.arrive(Time(0), Ticket(1), demand(2, 900));
+  limiter.arrive(Time(1), Ticket(2), demand(2, 800));
+  limiter.arrive(Time(2), Ticket(3), demand(1, 900));
+  limiter.arrive(Time(3), Ticket(4), demand(1, 800));
+  // The newest of all is overdue.
+  limiter.arrive(Time(4), Ticket(5), demand(1, 4));
+  assert_eq!(limiter.leave(Time(5), Ticket(0)), [Ticket(4)]);
+  assert_eq!(limiter.leave(Time(6), Ticket(4)), [Ticket(3)]);
+  assert_eq!(limiter.leave(Time(7), Ticket(3)), [Ticket(5)]);
+  assert_eq!(limiter.leave(Time(8), Ticket(5)), [Ticket(2)]);
+  assert_eq!(limiter.leave(Time(9), Ticket(2)), [Ticket(1)]);
 }
 
 #[test]
@@ -134,16 +139,69 @@
 fn a_refusal_comes_within_a_quarter_of_the_target_and_calls_wait_longer() {
   let handling =
     Handling { priority: 2, target_ms: Some(400), timeout_ms: Some(1_200), ..Handling::default() };
-  let own = Urgency::of(Time(1_000), Time(2_200), &handling, false);
+  let own = Urgency::of(Time(1_000), Time(2_200), &handling, false, 0);
   assert!(own.patience <= Time(1_100) && own.patience >= Time(1_080), "{own:?}");
   assert_eq!((own.due, own.priority), (Time(1_400), 2));
-  let call = Urgency::of(Time(1_000), Time(1_400), &handling, true);
+  let call = Urgency::of(Time(1_000), Time(1_400), &handling, true, 0);
   assert!(call.patience >= Time(1_250) && call.patience < Time(1_400), "{call:?}");
   assert_eq!(call.priority, 0);
-  let short = Urgency::of(Time(1_000), Time(1_010), &handling, false);
+  let short = Urgency::of(Time(1_000), Time(1_010), &handling, false, 0);
   assert!(short.patience <= Time(1_010) && short.due <= Time(1_010), "{short:?}");
 }
 
+/// Callers count from their first try, whatever they were told to wait in between.
+#[test]
+fn a_caller_that_comes_back_is_due_from_its_first_try() {
+  let handling =
+    Handling { priority: 2, target_ms: Some(400), timeout_ms: Some(1_200), ..Handling::default() };
+  let early = Urgency::of(Time(1_000), Time(2_000), &handling, false, 100);
+  assert_eq!(early.due, Time(1_300));
+  assert!(early.patience > Time(1_000), "{early:?}");
+  let overdue = Urgency::of(Time(1_000), Time(1_700), &handling, false, 500);
+  assert_eq!((overdue.due, overdue.patience), (Time(1_000), Time(1_000)));
+}
+
+#[test]
+fn a_caller_that_comes_back_is_known_by_the_time_it_has_left() {
+  let route: RouteName = "route".parse().expect("a name");
+  let mut times = CallerTimes::default();
+  let mut wrong = 0;
+  for round in 0..2_000 {
+    assert_eq!(times.note(&route, 1_200), 0, "a first try in round {round}");
+    // Two more come back for each that comes first, each with another time left.
+    for _ in 0..2 {
+      let spent_ms = 20 + (round * 7) % 900;
+      wrong += u32::from(times.note(&route, 1_200 - spent_ms) != spent_ms && round > 20);
+    }
+  }
+  assert!(wrong < 40, "{wrong} were taken for first tries");
+}
+
+#[test]
+fn callers_with_two_usual_times_all_come_first() {
+  let route: RouteName = "route".parse().expect("a name");
+  let mut times = CallerTimes::default();
+  for _ in 0..50 {
+    times.note(&route, 1_200);
+    times.note(&route, 600);
+  }
+  assert_eq!((times.note(&route, 1_200), times.note(&route, 600)), (0, 0));
+  assert_eq!(times.note(&route, 900), 300);
+}
+
+#[test]
+fn a_new_usual_time_is_noticed() {
+  let route: RouteName = "route".parse().expect("a name");
+  let mut times = CallerTimes::default();
+  for _ in 0..1_000 {
+    times.note(&route, 1_200);
+  }
+  for _ in 0..1_000 {
+    times.note(&route, 500);
+  }
+  assert_eq!((times.note(&route, 500), times.note(&route, 400)), (0, 100));
+}
+
 #[test]
 fn calls_are_known_by_the_request_that_needs_them() {
   let mut at_work = AtWork::default();
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -152,13 +152,17 @@
 }
 
 #[test]
-fn the_earliest_deadline_of_a_class_goes_first() {
+fn the_newest_of_a_class_goes_first_and_what_is_overdue_last() {
   let mut limiter = Limiter::new(1, 10);
   let class = || "class".parse().expect("a name");
+  let overdue = |at: u64| Demand { due: Time(at), ..Demand::new(class(), Time(1_000)) };
   limiter.arrive(Time(0), Ticket(0), Demand::new(class(), Time(1_000)));
   limiter.arrive(Time(0), Ticket(1), Demand::new(class(), Time(900)));
-  limiter.arrive(Time(0), Ticket(2), Demand::new(class(), Time(500)));
+  limiter.arrive(Time(1), Ticket(2), Demand::new(class(), Time(1_000)));
+  limiter.arrive(Time(2), Ticket(3), overdue(2));
   assert_eq!(limiter.leave(Time(10), Ticket(0)), [Ticket(2)]);
+  assert_eq!(limiter.leave(Time(11), Ticket(2)), [Ticket(1)]);
+  assert_eq!(limiter.leave(Time(12), Ticket(1)), [Ticket(3)]);
 }
 
 fn endpoint(index: usize, data_hall: usize) -> Endpoint {
