--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -184,7 +184,6 @@
       let limits = RetryLimits::share(ratio, extra, known.len());
       self.budget.borrow_mut().set_limits(limits);
     }
-    self.balancer.borrow_mut().set_senders(known.len());
     self.balancer.borrow_mut().retain(|box_id| known.contains(box_id));
     let shared = by_service.into_iter().map(|(service, list)| (service, Rc::new(list)));
     *self.endpoints.borrow_mut() = shared.collect();
--- a/src/requests/balancer.rs
+++ b/src/requests/balancer.rs
@@ -8,8 +8,6 @@
 /// daemon beside a backend server says of it counts most, and the own requests under way tip the scale.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
-  /// Daemons that send to the same backend servers, this one included.
-  senders: usize,
   views: BTreeMap<BoxId, View>,
 }
 
@@ -59,9 +57,6 @@
 }
 
 impl Balancer {
-  /// The load that is assumed by the own requests under way, at most: a daemon of a large fleet has few
-  /// of them, which say little.
-  const ASSUMED_LOAD_MAX: f64 = 2.0;
   /// Bytes that cost as much between data halls as a whole request is worth: a request of this size
   /// is sent elsewhere only where it would be lost otherwise.
   const BYTES_OF_A_REQUEST: f64 = 100_000.0;
@@ -183,7 +178,7 @@
     stakes: &Stakes,
     typical: Typical,
   ) -> f64 {
-    let load = self.expected_load(now, endpoint, typical).max(self.assumed_load(endpoint));
+    let load = self.expected_load(now, endpoint, typical);
     let view = self.view(endpoint);
     let known_us = view.service_us();
     let service_us = if known_us > 0.0 { known_us } else { typical.service_us };
@@ -201,15 +196,6 @@
     late + failed + refused + load * f64::EPSILON
   }
 
-  /// The load there if all daemons did as this one does: what is reported is as old as a request
-  /// takes, and by that time many may have chosen the same backend server.
-  #[allow(clippy::cast_precision_loss)]
-  fn assumed_load(&mut self, endpoint: &Endpoint) -> f64 {
-    let senders = self.senders.max(1) as f64;
-    let in_flight = f64::from(self.view(endpoint).in_flight);
-    (in_flight * senders / f64::from(endpoint.slots.max(1))).min(Self::ASSUMED_LOAD_MAX)
-  }
-
   /// Requests running and waiting there, as a share of the slots: what was reported last, as far as it
   /// is fresh, and the own requests under way at least.
   fn expected_load(&mut self, now: Time, endpoint: &Endpoint, typical: Typical) -> f64 {
@@ -240,11 +226,6 @@
     self.view(endpoint).ejected_until.is_some_and(|until| now < until)
   }
 
-  /// Sets how many daemons send to the same backend servers, this one included.
-  pub fn set_senders(&mut self, senders: usize) {
-    self.senders = senders;
-  }
-
   /// A try starts. Every start is followed by one [`Balancer::ended`].
   pub fn started(&mut self, box_id: &BoxId) {
     self.known(box_id).in_flight += 1;
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -65,7 +65,7 @@
       self.running.insert(ticket, (demand.class, now));
       return Arrival::Admitted;
     }
-    let patience_ms = demand.patience.since_ms(now);
+    let patience_ms = self.patience_ms(now, &demand);
     let ahead = self.waiting.iter().filter(|one| one.priority <= demand.priority).count();
     let expected_ms = self.wait_behind_ms(ahead);
     let wait_ms = self.stretched_ms(demand.priority, expected_ms);
@@ -81,6 +81,18 @@
     Arrival::Queued { patience_ms }
   }
 
+  /// Milliseconds for which a request may wait: as long as its answer can still be in time, where it
+  /// waits for no longer than that.
+  fn patience_ms(&self, now: Time, demand: &Demand) -> u64 {
+    let patience_ms = demand.patience.since_ms(now);
+    if demand.patience > demand.due {
+      return patience_ms;
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let hurried_ms = (self.hold_ms * Self::HURRIED_PART) as u64;
+    patience_ms.min(demand.due.since_ms(now).saturating_sub(hurried_ms))
+  }
+
   /// Milliseconds until a request that arrives now would have a slot.
   pub fn expected_wait_ms(&self) -> u64 {
     self.wait_behind_ms(self.waiting.len())
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -6,18 +6,14 @@
 pub struct Urgency {
   /// When the answer should be there.
   pub due: Time,
-  /// Until when waiting for a slot is worth it.
+  /// Until when waiting for a slot is worth it. Where it ends with `due`, it is worth it only as long as
+  /// the answer can be in time; a call's ends later, for its parent has work behind it.
   pub patience: Time,
   /// The rank among requests for a service, 0 first.
   pub priority: u32,
 }
 
 impl Urgency {
-  /// The part of its target within which a request is refused, where it cannot be served: a caller
-  /// that hears so early can still be served in time by coming back.
-  const REFUSAL_PART: f64 = 0.25;
-  /// The part of that time that is left for the refusal's own way back.
-  const WAY_BACK_PART: f64 = 0.1;
   /// The part of its time for which a call of a running request waits. Refusing it would waste the
   /// work that its parent has behind it.
   const CALL_PART: f64 = 0.75;
@@ -41,15 +37,8 @@
       let patience = now.after(part(left_ms, Self::CALL_PART));
       return Self { due: now.after(target_ms.min(left_ms)), patience, priority: 0 };
     }
-    let is_overdue = handling.target_ms.is_some_and(|target_ms| elapsed_ms >= target_ms);
-    let early = Self::REFUSAL_PART * (1.0 - Self::WAY_BACK_PART);
-    let patience_ms = match handling.target_ms {
-      Some(_) if is_overdue => 0,
-      Some(target_ms) => part(target_ms, early).min(left_ms),
-      None => left_ms,
-    };
-    let due_ms = target_ms.saturating_sub(elapsed_ms).min(left_ms);
-    Self { due: now.after(due_ms), patience: now.after(patience_ms), priority: handling.priority }
+    let due = now.after(target_ms.saturating_sub(elapsed_ms).min(left_ms));
+    Self { due, patience: due, priority: handling.priority }
   }
 }
 
