--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,332 @@
+//! The way of one request, decided without sockets: focused cases, and random histories against what
+//! must always hold.
+
+mod support;
+
+use {
+  arbtest::arbitrary::{Result, Unstructured},
+  ferryyoke::{
+    fleet::{Endpoint, EndpointState, Peer},
+    requests::{
+      AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchEvent, DispatchStep,
+      RetryBudget, RetryLimits, Surroundings, Terms, TryId, TryOrder, Urgency,
+    },
+    values::{BoxId, Incarnation, Time},
+  },
+  rand::SeedableRng,
+  rand_chacha::ChaCha8Rng,
+  support::histories,
+};
+
+/// Random histories.
+const HISTORIES: u64 = 2_000;
+/// When each request arrives.
+const START: Time = Time(1_000);
+
+fn endpoint(index: usize) -> Endpoint {
+  let port = 1 + u16::try_from(index).expect("few boxes");
+  let address = ([127, 0, 0, 1], port).into();
+  Endpoint {
+    forward_address: address,
+    incarnation: Incarnation(1),
+    link_mbps: 0,
+    peer: Peer {
+      address,
+      box_id: format!("box-{index}").parse().expect("a name"),
+      data_hall: format!("hall-{}", index % 2).parse().expect("a name"),
+    },
+    region: "region".parse().expect("a name"),
+    relay: None,
+    sequence: 1,
+    service: "service".parse().expect("a name"),
+    slots: 4,
+    state: EndpointState::Live,
+  }
+}
+
+/// What a daemon knows, and the time.
+struct Daemon {
+  balancer: Balancer,
+  budget: RetryBudget,
+  endpoints: Vec<Endpoint>,
+  now: Time,
+  rng: ChaCha8Rng,
+}
+
+impl Daemon {
+  fn new(boxes: usize) -> Self {
+    let mut budget = RetryBudget::default();
+    budget.set_limits(RetryLimits { earned: 1_000, saved_max: 10_000 });
+    Self {
+      balancer: Balancer::default(),
+      budget,
+      endpoints: (0..boxes).map(endpoint).collect(),
+      now: START,
+      rng: ChaCha8Rng::seed_from_u64(7),
+    }
+  }
+
+  fn handle(&mut self, dispatch: &mut Dispatch, event: DispatchEvent) -> DispatchStep {
+    let data_hall = "hall-0".parse().expect("a name");
+    let mut around = Surroundings {
+      balancer: &mut self.balancer,
+      budget: &mut self.budget,
+      candidates: &self.endpoints,
+      data_hall: &data_hall,
+      is_drained: &|_: &BoxId| false,
+      now: self.now,
+      rng: &mut self.rng,
+    };
+    dispatch.handle(event, &mut around)
+  }
+
+  /// Starts a request and returns its first try.
+  fn start(&mut self, dispatch: &mut Dispatch) -> TryOrder {
+    ordered(self.handle(dispatch, DispatchEvent::Started))
+  }
+
+  fn end(&mut self, dispatch: &mut Dispatch, id: TryId, outcome: AttemptOutcome) -> DispatchStep {
+    self.handle(dispatch, DispatchEvent::Ended { body_left: true, id, outcome })
+  }
+}
+
+fn ordered(step: DispatchStep) -> TryOrder {
+  match step {
+    DispatchStep::Try(order) => order,
+    other => panic!("no try but {other:?}"),
+  }
+}
+
+fn terms(repeatable: bool) -> Terms {
+  Terms {
+    answer_bytes: 1_000,
+    attempts_max: 2,
+    body_bytes: 0,
+    deadline: START.after(1_200),
+    repeatable,
+    retry_failures: repeatable,
+    service: "service".parse().expect("a name"),
+    urgency: Urgency { due: START.after(200), patience: START.after(200), priority: 1 },
+  }
+}
+
+fn full() -> AttemptOutcome {
+  AttemptOutcome::declined("full", 5)
+}
+
+fn unknown() -> AttemptOutcome {
+  AttemptOutcome::Unknown { reason: "it broke".into() }
+}
+
+#[test]
+fn boxes_are_asked_before_a_request_waits_and_it_is_refused_where_all_are_full() {
+  let mut daemon = Daemon::new(6);
+  let mut dispatch = Dispatch::new(terms(true));
+  let mut order = daemon.start(&mut dispatch);
+  let (mut asked, mut waited) = (0, 0);
+  let refused = loop {
+    *(if order.insists { &mut waited } else { &mut asked }) += 1;
+    match daemon.end(&mut dispatch, order.id, full()) {
+      DispatchStep::Try(next) => order = next,
+      DispatchStep::Refuse(outcome) => break outcome,
+      other => panic!("{other:?}"),
+    }
+  };
+  assert_eq!((asked, waited), (4, 3));
+  let AttemptOutcome::NotRun { retry_after_ms, .. } = refused else {
+    panic!("{refused:?}");
+  };
+  assert!((300..=480).contains(&retry_after_ms), "a third of its time: {retry_after_ms}");
+}
+
+#[test]
+fn callers_that_are_refused_together_do_not_return_together() {
+  let mut daemon = Daemon::new(1);
+  let mut returns = std::collections::BTreeSet::new();
+  for _ in 0..50 {
+    let mut dispatch = Dispatch::new(Terms { attempts_max: 1, ..terms(false) });
+    let mut step = daemon.handle(&mut dispatch, DispatchEvent::Started);
+    while let DispatchStep::Try(order) = step {
+      step = daemon.end(&mut dispatch, order.id, full());
+    }
+    let DispatchStep::Refuse(AttemptOutcome::NotRun { retry_after_ms, .. }) = step else {
+      panic!("{step:?}");
+    };
+    returns.insert(retry_after_ms);
+  }
+  assert!(returns.len() > 20, "{returns:?}");
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again_unless_it_may_run_twice() {
+  let mut daemon = Daemon::new(4);
+  let mut dispatch = Dispatch::new(terms(false));
+  let first = daemon.start(&mut dispatch);
+  let step = daemon.end(&mut dispatch, first.id, unknown());
+  assert!(matches!(step, DispatchStep::Refuse(AttemptOutcome::Unknown { .. })), "{step:?}");
+  let mut dispatch = Dispatch::new(terms(true));
+  let first = daemon.start(&mut dispatch);
+  let second = ordered(daemon.end(&mut dispatch, first.id, unknown()));
+  assert_ne!(first.endpoint.peer.box_id, second.endpoint.peer.box_id);
+}
+
+#[test]
+fn a_failure_that_a_backend_server_answered_is_given_where_nobody_else_answers() {
+  let mut daemon = Daemon::new(3);
+  let mut dispatch = Dispatch::new(Terms { attempts_max: 5, ..terms(true) });
+  let first = daemon.start(&mut dispatch);
+  let mut step = daemon.end(&mut dispatch, first.id, AttemptOutcome::Answered { status: 500 });
+  while let DispatchStep::Try(order) = step {
+    step = daemon.end(&mut dispatch, order.id, full());
+  }
+  assert!(matches!(step, DispatchStep::Answer { id } if id == first.id), "{step:?}");
+}
+
+#[test]
+fn a_second_try_runs_beside_a_slow_first_and_the_first_answer_wins() {
+  let mut daemon = Daemon::new(4);
+  for index in 0..4 {
+    let box_id = daemon.endpoints[index].peer.box_id.clone();
+    let condition = Some(Condition { load_percent: 10, ..Condition::default() });
+    let completion = Completion::Served { condition, latency_us: 1 };
+    daemon.balancer.completed(START.after(200), &box_id, completion);
+  }
+  let mut dispatch = Dispatch::new(terms(true));
+  let first = daemon.start(&mut dispatch);
+  daemon.now = dispatch.wake_at().expect("a second try may follow");
+  assert!(daemon.now >= START.after(200), "not before the answer is due");
+  let second = ordered(daemon.handle(&mut dispatch, DispatchEvent::Woken));
+  assert_ne!(first.endpoint.peer.box_id, second.endpoint.peer.box_id);
+  let step = daemon.end(&mut dispatch, second.id, AttemptOutcome::Answered { status: 200 });
+  assert!(matches!(step, DispatchStep::Answer { id } if id == second.id), "{step:?}");
+}
+
+#[test]
+fn a_connection_may_take_a_part_of_the_time_until_the_answer_is_due() {
+  let mut daemon = Daemon::new(2);
+  let mut dispatch = Dispatch::new(terms(true));
+  assert_eq!(daemon.start(&mut dispatch).connect_ms, 50);
+  let urgency = Urgency { due: START.after(2_000), ..terms(true).urgency };
+  let mut dispatch = Dispatch::new(Terms { urgency, ..terms(true) });
+  assert_eq!(daemon.start(&mut dispatch).connect_ms, 500);
+}
+
+#[test]
+fn nobody_is_tried_where_nobody_takes_work() {
+  let mut daemon = Daemon::new(2);
+  daemon.endpoints.iter_mut().for_each(|one| one.state = EndpointState::Draining);
+  let mut dispatch = Dispatch::new(terms(true));
+  let step = daemon.handle(&mut dispatch, DispatchEvent::Started);
+  let DispatchStep::Refuse(AttemptOutcome::NotRun { retry_after_ms, .. }) = step else {
+    panic!("{step:?}");
+  };
+  assert!(retry_after_ms > 0);
+}
+
+fn some_outcome(u: &mut Unstructured) -> Result<AttemptOutcome> {
+  Ok(match u.int_in_range(0..=6)? {
+    0 => AttemptOutcome::Answered { status: 200 },
+    1 => AttemptOutcome::Answered { status: 500 },
+    2 => unknown(),
+    3 => AttemptOutcome::not_run("no connection", 0),
+    4 => {
+      let reason = "rejected".into();
+      AttemptOutcome::NotRun { arrived: true, declined: false, reason, retry_after_ms: 10 }
+    }
+    _ => full(),
+  })
+}
+
+/// What a history saw of one request.
+#[derive(Default)]
+struct Seen {
+  ended: Vec<(TryId, AttemptOutcome)>,
+  running: Vec<TryId>,
+  started: usize,
+}
+
+impl Seen {
+  /// Whether a try got to a backend server, or may have.
+  fn arrived(&self) -> usize {
+    self.ended.iter().filter(|(_, outcome)| outcome.arrived()).count()
+  }
+
+  /// Whether a try may have run the request.
+  fn may_have_run(&self) -> bool {
+    let is_run = |outcome: &AttemptOutcome| !matches!(outcome, AttemptOutcome::NotRun { .. });
+    self.ended.iter().any(|(_, outcome)| is_run(outcome))
+  }
+
+  fn check_order(&mut self, order: &TryOrder, terms: &Terms) {
+    assert_eq!(order.endpoint.state, EndpointState::Live, "sent to one that takes no work");
+    assert!(self.arrived() < terms.attempts_max as usize, "one backend server too many");
+    assert!(terms.repeatable || !self.may_have_run(), "sent again though it may have run");
+    assert!(terms.repeatable || self.running.is_empty(), "sent to two at once");
+    self.running.push(order.id);
+    self.started += 1;
+    assert!(self.started <= 8, "{} tries", self.started);
+  }
+
+  fn check_answer(&self, id: TryId) {
+    let (_, outcome) = self.ended.iter().find(|(own, _)| *own == id).expect("an ended try");
+    assert!(matches!(outcome, AttemptOutcome::Answered { .. }), "{outcome:?} is no answer");
+  }
+
+  fn check_refusal(&self, outcome: &AttemptOutcome, terms: &Terms) {
+    assert!(self.running.is_empty(), "refused while a try was under way");
+    let says_not_run = matches!(outcome, AttemptOutcome::NotRun { .. });
+    let is_true = terms.repeatable || !self.may_have_run();
+    assert!(!says_not_run || is_true, "said not to have run though it may have");
+  }
+}
+
+#[test]
+fn every_request_ends_once_and_is_never_run_twice_without_leave() {
+  let (mut answers, mut refusals, mut hedged) = (0, 0, 0);
+  histories(HISTORIES, |u| {
+    let mut daemon = Daemon::new(u.int_in_range(0..=5)?);
+    for endpoint in &mut daemon.endpoints {
+      if u.int_in_range(0..=3)? == 0 {
+        endpoint.state = EndpointState::Draining;
+      }
+      let condition = Some(Condition { load_percent: 10, ..Condition::default() });
+      let completion = Completion::Served { condition, latency_us: 1 };
+      daemon.balancer.completed(START, &endpoint.peer.box_id, completion);
+    }
+    let terms = Terms { attempts_max: u.int_in_range(1..=3)?, ..terms(u.arbitrary()?) };
+    let mut dispatch = Dispatch::new(terms.clone());
+    let mut seen = Seen::default();
+    let mut step = daemon.handle(&mut dispatch, DispatchEvent::Started);
+    loop {
+      match step {
+        DispatchStep::Answer { id } => {
+          answers += 1;
+          seen.check_answer(id);
+          return Ok(());
+        }
+        DispatchStep::Refuse(outcome) => {
+          refusals += 1;
+          seen.check_refusal(&outcome, &terms);
+          return Ok(());
+        }
+        DispatchStep::Try(order) => seen.check_order(&order, &terms),
+        DispatchStep::Wait => assert!(!seen.running.is_empty(), "waits for nothing"),
+      }
+      hedged += usize::from(seen.running.len() > 1);
+      daemon.now = daemon.now.after(u.int_in_range(0..=120)?);
+      let is_due = dispatch.wake_at().is_some_and(|at| at <= daemon.now);
+      let event = if is_due {
+        DispatchEvent::Woken
+      } else {
+        let index = u.choose_index(seen.running.len())?;
+        let id = seen.running.remove(index);
+        let outcome = some_outcome(u)?;
+        seen.ended.push((id, outcome.clone()));
+        DispatchEvent::Ended { body_left: u.ratio(9, 10)?, id, outcome }
+      };
+      step = daemon.handle(&mut dispatch, event);
+    }
+  });
+  assert!(answers > 300 && refusals > 300, "{answers} answers and {refusals} refusals");
+  assert!(hedged > 0, "no second try ran beside a first");
+}
