--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1,38 +1,21 @@
 //! The choice of a backend server, by what its own daemon says of it.
 
+mod support;
+
 use {
   ferryyoke::{
-    fleet::{Endpoint, EndpointState, Peer},
+    fleet::Endpoint,
     requests::{BackendMonitor, Balancer, Completion, Condition, Stakes},
-    values::{Incarnation, Time},
+    values::Time,
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
+  support::endpoints::endpoint,
 };
 
 /// Choices made in each test.
 const CHOICES: usize = 500;
 
-fn endpoint(name: &str, data_hall: &str) -> Endpoint {
-  let address = ([127, 0, 0, 1], 1).into();
-  Endpoint {
-    forward_address: address,
-    incarnation: Incarnation(1),
-    link_mbps: 0,
-    peer: Peer {
-      address,
-      box_id: name.parse().expect("a name"),
-      data_hall: data_hall.parse().expect("a name"),
-    },
-    region: "region".parse().expect("a name"),
-    relay: None,
-    sequence: 1,
-    service: "service".parse().expect("a name"),
-    slots: 12,
-    state: EndpointState::Live,
-  }
-}
-
 fn stakes() -> Stakes {
   Stakes { answer_bytes: 0, body_bytes: 0, due_ms: 400, repeatable: false }
 }
@@ -48,7 +31,7 @@
   stakes: &Stakes,
   prepare: impl Fn(&mut Balancer, [&Endpoint; 2]),
 ) -> usize {
-  let endpoints = [endpoint("first", halls[0]), endpoint("second", halls[1])];
+  let endpoints = [endpoint("first", halls[0], 12), endpoint("second", halls[1], 12)];
   let candidates: Vec<&Endpoint> = endpoints.iter().collect();
   let mut balancer = Balancer::default();
   for (endpoint, condition) in endpoints.iter().zip(conditions) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -6,16 +6,16 @@
 use {
   arbtest::arbitrary::{Result, Unstructured},
   ferryyoke::{
-    fleet::{Endpoint, EndpointState, Peer},
+    fleet::{Endpoint, EndpointState},
     requests::{
       AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchEvent, DispatchStep,
       RetryBudget, RetryLimits, Surroundings, Terms, TryId, TryOrder, Urgency,
     },
-    values::{BoxId, Incarnation, Time},
+    values::{BoxId, Time},
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
-  support::histories,
+  support::{endpoints::endpoint, histories},
 };
 
 /// Random histories.
@@ -23,27 +23,6 @@
 /// When each request arrives.
 const START: Time = Time(1_000);
 
-fn endpoint(index: usize) -> Endpoint {
-  let port = 1 + u16::try_from(index).expect("few boxes");
-  let address = ([127, 0, 0, 1], port).into();
-  Endpoint {
-    forward_address: address,
-    incarnation: Incarnation(1),
-    link_mbps: 0,
-    peer: Peer {
-      address,
-      box_id: format!("box-{index}").parse().expect("a name"),
-      data_hall: format!("hall-{}", index % 2).parse().expect("a name"),
-    },
-    region: "region".parse().expect("a name"),
-    relay: None,
-    sequence: 1,
-    service: "service".parse().expect("a name"),
-    slots: 4,
-    state: EndpointState::Live,
-  }
-}
-
 /// What a daemon knows, and the time.
 struct Daemon {
   balancer: Balancer,
@@ -60,7 +39,9 @@
     Self {
       balancer: Balancer::default(),
       budget,
-      endpoints: (0..boxes).map(endpoint).collect(),
+      endpoints: (0..boxes)
+        .map(|index| endpoint(&format!("box-{index}"), &format!("hall-{}", index % 2), 4))
+        .collect(),
       now: START,
       rng: ChaCha8Rng::seed_from_u64(7),
     }
--- /dev/null
+++ b/tests/support/endpoints.rs
@@ -0,0 +1,27 @@
+//! Backend servers for tests of decisions.
+
+use ferryyoke::{
+  fleet::{Endpoint, EndpointState, Peer},
+  values::Incarnation,
+};
+
+/// A backend server of the service `service` that takes work.
+pub fn endpoint(name: &str, data_hall: &str, slots: u32) -> Endpoint {
+  let address = ([127, 0, 0, 1], 1).into();
+  Endpoint {
+    forward_address: address,
+    incarnation: Incarnation(1),
+    link_mbps: 0,
+    peer: Peer {
+      address,
+      box_id: name.parse().expect("a name"),
+      data_hall: data_hall.parse().expect("a name"),
+    },
+    region: "region".parse().expect("a name"),
+    relay: None,
+    sequence: 1,
+    service: "service".parse().expect("a name"),
+    slots,
+    state: EndpointState::Live,
+  }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod command;
+pub mod endpoints;
 pub mod followers;
 pub mod oracle;
 pub mod world;
