Take a row of patches whole or not at all

Cause: where a later patch of a row did not hold, those before it had changed the held version already, but nobody was told to put it in force: the box said in its beats that it held it, and served the one before.

Change: the steps are made aside and taken together. Test: without the change version 2 is held after the refusal.

--- a/src/distribution/catalog.rs
+++ b/src/distribution/catalog.rs
@@ -109,22 +109,19 @@
     Ok(())
   }
 
+  /// All patches hold, or nothing changes: otherwise a version could be held that is not in force.
   fn take_patches(&mut self, patches: Vec<Patch>) -> Result {
     let known = self.version().unwrap_or_default();
+    let mut held = self.configuration.clone().zip(self.digest);
+    let mut steps = Vec::new();
     for patch in patches.into_iter().filter(|patch| patch.version > known) {
-      let held = self.configuration.clone();
-      let gap = Error::Gap { base: patch.base, held: self.version() };
-      let Some(base) = held.filter(|held| held.version == patch.base) else {
-        return Err(gap);
-      };
-      if self.digest != Some(patch.base_digest) {
-        return Err(Error::Fork { version: patch.base });
-      }
-      let next = patch.apply(&base)?;
-      next.validate()?;
-      let digest = patch.digest;
+      let (next, digest) = follow_patch(held, &patch)?;
+      held = Some((next.clone(), digest));
+      steps.push((patch, next, digest));
+    }
+    for (patch, next, digest) in steps {
       self.remember_patch(patch);
-      self.switch(Arc::new(next), digest, Vec::new());
+      self.switch(next, digest, Vec::new());
     }
     Ok(())
   }
@@ -286,6 +283,23 @@
   }
 }
 
+/// What `patch` makes of the held version, proved by its digest.
+fn follow_patch(
+  held: Option<(Arc<Configuration>, Digest)>,
+  patch: &Patch,
+) -> Result<(Arc<Configuration>, Digest)> {
+  let gap = Error::Gap { base: patch.base, held: held.as_ref().map(|(held, _)| held.version) };
+  let Some((base, digest)) = held.filter(|(held, _)| held.version == patch.base) else {
+    return Err(gap);
+  };
+  if digest != patch.base_digest {
+    return Err(Error::Fork { version: patch.base });
+  }
+  let next = patch.apply(&base)?;
+  next.validate()?;
+  Ok((Arc::new(next), patch.digest))
+}
+
 /// What `changes` make of `base`, each proved by its digest.
 fn follow(base: Arc<Configuration>, changes: &[AcceptedChange]) -> Result<Arc<Configuration>> {
   let mut next = base;
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -14,7 +14,7 @@
 use {
   ferryyoke::{
     configuration::{Change, Drain, Error, Object, Operation, Source},
-    distribution::Catalog,
+    distribution::{Catalog, Update},
     platform::OperatorSource,
     store::VALUE_BYTES_MAX,
   },
@@ -103,6 +103,27 @@
   assert_eq!(behind.held(), catalog.held());
 }
 
+/// A row of patches of which a later one does not hold leaves all as it was.
+#[test]
+fn a_row_of_patches_is_taken_whole_or_not_at_all() {
+  let read = |routes: Range<usize>, number: u64| {
+    OperatorSource.read(&written(routes, number)).expect("a configuration")
+  };
+  let mut ahead = Catalog::default();
+  let mut behind = Catalog::default();
+  ahead.take_whole(read(0..50, 1), 0).expect("taken");
+  behind.take_whole(read(0..50, 1), 0).expect("taken");
+  let held = behind.held();
+  ahead.take_whole(read(0..51, 2), 0).expect("taken");
+  ahead.take_whole(read(0..52, 3), 0).expect("taken");
+  let Some(Update::Patches(mut patches)) = ahead.update_for(held) else {
+    panic!("two small patches");
+  };
+  patches.last_mut().expect("two patches").operations.clear();
+  behind.take(Update::Patches(patches), None, 0).expect_err("the last patch does not hold");
+  assert_eq!(behind.held(), held, "a version is held that nobody was told to put in force");
+}
+
 /// Where one version cannot be read, the one before it still reaches boxes that start.
 #[test]
 fn a_box_that_starts_gets_the_version_in_force_where_the_newest_one_is_refused() {
