Hold a version for refused until it, or a later one, is held

Cause: the version before, got from a neighbour, ended the refusal in the books of a box that had just started. Its log then fell silent, and it asked the store again for what it could not read. And a neighbour's word of a later version made a refusing box ask for the whole over its link, though the store could be read.

Change: the refusal names its version. It ends with that one or a later one, or for a value without a version with the next value that is read; only up to it are neighbours asked. Test: without the change a restarted box logs nothing of the refusal.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -201,8 +201,9 @@
       Err(unreadable) => return self.refuse_unreadable(unreadable),
     };
     let version = configuration.version;
+    // What is read now is newer than a value without a version, which was read before.
+    self.refused.take_if(|refused| refused.version.is_none());
     if self.catalog.version() >= Some(version) {
-      self.refused = None;
       return;
     }
     match self.catalog.take_whole(configuration, self.now.unix_ms) {
@@ -221,7 +222,7 @@
     let now = self.now.time;
     let since = self.refused.take().map_or(now, |refused| refused.since);
     let log_at = now.after(Self::REFUSED_LOG_MS);
-    self.refused = Some(RefusedVersion { log_at, reason: reason.clone(), since });
+    self.refused = Some(RefusedVersion { log_at, reason: reason.clone(), since, version });
     self.act(Action::Refuse { reason, version });
     if let Some(version) = version {
       self.note_newer(version);
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -51,8 +51,8 @@
   newest_known: Version,
   now: Moment,
   own: Endpoint,
-  /// What of the store's was not taken last; nothing once a version was taken after it. Meanwhile the store
-  /// cannot bring this daemon forward, and only neighbours can.
+  /// What of the store's was not taken last; nothing once that version or a later one is held. Meanwhile
+  /// the store cannot bring this daemon forward, and only neighbours can.
   refused: Option<RefusedVersion>,
   registration: Registration,
   /// Boxes whose links ended without a word.
@@ -75,6 +75,8 @@
   log_at: Time,
   reason: String,
   since: Time,
+  /// Nothing where not even that could be read.
+  version: Option<Version>,
 }
 
 /// Where the watch on the store stands.
--- a/src/distribution/follower/updates.rs
+++ b/src/distribution/follower/updates.rs
@@ -27,7 +27,8 @@
     }
     self.behind_since = None;
     self.log("a neighbour holds a newer version that did not arrive: it is asked for");
-    if self.needs_neighbours() {
+    let offered = self.links.get(&link).and_then(|known| known.version);
+    if offered.is_some_and(|(version, _)| self.needs_neighbours_for(version)) {
       let reason = "the update did not arrive".to_string();
       return self.send(link, Message::Refused { reason });
     }
@@ -39,6 +40,14 @@
     self.failing_since.is_some() || self.refused.is_some()
   }
 
+  /// Whether only neighbours can bring a version: a later one than what was refused may be read.
+  fn needs_neighbours_for(&self, version: Version) -> bool {
+    let refused = self.refused.as_ref();
+    let is_refused =
+      |refused: &RefusedVersion| refused.version.is_none_or(|known| version <= known);
+    self.failing_since.is_some() || refused.is_some_and(is_refused)
+  }
+
   /// Somebody told of a version.
   pub(super) fn note_newer(&mut self, version: Version) {
     if version <= self.newest_known || Some(version) <= self.catalog.version() {
@@ -81,7 +90,8 @@
     let Some(configuration) = self.catalog.configuration().cloned() else {
       return;
     };
-    self.refused = None;
+    let held = configuration.version;
+    self.refused.take_if(|refused| refused.version.is_some_and(|version| version <= held));
     self.act(Action::Apply(configuration));
     let links: Vec<LinkId> = self.links.keys().copied().collect();
     for link in links {
@@ -131,7 +141,7 @@
       return;
     }
     self.note_newer(version);
-    if self.needs_neighbours() {
+    if self.needs_neighbours_for(version) {
       let reason = "the store cannot bring it here".to_string();
       return self.send(link, Message::Refused { reason });
     }
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -284,6 +284,30 @@
   assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(2)), NOBODY);
 }
 
+/// A version that is refused stays so until it, or a later one, is held: meanwhile it is told to the log.
+#[test]
+fn a_box_that_starts_says_as_the_others_do_that_a_version_is_refused() {
+  let mut fleet = fleet();
+  fleet.write_text("not a configuration".into());
+  fleet.run(1_000);
+  fleet.stop(4);
+  fleet.run(500);
+  fleet.start(4, 9_000);
+  fleet.run(3_000);
+  assert_eq!(fleet.version(4), Some(1), "from its neighbours");
+  fleet.logged.clear();
+  fleet.run(11_000);
+  let told = |text: &&String| text.contains("box-4: the store's configuration is refused");
+  assert_eq!(fleet.logged.iter().filter(told).count(), 2, "{:#?}", fleet.logged);
+  fleet.write_version(3);
+  fleet.run(1_500);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(3)), NOBODY);
+  fleet.logged.clear();
+  fleet.run(11_000);
+  let told = |text: &&String| text.contains("the store's configuration is refused");
+  assert_eq!(fleet.logged.iter().filter(told).count(), 0, "{:#?}", fleet.logged);
+}
+
 /// Versions go forward only, whatever order they come in.
 #[test]
 fn no_box_goes_back() {
