Pack updates that cross links

Cause: what a neighbour lacked was sent as plain CBOR, 180 bytes a route, so that a thousand routes were too much for narrow links. Boxes then read the whole from the store, a third more, over the same links; reads and wholes that took longer than a link may be silent began again from nothing. A patch that came meanwhile found its base missing. Boxes on busy links held a large version up to 14 s after the first one.

Change: an update is packed by deflate once for each base and sent as it is; how much a link bears is judged by its bytes, not by 200 bytes an object.

Tests: one of a large change that goes around the links plays on links of 1 Mbit/s and with names that do not compress, for at 10 Mbit/s the change now fits; a new one shows that there only watchers read the store.

--- a/src/distribution/catalog.rs
+++ b/src/distribution/catalog.rs
@@ -14,6 +14,8 @@
   /// The last patches, oldest first, each starting where the one before it ended; ends with the held
   /// version where not empty.
   patches: VecDeque<Patch>,
+  /// Updates to the held version that were packed already, by what they start from.
+  packed: Vec<(Option<(Version, u32)>, PackedUpdate)>,
   /// How the last versions came, oldest first.
   provenance: VecDeque<Provenance>,
   /// The last refusals, oldest first, each with when it happened in milliseconds since 1970.
@@ -25,6 +27,8 @@
 }
 
 impl Catalog {
+  /// Packed updates kept: most neighbours hold nothing, or one of the last versions.
+  const PACKED_MAX: usize = 4;
   /// Patches kept for neighbours that are a few versions behind.
   const PATCHES_MAX: usize = 16;
   /// Refusals and provenances kept.
@@ -158,14 +162,6 @@
     push_bounded(&mut self.patches, patch, Self::PATCHES_MAX);
   }
 
-  /// Objects that an update from `held` would carry.
-  pub fn objects_since(&self, held: Option<(Version, u32)>) -> usize {
-    match held.and_then(|held| self.patches_from(held)) {
-      Some(Update::Patches(patches)) => patches.iter().map(|patch| patch.operations.len()).sum(),
-      _ => self.configuration.as_ref().map_or(0, |held| held.object_count()),
-    }
-  }
-
   /// The patches from a version that somebody holds to the held one, where all are known and carry no
   /// more than the whole: a few large changes in a row could otherwise outgrow a message.
   fn patches_from(&self, (base, prefix): (Version, u32)) -> Option<Update> {
@@ -228,6 +224,7 @@
     changes: Vec<AcceptedChange>,
   ) {
     self.raise_floor(configuration.version);
+    self.packed.clear();
     self.configuration = Some(configuration);
     self.digest = Some(changes.last().map_or(base_digest, |change| change.digest));
     for change in changes {
@@ -261,6 +258,19 @@
     Some(Update::Snapshot { changes, configuration, digest, history })
   }
 
+  /// The same as it crosses links, packed once for all who start from there.
+  pub fn packed_for(&mut self, held: Option<(Version, u32)>) -> Option<PackedUpdate> {
+    if let Some((_, packed)) = self.packed.iter().find(|(base, _)| *base == held) {
+      return Some(packed.clone());
+    }
+    let packed = PackedUpdate::pack(&self.update_for(held)?);
+    if self.packed.len() == Self::PACKED_MAX {
+      self.packed.remove(0);
+    }
+    self.packed.push((held, packed.clone()));
+    Some(packed)
+  }
+
   fn delta_from(&self, (base, prefix): (Version, u32), newest: Version) -> Option<Update> {
     let made = self.window.iter().map(|change| (change.version(), change.digest));
     let mut known = self.window_base.into_iter().chain(made);
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -167,7 +167,7 @@
       Message::Refused { reason } => self.update_refused(link, reason),
       Message::Relays(relays) => self.relays_received(link, relays),
       Message::Subscribe(subscribe) => self.subscription_asked(link, &subscribe),
-      Message::Update(update) => self.update_received(link, update),
+      Message::Update(update) => self.packed_received(link, &update),
       Message::Welcome { floor, is_relay, relays } => {
         self.welcomed(link, floor, is_relay, relays);
       }
--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -91,6 +91,14 @@
     }
   }
 
+  /// Takes in an update as it crossed a link.
+  pub(super) fn packed_received(&mut self, link: LinkId, packed: &PackedUpdate) {
+    match packed.unpack() {
+      Ok(update) => self.update_received(link, update),
+      Err(err) => self.refuse(link, &err),
+    }
+  }
+
   /// Takes in an update from a neighbour.
   pub(super) fn update_received(&mut self, link: LinkId, update: Update) {
     let fresh = self.catalog.version().is_none();
@@ -136,7 +144,7 @@
     };
     known.refusal = Some(reason);
     let rested = known.whole_sent_at.is_none_or(|at| now.since_ms(at) >= resend_ms);
-    let Some(update) = self.catalog.update_for(None).filter(|_| rested) else {
+    let Some(update) = self.catalog.packed_for(None).filter(|_| rested) else {
       return;
     };
     known.whole_sent_at = Some(now);
@@ -194,7 +202,7 @@
     }
     known.sent = Some((version, now));
     let held = known.version;
-    if let Some(update) = self.catalog.update_for(held) {
+    if let Some(update) = self.catalog.packed_for(held) {
       self.send(link, Message::Update(update));
     }
   }
--- a/src/distribution/error.rs
+++ b/src/distribution/error.rs
@@ -24,6 +24,11 @@
     /// The version.
     version: Version,
   },
+  /// It cannot be unpacked.
+  Garbled {
+    /// What is wrong with it.
+    reason: String,
+  },
   /// It starts from a version or content that is not held.
   Gap {
     /// The version that it starts from.
@@ -57,6 +62,7 @@
       Self::Gap { base, held: None } => {
         write!(f, "the update starts from version {base}, and no version is held")
       }
+      Self::Garbled { reason } => write!(f, "the update cannot be unpacked: {reason}"),
       Self::Unreadable(unreadable) => unreadable.fmt(f),
     }
   }
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -229,7 +229,7 @@
       Message::News(endpoints) => self.news_received(link, &endpoints),
       Message::Refused { reason } => self.update_refused(link, &reason),
       Message::Subscribe(subscribe) => self.subscription_asked(link, &subscribe),
-      Message::Update(update) => self.update_received(link, update),
+      Message::Update(update) => self.update_received(link, &update),
       Message::Accepted { version } => self.version_told(link, version),
       Message::Redirect { .. } | Message::Relays(_) | Message::Welcome { .. } => {}
     }
--- a/src/distribution/follower/updates.rs
+++ b/src/distribution/follower/updates.rs
@@ -4,8 +4,6 @@
 impl Follower {
   /// Milliseconds for which a daemon waits for a version that a neighbour holds.
   const BEHIND_MS: u64 = 500;
-  /// Bytes of one object of the configuration on a link, as measured on configurations of 340 routes.
-  const OBJECT_BYTES: usize = 200;
   /// Milliseconds for which updates may fill a box's link, a small part of what a change may take.
   const PUSH_MS: usize = 300;
 
@@ -57,9 +55,14 @@
     self.act(Action::Behind(version));
   }
 
-  pub(super) fn update_received(&mut self, link: LinkId, update: Update) {
+  pub(super) fn update_received(&mut self, link: LinkId, packed: &PackedUpdate) {
+    if Some(packed.version()) <= self.catalog.version() {
+      return;
+    }
     let from = self.links.get(&link).map(|link| link.peer.clone());
-    match self.catalog.take(update, from, self.now.unix_ms) {
+    let taken =
+      packed.unpack().and_then(|update| self.catalog.take(update, from, self.now.unix_ms));
+    match taken {
       Ok(()) => self.switched(),
       Err(Error::Backwards { .. }) => {}
       Err(err) => {
@@ -80,7 +83,7 @@
       return;
     }
     known.whole_sent_at = Some(now);
-    if let Some(update) = self.catalog.update_for(None) {
+    if let Some(update) = self.catalog.packed_for(None) {
       self.send(link, Message::Update(update));
     }
   }
@@ -108,31 +111,29 @@
       return;
     }
     known.sent = Some((version, now));
-    if self.is_too_large(link) {
-      return self.send(link, Message::Accepted { version });
-    }
-    let Some(known) = self.links.get_mut(&link) else {
+    // What was sent is on its way, so the next update goes on from there.
+    let held = known.sent_held.max(known.version);
+    let Some(update) = self.catalog.packed_for(held) else {
       return;
     };
-    // What was sent is on its way, so the next update goes on from there.
-    let held = known.sent_held.take().max(known.version);
-    known.sent_held = self.catalog.held();
-    if let Some(update) = self.catalog.update_for(held) {
-      self.send(link, Message::Update(update));
+    if self.is_too_large(&update) {
+      return self.send(link, Message::Accepted { version });
+    }
+    if let Some(known) = self.links.get_mut(&link) {
+      known.sent_held = self.catalog.held();
     }
+    self.send(link, Message::Update(update));
   }
 
-  /// Whether the update that a neighbour lacks would fill this box's link for too long, sent to all
-  /// who need it. They read the store instead, whose link is large.
-  fn is_too_large(&self, link: LinkId) -> bool {
+  /// Whether an update would fill this box's link for too long, sent to all who need it. They read the
+  /// store instead, whose link is large.
+  fn is_too_large(&self, update: &PackedUpdate) -> bool {
     if self.own.link_mbps == 0 {
       return false;
     }
-    let held = self.links.get(&link).and_then(|known| known.sent_held.max(known.version));
-    let bytes = self.catalog.objects_since(held) * Self::OBJECT_BYTES;
     let sharers = self.links.values().filter(|link| link.role == LinkRole::Downstream).count();
     let bytes_per_ms = usize::try_from(self.own.link_mbps).unwrap_or(usize::MAX) * 125;
-    bytes * sharers > bytes_per_ms * Self::PUSH_MS
+    update.size_bytes() * sharers > bytes_per_ms * Self::PUSH_MS
   }
 
   /// The store has a version that a neighbour would rather not send.
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -47,7 +47,7 @@
   /// Asks for configuration and news.
   Subscribe(Box<Subscribe>),
   /// A newer version.
-  Update(Update),
+  Update(PackedUpdate),
   /// The sender serves the receiver from now on.
   Welcome {
     /// The highest version that the sender knows the receiver's box, or itself, to have held.
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -37,6 +37,7 @@
   message::Message,
   moment::Moment,
   outcome::{Outcome, Refused},
+  packed_update::PackedUpdate,
   profile::Profile,
   provenance::Provenance,
   question::Question,
@@ -74,6 +75,7 @@
 mod message;
 mod moment;
 mod outcome;
+mod packed_update;
 mod profile;
 mod provenance;
 mod question;
--- a/tests/distribution_fuzz.rs
+++ b/tests/distribution_fuzz.rs
@@ -4,7 +4,11 @@
 
 use {
   arbtest::arbitrary::{Result, Unstructured},
-  ferryyoke::{configuration::Operation, distribution::Message, fleet::EndpointState},
+  ferryyoke::{
+    configuration::Operation,
+    distribution::{Message, PackedUpdate},
+    fleet::EndpointState,
+  },
   support::{
     histories,
     world::{World, delete_route, delete_service, put_policy, put_route, put_service},
@@ -77,7 +81,7 @@
     18 => world.faults.store_cut.clear(),
     19 => {
       if let Some(update) = world.bent_delta(index) {
-        world.forge(index, Message::Update(update));
+        world.forge(index, Message::Update(PackedUpdate::pack(&update)));
       }
     }
     14 => world.set_state(index, EndpointState::Draining),
@@ -89,7 +93,7 @@
     }
     _ => {
       if let Some(update) = world.bent_update(other) {
-        world.forge(index, Message::Update(update));
+        world.forge(index, Message::Update(PackedUpdate::pack(&update)));
       }
     }
   }
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -20,7 +20,13 @@
 
 /// A fleet at rest that holds version 1.
 fn fleet() -> Followers {
+  fleet_on_links(10)
+}
+
+/// The same on links of so many Mbit/s.
+fn fleet_on_links(link_mbps: u32) -> Followers {
   let mut fleet = Followers::new();
+  fleet.link_mbps = link_mbps;
   fleet.write_version(1);
   for index in 0..BOXES {
     fleet.start(index, 1_000);
@@ -219,10 +225,10 @@
   assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(117)), NOBODY);
 }
 
-/// A change of many objects would fill the links of the boxes that watch: the others read the store.
+/// A change of many objects would fill narrow links of the boxes that watch: the others read the store.
 #[test]
 fn a_large_change_goes_around_the_links() {
-  let mut fleet = fleet();
+  let mut fleet = fleet_on_links(1);
   fleet.run(2_000);
   fleet.write_services(2, 3);
   fleet.run(1_500);
@@ -235,10 +241,25 @@
   assert_eq!(fleet.pushed_objects, small, "a large one does not");
 }
 
+/// The same change is small on a wider link, and then nobody but the watchers reads the store.
+#[test]
+fn a_large_change_that_fits_the_links_is_read_by_the_watchers_only() {
+  let mut fleet = fleet();
+  fleet.run(2_000);
+  let before = fleet.store_tenths;
+  fleet.write_services(2, 3_000);
+  fleet.run(700);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(2)), NOBODY);
+  assert!(fleet.pushed_objects >= 3_000 * (BOXES - 6), "{} objects", fleet.pushed_objects);
+  // Six watchers begin a new watch, and renew their leases at a tenth of a call.
+  let calls = (fleet.store_tenths - before) / 10;
+  assert!(calls <= 8, "{calls} calls");
+}
+
 /// Until a box holds a version that it was told of, it does not know which routes there are.
 #[test]
 fn a_box_says_that_it_is_behind_before_it_holds_a_large_change() {
-  let mut fleet = fleet();
+  let mut fleet = fleet_on_links(1);
   fleet.run(2_000);
   assert_eq!(fleet.behind, [], "the first version was missed by nobody");
   fleet.write_services(2, 3_000);
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -14,7 +14,7 @@
 use {
   ferryyoke::{
     configuration::{Change, Drain, Error, Object, Operation, Source},
-    distribution::{Catalog, Update},
+    distribution::{Catalog, PackedUpdate, Update},
     platform::OperatorSource,
     store::VALUE_BYTES_MAX,
   },
@@ -79,6 +79,15 @@
   assert!(matches!(refused, Error::TooLarge { .. }), "{refused}");
 }
 
+/// Objects that an update carries.
+fn objects(update: &Update) -> usize {
+  match update {
+    Update::Patches(patches) => patches.iter().map(|patch| patch.operations.len()).sum(),
+    Update::Snapshot { configuration, .. } => configuration.object_count(),
+    Update::Delta { .. } => panic!("versions from a source have no changes"),
+  }
+}
+
 /// A whole version passes a link at a time; a row of large patches would not.
 #[test]
 fn what_a_neighbour_lacks_is_never_more_than_the_whole() {
@@ -93,7 +102,7 @@
   for number in 2..=9 {
     catalog.take_whole(version(number), 0).expect("taken");
     let whole = catalog.configuration().expect("held").object_count();
-    let objects = catalog.objects_since(held);
+    let objects = objects(&catalog.update_for(held).expect("an update"));
     assert!(objects <= whole, "{objects} objects for a whole of {whole}, {number} versions on");
   }
   let mut behind = Catalog::default();
@@ -103,6 +112,48 @@
   assert_eq!(behind.held(), catalog.held());
 }
 
+/// A neighbour on a narrow link gets a thousand routes more in the time of a beat, and the largest
+/// configuration that the store holds in a third of a second.
+#[test]
+fn a_large_configuration_is_small_on_a_link() {
+  const BYTES_PER_MS: usize = 10 * 125;
+  let mut catalog = Catalog::default();
+  let read = |routes| OperatorSource.read(&written(routes, 1)).expect("a configuration");
+  catalog.take_whole(read(0..8_000), 0).expect("taken");
+  let whole = catalog.packed_for(None).expect("an update");
+  assert!(whole.size_bytes() / BYTES_PER_MS < 333, "{} bytes", whole.size_bytes());
+  let mut other = Catalog::default();
+  other.take(whole.unpack().expect("what was packed"), None, 0).expect("taken");
+  assert_eq!(other.held(), catalog.held());
+}
+
+#[test]
+fn what_cannot_be_unpacked_is_refused() {
+  let mut catalog = Catalog::default();
+  let whole = OperatorSource.read(&written(0..100, 1)).expect("a configuration");
+  catalog.take_whole(whole, 0).expect("taken");
+  let packed = catalog.packed_for(None).expect("an update");
+  let mut bytes = Vec::new();
+  ciborium::into_writer(&packed, &mut bytes).expect("written");
+  let mut refused = 0;
+  for at in (0..bytes.len()).step_by(7) {
+    let mut bent = bytes.clone();
+    bent[at] ^= 0x55;
+    let bent: Option<PackedUpdate> = ciborium::from_reader(&bent[..]).ok();
+    let Some(Ok(update)) = bent.as_ref().map(PackedUpdate::unpack) else {
+      refused += 1;
+      continue;
+    };
+    let mut other = Catalog::default();
+    if other.take(update, None, 0).is_err() {
+      refused += 1;
+      continue;
+    }
+    assert_eq!(other.held(), catalog.held(), "byte {at} made another configuration");
+  }
+  assert!(refused > 0, "no bent byte was noticed");
+}
+
 /// A row of patches of which a later one does not hold leaves all as it was.
 #[test]
 fn a_row_of_patches_is_taken_whole_or_not_at_all() {
@@ -128,6 +179,7 @@
 #[test]
 fn a_box_that_starts_gets_the_version_in_force_where_the_newest_one_is_refused() {
   let mut fleet = Followers::new();
+  fleet.link_mbps = 1;
   fleet.write_services(1, 3_000);
   for index in 0..BOXES {
     fleet.start(index, 1_000);
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -9,7 +9,7 @@
     fleet::{Endpoint, EndpointState, Peer},
     standin::Keyspace,
     store::{self, Key, Refusal, Reply, StoreRequest},
-    values::{BoxId, Incarnation, PolicyName, Team, Time, Version},
+    values::{BoxId, Digest, Incarnation, PolicyName, Team, Time, Version},
   },
   std::{
     collections::{BTreeMap, BTreeSet},
@@ -52,6 +52,8 @@
   pub frozen: BTreeSet<BoxId>,
   keyspace: Keyspace,
   last: u64,
+  /// What the boxes' links carry, in Mbit/s.
+  pub link_mbps: u32,
   /// The other end of each link: the box, and its name there.
   links: BTreeMap<(BoxId, LinkId), (BoxId, LinkId)>,
   /// What the boxes logged.
@@ -80,6 +82,7 @@
       frozen: BTreeSet::new(),
       keyspace: Keyspace::default(),
       last: 0,
+      link_mbps: 10,
       links: BTreeMap::new(),
       logged: Vec::new(),
       now: 1_000,
@@ -107,7 +110,7 @@
     let address = format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address");
     let data_hall = format!("hall-{}", index % 3).parse().expect("a name");
     let endpoint = Endpoint {
-      link_mbps: 10,
+      link_mbps: self.link_mbps,
       forward_address: address,
       incarnation: Incarnation(clock_ms),
       peer: Peer { address, box_id: box_id.clone(), data_hall },
@@ -172,7 +175,9 @@
         owner: owner.clone(),
         policy: name.clone(),
       };
-      let name = format!("service-{index}").parse().expect("a name");
+      // A name that does not compress, so that many services are large on a link.
+      let name = Digest::of(format!("service-{index}").as_bytes()).to_string();
+      let name = name[..40].parse().expect("a name");
       configuration.services.insert(name, Revised { revision, value });
     }
     self.write_text(serde_json::to_string(&configuration).expect("JSON"));
@@ -261,7 +266,11 @@
   }
 
   fn send(&mut self, from: &BoxId, link: LinkId, message: Message) {
-    if let Message::Update(Update::Patches(patches)) = &message {
+    let update = match &message {
+      Message::Update(packed) => packed.unpack().ok(),
+      _ => None,
+    };
+    if let Some(Update::Patches(patches)) = update {
       self.pushed_objects += patches.iter().map(|patch| patch.operations.len()).sum::<usize>();
     }
     if let Some((to, link)) = self.links.get(&(from.clone(), link)).cloned() {
