Tell subscribers of a version that was refused

Cause: a beat carries only the version that is held, so what a watcher refused was known to watchers alone. The others, most of a large fleet, went on answering 404 for its routes, and could not have read it where their release can.

Change: whoever refuses a version tells its subscribers, once, and those that subscribe later; each judges for itself.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -220,13 +220,18 @@
 
   fn refuse(&mut self, reason: String, version: Option<Version>) {
     let now = self.now.time;
-    let since = self.refused.take().map_or(now, |refused| refused.since);
+    let before = self.refused.take();
+    let is_new = before.as_ref().is_none_or(|before| before.version != version);
+    let since = before.map_or(now, |before| before.since);
     let log_at = now.after(Self::REFUSED_LOG_MS);
     self.refused = Some(RefusedVersion { log_at, reason: reason.clone(), since, version });
     self.act(Action::Refuse { reason, version });
     if let Some(version) = version {
       self.note_newer(version);
     }
+    if is_new {
+      self.tell_refused();
+    }
   }
 
   /// Tells the log again that the newest version is not in force here: the line of the refusal itself may
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -246,6 +246,7 @@
     }
     self.news_received(link, std::slice::from_ref(&subscribe.endpoint));
     self.push_update(link);
+    self.tell_refused_to(link);
     self.send_beat(link);
     if self.lapsed.contains_key(&subscribe.endpoint.peer.box_id) {
       self.keep_entry_of(&subscribe.endpoint.peer.box_id);
--- a/src/distribution/follower/updates.rs
+++ b/src/distribution/follower/updates.rs
@@ -38,6 +38,23 @@
     self.failing_since.is_some() || self.refused.is_some()
   }
 
+  /// Tells those who subscribe here of a version that was refused here. They may read it where this daemon
+  /// cannot, and must not answer for routes as if it did not exist.
+  pub(super) fn tell_refused(&mut self) {
+    let is_subscriber = |link: &Link| link.role == LinkRole::Downstream;
+    let subscribers = self.links.iter().filter(|(_, link)| is_subscriber(link));
+    let subscribers: Vec<LinkId> = subscribers.map(|(id, _)| *id).collect();
+    for link in subscribers {
+      self.tell_refused_to(link);
+    }
+  }
+
+  pub(super) fn tell_refused_to(&mut self, link: LinkId) {
+    if let Some(version) = self.refused.as_ref().and_then(|refused| refused.version) {
+      self.send(link, Message::Accepted { version });
+    }
+  }
+
   /// Whether only neighbours can bring a version: a later one than what was refused may be read.
   fn needs_neighbours_for(&self, version: Version) -> bool {
     let refused = self.refused.as_ref();
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -305,6 +305,36 @@
   assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(2)), NOBODY);
 }
 
+/// Only watchers read the store; the others must hear of a version that these could not read.
+#[test]
+fn every_box_knows_of_a_version_that_was_refused() {
+  let mut fleet = fleet();
+  fleet.run(3_000);
+  fleet.write_text("unreadable 2".into());
+  fleet.run(1_000);
+  let knows = |fleet: &Followers, index: usize| {
+    let told = (Followers::box_id(index), Version(2));
+    fleet.behind.contains(&told)
+  };
+  assert_eq!(fleet.lacking(BOXES, knows), NOBODY, "{:?}", fleet.behind);
+  let (refused, reads) = (fleet.refused.len(), fleet.store_tenths);
+  assert_eq!(refused, BOXES, "each box judges for itself, once: {:?}", fleet.refused);
+  fleet.stop(4);
+  fleet.run(500);
+  fleet.start(4, 9_000);
+  fleet.behind.clear();
+  fleet.run(3_000);
+  assert!(knows(&fleet, 4), "{:?}", fleet.behind);
+  assert_eq!(fleet.version(4), Some(1), "from its neighbours");
+  fleet.run(5_000);
+  assert!(fleet.refused.len() <= refused + 1, "read again and again: {:?}", fleet.refused);
+  let calls = (fleet.store_tenths - reads) / 10;
+  assert!(calls <= 4 * BOXES as u64, "{calls} calls");
+  fleet.write_version(3);
+  fleet.run(1_500);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(3)), NOBODY);
+}
+
 /// A version that is refused stays so until it, or a later one, is held: meanwhile it is told to the log.
 #[test]
 fn a_box_that_starts_says_as_the_others_do_that_a_version_is_refused() {
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -32,6 +32,11 @@
   }
 
   fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
+    // `unreadable 7` stands for a version 7 of which nothing else can be read.
+    if let Some(version) = value.strip_prefix("unreadable ") {
+      let version = version.parse().ok();
+      return Err(Unreadable { reason: "an unknown kind of route".into(), version });
+    }
     serde_json::from_str(value).map_err(Unreadable::unknown_version)
   }
 }
