--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -40,16 +40,17 @@
   commands::execute,
   plan::{Fault, Plan, Step},
   record::{Probe, Record, Run, Violation},
+  soak_box::SoakBox,
 };
 
-use self::{fault_proxy::FaultProxy, soak_box::SoakBox, trouble::Trouble};
+use self::{fault_proxy::FaultProxy, trouble::Trouble};
 
 mod caller;
 mod commands;
 mod fault_proxy;
 mod harm;
 mod plan;
-mod platform;
+pub mod platform;
 mod record;
 mod run;
 mod soak_box;
