--- a/crates/ferryyoke-soak/tests/refused_version.rs
+++ b/crates/ferryyoke-soak/tests/refused_version.rs
@@ -25,9 +25,9 @@
   tempfile::TempDir,
 };
 
-/// Boxes of the fleet, each in a data hall of its own, so that every daemon watches the store itself. The
-/// last one starts only while the store's version is refused.
-const BOXES: usize = 3;
+/// Boxes of the fleet, in three data halls, so that some watch the store and some do not. The last one starts
+/// only while the store's version is refused.
+const BOXES: usize = 10;
 
 /// The version that is in force at first.
 const IN_FORCE: u64 = 1;
