--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -4,7 +4,7 @@
 //! routes were answered 404 and others went where the version before sent them, at every box until the end
 //! of the day. Boxes that started then held nothing, and read over a megabyte from the store every second.
 //!
-//! How it came about: each change had added as many routes, and the fourth one passed a megabyte in the
+//! How it came about: each change had added as many routes, and the third one passed a megabyte in the
 //! product's own form, which is longer than the operators'. Cause: a daemon that was told of an accepted
 //! version judged it by the limit for whoever writes one, in its own form. Proof: the one line `the
 //! configuration would take 1138423 bytes and the store holds 1000000` of each watcher.
