Let the store's answers take as long as they lately did, while bytes come

Cause: limits of our own failed what the platform had accepted. An answer had to begin within 1 s, so a store that answers in 1.2 s served nobody, for ever. Its body had 4 s whatever its size, so a large configuration on a narrow busy link was begun again and again. An answer of more than 4 MB was given up after its bytes had crossed the link. And the log said neither which call failed nor how far it had come.

Change: - store::Patience (pure) gives the limit of a call from what answers of its kind lately took: twice that, 1 s at least, 4 s at most. Only answers lengthen it, also those that come after their call was given up; store::Waiting goes on waiting for them.

Tests: tests/store_client.rs, 8 of 9 red before (the one on a silent store after fast answers guards what must stay); two in tests/followers.rs and one in tests/check.rs red with their mend taken out; tests/patience.rs for the pure part.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -29,7 +29,8 @@
   ) -> Rc<Self> {
     let (address, timeout_ms) = (settings.store_address, settings.store_timeout_ms);
     let (store, dialect): (Rc<dyn Store>, Dialect) = if settings.deployment.is_some() {
-      (Rc::new(platform::StoreClient::new(address, timeout_ms)), platform::dialect())
+      let client = platform::StoreClient::new(address, timeout_ms, settings.store_value_bytes_max);
+      (Rc::new(client), platform::dialect())
     } else {
       (Rc::new(HttpStore::new(address, timeout_ms)), Dialect::default())
     };
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -131,18 +131,16 @@
   /// Notes whether the store serves this daemon. Once it does again, a watch starts anew, for its
   /// connection may have died without a word.
   fn note_contact(&mut self, result: &store::Result<Reply>) {
-    let unanswered = matches!(
-      result,
-      Err(
-        store::Error::Unknown { .. }
-          | store::Error::Refused(Refusal::TooMany { .. } | Refusal::Unreachable { .. })
-      )
-    );
     let now = self.now.time;
-    if unanswered {
+    if let Err(
+      err @ (store::Error::Unknown { .. }
+      | store::Error::Refused(Refusal::TooMany { .. } | Refusal::Unreachable { .. })),
+    ) = result
+    {
       if self.failing_since.is_none() {
         self.failing_since = Some(now);
-        self.log("the store does not serve this box");
+        // Which call, for how long and how far tells a store that is silent from a link that is full.
+        self.log(format!("the store does not serve this box: {err}"));
         self.send_beats();
       }
       return;
@@ -170,6 +168,13 @@
       self.read_configuration(false);
       return;
     }
+    let is_watching = matches!(self.watch, WatchPhase::Watching { .. });
+    if is_watching && matches!(result, Err(store::Error::Refused(Refusal::AnswerTooLarge { .. }))) {
+      // A read brings the newest alone; an old read would lead to the same changes again.
+      self.log("more changes came at once than the watch takes: the newest is read");
+      self.read_configuration(false);
+      return;
+    }
     let base_ms = (100 << self.watch_failures.min(4)).min(Self::WATCH_RETRY_MAX_MS);
     self.watch_failures = self.watch_failures.saturating_add(1);
     let pause_ms = self.rng.random_range(base_ms / 2..=base_ms);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,7 +13,8 @@
   fleet::BackendReport,
   node::{Dialect, Node},
   store::{
-    self, Entry, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store, StoreRequest,
+    self, CallKind, Entry, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store,
+    StoreRequest, Waiting,
   },
   web::{self, AnyBody, Incoming},
 };
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -13,14 +13,17 @@
 struct Caller {
   address: SocketAddr,
   pool: Rc<web::Pool>,
-  timeout_ms: u64,
+  value_bytes_max: usize,
+  waiting: Rc<Waiting>,
 }
 
 impl StoreClient {
-  /// A client of the store at `address` that waits `timeout_ms` for each answer.
-  pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
-    let pool = Rc::new(web::Pool::new(timeout_ms));
-    Self { caller: Rc::new(Caller { address, pool, timeout_ms }) }
+  /// A client of the store at `address`, which holds values of up to `value_bytes_max` bytes. It waits
+  /// `timeout_ms` until an answer begins, and longer where answers lately took longer.
+  pub fn new(address: SocketAddr, timeout_ms: u64, value_bytes_max: usize) -> Self {
+    let waiting = Waiting::new(timeout_ms);
+    let pool = Rc::new(web::Pool::new(waiting.cap_ms()));
+    Self { caller: Rc::new(Caller { address, pool, value_bytes_max, waiting }) }
   }
 }
 
@@ -31,13 +34,11 @@
   }
 }
 
-/// Largest answer in bytes: a page of about a megabyte in base64, with room for its frame.
-const ANSWER_BYTES_MAX: usize = 4 << 20;
+/// Bytes of keys, names and lengths around the values of an answer: 500 items of a long key each.
+const FRAME_BYTES: usize = 500 * 512;
 
-/// How many times as long as its head the body of an answer may take: half a megabyte of configuration
-/// needs half a second on a link of 10 Mbit/s that nothing else uses. A store that is silent says not
-/// even the head, and is asked anew all the sooner.
-const BODY_PATIENCE: u64 = 4;
+/// Bytes of values in a page of a list, to which one value may add itself: the platform's "about 1 MB".
+const PAGE_BYTES: usize = 1 << 20;
 
 /// Milliseconds after which to call again where the store refuses a call for its load.
 const BUSY_RETRY_MS: u64 = 100;
@@ -58,7 +59,9 @@
       }
       StoreRequest::GrantLease { ttl_ms } => {
         let call = LeaseCall { ttl: DurationMs(ttl_ms).to_string() };
-        let (_, body) = self.exchange(Method::POST, "/ferryyoke/kv-lease", Some(&call), 0).await?;
+        let (_, body) = self
+          .exchange(CallKind::Lease, Method::POST, "/ferryyoke/kv-lease", Some(&call), 0)
+          .await?;
         let granted: LeaseReply = decode(&body)?;
         Ok(Reply::Lease { lease: LeaseId(granted.lease) })
       }
@@ -70,12 +73,12 @@
       StoreRequest::Read { key } => self.read(&key).await,
       StoreRequest::RenewLease { lease } => {
         let path = format!("/ferryyoke/kv-keep/{lease}");
-        self.exchange::<()>(Method::POST, &path, None, 0).await?;
+        self.exchange::<()>(CallKind::Lease, Method::POST, &path, None, 0).await?;
         Ok(Reply::Lease { lease })
       }
       StoreRequest::RevokeLease { lease } => {
         let path = format!("/ferryyoke/kv-lease-end/{lease}");
-        self.exchange::<()>(Method::DELETE, &path, None, 0).await?;
+        self.exchange::<()>(CallKind::Lease, Method::DELETE, &path, None, 0).await?;
         Ok(Reply::Done)
       }
       StoreRequest::Watch { after, prefix, wait_ms } => self.watch(after, &prefix, wait_ms).await,
@@ -94,7 +97,7 @@
       .into_iter()
       .collect();
     let call = Transaction { expected_rev, puts, remove };
-    match self.exchange(Method::POST, "/ferryyoke/kv-txn", Some(&call), 0).await {
+    match self.exchange(CallKind::Write, Method::POST, "/ferryyoke/kv-txn", Some(&call), 0).await {
       Ok((_, body)) => {
         let done: TransactionReply = decode(&body)?;
         Ok(Reply::Written { revision: Revision(done.revision) })
@@ -108,7 +111,7 @@
 
   async fn read(&self, key: &Key) -> store::Result<Reply> {
     let path = format!("/ferryyoke/kv-key?Key={key}");
-    match self.exchange::<()>(Method::GET, &path, None, 0).await {
+    match self.exchange::<()>(CallKind::Read, Method::GET, &path, None, 0).await {
       Ok((_, body)) => {
         let reply: ItemReply = decode(&body)?;
         let entry = Some(reply.item.entry().map_err(malformed)?);
@@ -134,7 +137,7 @@
       if stale {
         path = format!("{path}&AllowStale=1");
       }
-      let (_, body) = self.exchange::<()>(Method::GET, &path, None, 0).await?;
+      let (_, body) = self.exchange::<()>(CallKind::Read, Method::GET, &path, None, 0).await?;
       let page: PageReply = decode(&body)?;
       let revision = *first_revision.get_or_insert(Revision(page.store_revision));
       let read: Result<Vec<Entry>, String> = page.items.iter().map(Item::entry).collect();
@@ -148,7 +151,7 @@
 
   async fn watch(&self, after: Revision, prefix: &Key, wait_ms: u64) -> store::Result<Reply> {
     let path = format!("/ferryyoke/kv-watch?PathPrefix={prefix}&after={after}&WaitMs={wait_ms}");
-    let (_, body) = self.exchange::<()>(Method::GET, &path, None, wait_ms).await?;
+    let (_, body) = self.exchange::<()>(CallKind::Watch, Method::GET, &path, None, wait_ms).await?;
     let seen: WatchReply = decode(&body)?;
     let events: Result<Vec<Event>, String> = seen.events.iter().map(Item::event).collect();
     let events = events.map_err(malformed)?;
@@ -158,6 +161,7 @@
   /// One call and its answer; the statuses of the store become typed errors here.
   async fn exchange<T: Serialize>(
     &self,
+    kind: CallKind,
     method: Method,
     path: &str,
     call: Option<&T>,
@@ -171,14 +175,9 @@
       .header(http::header::CONTENT_TYPE, "application/json")
       .body(body)
       .map_err(|err| Refusal::Invalid { reason: err.to_string() })?;
-    let answer = async {
-      let client = self.pool.checkout(self.address).await?;
-      self.pool.send(client, request, None).await
-    };
-    let answer = within(self.timeout_ms + wait_ms, answer).await?;
-    let (status, body) = (answer.status(), answer.into_body());
-    let body_ms = self.timeout_ms * BODY_PATIENCE;
-    let body = within(body_ms, web::collect(body, ANSWER_BYTES_MAX)).await?;
+    let (began, came) = (Instant::now(), Cell::new(0));
+    let exchanged = self.send(kind, request, wait_ms, &came).await;
+    let (status, body) = exchanged.map_err(|err| kind.failure(err, began.elapsed(), came.get()))?;
     match status.as_u16() {
       200..=299 => Ok((status, body)),
       404 => Err(Refusal::LeaseEnded.into()),
@@ -189,16 +188,38 @@
         let reason = String::from_utf8_lossy(&body).chars().take(200).collect();
         Err(Refusal::Invalid { reason }.into())
       }
-      _ => Err(store::Error::Unknown { reason: format!("status {status}") }),
+      _ => Err(store::Error::Unknown { reason: format!("{kind}: status {status}") }),
     }
   }
-}
 
-/// Waits `limit_ms` for a part of an exchange.
-async fn within<T>(limit_ms: u64, part: impl Future<Output = web::Result<T>>) -> store::Result<T> {
-  let ended = monoio::time::timeout(Duration::from_millis(limit_ms), part).await;
-  let late = |_| store::Error::Unknown { reason: format!("no answer within {limit_ms} ms") };
-  Ok(ended.map_err(late)??)
+  /// Sends a request and reads its answer, whose bytes `came` counts.
+  async fn send(
+    &self,
+    kind: CallKind,
+    request: Request<AnyBody>,
+    wait_ms: u64,
+    came: &Cell<usize>,
+  ) -> web::Result<(StatusCode, Bytes)> {
+    let (address, pool) = (self.address, self.pool.clone());
+    let answer = async move {
+      let client = pool.checkout(address).await?;
+      pool.send(client, request, None).await
+    };
+    let answer = self.waiting.until_begun(kind, wait_ms, answer).await?;
+    let (status, body) = (answer.status(), answer.into_body());
+    let limits = self.waiting.body_limits(self.answer_bytes_max(kind));
+    Ok((status, web::collect_while_moving(body, limits, came).await?))
+  }
+
+  /// Largest answer in bytes. A watch may bring one value of any size: several large ones cost a narrow
+  /// link more than the newest alone, which is read then.
+  fn answer_bytes_max(&self, kind: CallKind) -> usize {
+    let value_bytes = match kind {
+      CallKind::Watch => self.value_bytes_max,
+      CallKind::Lease | CallKind::Read | CallKind::Write => self.value_bytes_max + PAGE_BYTES,
+    };
+    value_bytes.div_ceil(3) * 4 + FRAME_BYTES
+  }
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> store::Result<T> {
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -33,6 +33,8 @@
   pub store_address: SocketAddr,
   /// Milliseconds to wait for a reply of the store.
   pub store_timeout_ms: u64,
+  /// Bytes of the largest value that the platform's store takes.
+  pub store_value_bytes_max: usize,
   /// Tokens of the administration API. None are needed where it listens on loopback only.
   pub tokens: Vec<Token>,
 }
@@ -86,7 +88,11 @@
       ("peers", self.peers != running.peers),
       ("region", self.region != running.region),
       ("service", self.service != running.service),
-      ("store", self.store_address != running.store_address),
+      (
+        "store",
+        (self.store_address, self.store_value_bytes_max)
+          != (running.store_address, running.store_value_bytes_max),
+      ),
     ];
     compared.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
   }
@@ -109,7 +115,8 @@
     let region = root.field("region").text(Self::NAME);
     let service = root.field("service").text(Self::NAME);
     let stop_deadline_ms = Self::read_stop_deadline(&root.field("stop_deadline_ms"));
-    let (store_address, store_timeout_ms) = Self::read_store(&root.field("store"));
+    let (store_address, store_timeout_ms, store_value_bytes_max) =
+      Self::read_store(&root.field("store"));
     let tokens: Option<Vec<Token>> = root.field("tokens").items().iter().map(Token::read).collect();
     Self::check_exposure(root, addresses.as_ref(), tokens.as_deref());
     Some(Self {
@@ -131,6 +138,7 @@
       stop_deadline_ms: stop_deadline_ms?,
       store_address: store_address?,
       store_timeout_ms: store_timeout_ms?,
+      store_value_bytes_max: store_value_bytes_max?,
       tokens: tokens?,
     })
   }
@@ -169,9 +177,14 @@
     if node.is_text() { node.duration_ms() } else { node.number_or(DEFAULT_MS, 1, 86_400_000) }
   }
 
-  fn read_store(node: &Node) -> (Option<SocketAddr>, Option<u64>) {
-    node.object(&["address", "timeout_ms"]);
+  fn read_store(node: &Node) -> (Option<SocketAddr>, Option<u64>, Option<usize>) {
+    /// Bytes that a box can hold several times over: 64 MB.
+    const VALUE_BYTES_CAP: u64 = 1 << 26;
+    node.object(&["address", "timeout_ms", "value_bytes"]);
     let address = node.field("address").address();
-    (address, node.field("timeout_ms").number_or(1_000, 1, 60_000))
+    let timeout_ms = node.field("timeout_ms").number_or(1_000, 1, 60_000);
+    let value_bytes =
+      node.field("value_bytes").number_or(VALUE_BYTES_MAX as u64, 1, VALUE_BYTES_CAP);
+    (address, timeout_ms, value_bytes.and_then(|bytes| usize::try_from(bytes).ok()))
   }
 }
--- a/src/store/http_store.rs
+++ b/src/store/http_store.rs
@@ -56,9 +56,10 @@
       web::Error::Unreachable { .. } | web::Error::Unsent { .. } => {
         Refusal::Unreachable { reason: err.to_string() }.into()
       }
-      web::Error::Broken { .. } | web::Error::Malformed(_) | web::Error::TooLarge { .. } => {
-        Self::Unknown { reason: err.to_string() }
-      }
+      web::Error::Broken { .. }
+      | web::Error::Late { .. }
+      | web::Error::Malformed(_)
+      | web::Error::TooLarge { .. } => Self::Unknown { reason: err.to_string() },
     }
   }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,31 +5,35 @@
 use super::*;
 
 pub use self::{
-  entry::Entry, error::Error, event::Event, http_store::HttpStore, key::Key, lease_id::LeaseId,
-  refusal::Refusal, reply::Reply, revision::Revision, store_request::StoreRequest,
+  call_kind::CallKind, entry::Entry, error::Error, event::Event, http_store::HttpStore, key::Key,
+  lease_id::LeaseId, patience::Patience, refusal::Refusal, reply::Reply, revision::Revision,
+  store_request::StoreRequest, waiting::Waiting,
 };
 
+mod call_kind;
 mod entry;
 mod error;
 mod event;
 mod http_store;
 mod key;
 mod lease_id;
+mod patience;
 mod refusal;
 mod reply;
 mod revision;
 mod store_request;
+mod waiting;
 
 /// Result of one call.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
 
-/// Largest value in bytes.
+/// Largest value in bytes, where the settings name no other.
 pub const VALUE_BYTES_MAX: usize = 1 << 20;
 
 /// The platform's key-value service.
 pub trait Store {
-  /// Sends one request and waits for its reply. Never waits longer than the request's own wait
-  /// plus the client's time limit.
+  /// Sends one request and waits for its reply. Ends soon after the request's own wait where the store
+  /// is silent, and may go on while bytes of a reply keep coming.
   fn call(&self, request: StoreRequest) -> LocalFuture<Result<Reply>>;
 }
 
--- a/src/store/refusal.rs
+++ b/src/store/refusal.rs
@@ -4,6 +4,11 @@
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "refused")]
 pub enum Refusal {
+  /// More changes came at once than a watch takes: read the newest.
+  AnswerTooLarge {
+    /// Most bytes that an answer may have.
+    bytes_max: usize,
+  },
   /// The revision that a watch goes on from is no longer known: read anew.
   Compacted,
   /// The key exists already.
@@ -34,6 +39,9 @@
 impl Display for Refusal {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
+      Self::AnswerTooLarge { bytes_max } => {
+        write!(f, "the answer is larger than {bytes_max} bytes: read only what is newest")
+      }
       Self::Compacted => write!(f, "the store no longer knows that revision: read anew"),
       Self::Exists => write!(f, "the key exists already"),
       Self::Invalid { reason } => write!(f, "the store did not understand the call: {reason}"),
--- a/src/web/error.rs
+++ b/src/web/error.rs
@@ -8,6 +8,11 @@
     /// What went wrong.
     reason: String,
   },
+  /// The peer was silent for too long; it may have acted on the request.
+  Late {
+    /// What did not come, and for how long.
+    reason: String,
+  },
   /// The peer's message is not as HTTP asks.
   Malformed(http1::Fault),
   /// The body is larger than allowed.
@@ -42,6 +47,7 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
       Self::Broken { reason } => write!(f, "the connection broke: {reason}"),
+      Self::Late { reason } => f.write_str(reason),
       Self::Malformed(fault) => fault.fmt(f),
       Self::TooLarge { bytes_max } => {
         write!(f, "the body is larger than {bytes_max} bytes: send less at once")
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -4,6 +4,7 @@
 
 pub use self::{
   any_body::AnyBody,
+  body_limits::BodyLimits,
   client::{Client, Mark, ResponseBody},
   error::Error,
   incoming::Incoming,
@@ -19,6 +20,7 @@
 };
 
 mod any_body;
+mod body_limits;
 mod client;
 mod error;
 pub mod http1;
@@ -62,6 +64,49 @@
   }
 }
 
+/// Reads a body whole, however long it takes while bytes keep coming, within `limits`. `came` counts the
+/// bytes, also of a body that is given up. One that says beforehand that it is too large is not read: on a
+/// narrow link its bytes would hold up others.
+pub async fn collect_while_moving<B>(
+  body: B,
+  limits: BodyLimits,
+  came: &Cell<usize>,
+) -> Result<Bytes>
+where
+  B: Body<Data = Bytes>,
+  B::Error: Into<Error>,
+{
+  let BodyLimits { bytes_max, silent_ms, whole_ms } = limits;
+  let too_large = Error::TooLarge { bytes_max };
+  if body.size_hint().lower() > bytes_max as u64 {
+    return Err(too_large);
+  }
+  let mut body = std::pin::pin!(body);
+  let mut collected = BytesMut::new();
+  let reading = async {
+    loop {
+      let silence = Duration::from_millis(silent_ms);
+      let Ok(frame) = monoio::time::timeout(silence, body.frame()).await else {
+        return Err(Error::Late { reason: format!("no byte came for {silent_ms} ms") });
+      };
+      let Some(frame) = frame else {
+        return Ok(());
+      };
+      let data = frame.map_err(Into::into)?.into_data().unwrap_or_default();
+      came.set(came.get() + data.len());
+      if came.get() > bytes_max {
+        return Err(too_large);
+      }
+      collected.extend_from_slice(&data);
+    }
+  };
+  let read = monoio::time::timeout(Duration::from_millis(whole_ms), reading).await;
+  read.unwrap_or_else(|_| {
+    Err(Error::Late { reason: format!("the body was not whole after {whole_ms} ms") })
+  })?;
+  Ok(collected.freeze())
+}
+
 /// A JSON response.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<AnyBody> {
   let text = to_json(value);
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -46,6 +46,19 @@
     .run();
 }
 
+#[test]
+fn the_largest_value_of_the_store() {
+  Test::new()
+    .check_with("/store/value_bytes", json!(1_048_576))
+    .stdout_contains("the settings are good")
+    .run();
+  Test::new()
+    .check_with("/store/value_bytes", json!(0))
+    .status(2)
+    .stderr_contains("$.store.value_bytes: found 0, allowed is a whole number from 1 to")
+    .run();
+}
+
 #[test]
 fn an_unknown_key() {
   Test::new()
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -360,6 +360,31 @@
 }
 
 /// Versions go forward only, whatever order they come in.
+/// An old read would lead to the same changes again, and a pause would only make them more.
+#[test]
+fn changes_that_are_too_many_for_a_watch_lead_to_a_read_of_the_newest() {
+  let mut fleet = fleet();
+  fleet.watch_events_max = 1;
+  fleet.logged.clear();
+  for version in 2..=4 {
+    fleet.write_version(version);
+  }
+  fleet.run(400);
+  assert_eq!(fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(4)), NOBODY);
+  assert!(fleet.newest_reads > 0, "no box read the newest");
+  let is_failure = |line: &&String| line.contains("does not serve");
+  assert_eq!(fleet.logged.iter().find(is_failure), None);
+}
+
+#[test]
+fn a_box_says_why_the_store_does_not_serve_it() {
+  let mut fleet = fleet();
+  fleet.unserved.extend((0..BOXES).map(Followers::box_id));
+  fleet.run(1_000);
+  let is_told = |line: &String| line.contains("does not serve this box: ");
+  assert!(fleet.logged.iter().any(is_told), "{:?}", fleet.logged);
+}
+
 #[test]
 fn no_box_goes_back() {
   let mut fleet = fleet();
--- /dev/null
+++ b/tests/patience.rs
@@ -0,0 +1,115 @@
+//! How long the store's client waits, by what answers lately took.
+
+use ferryyoke::{
+  store::{CallKind, Patience},
+  values::Time,
+};
+
+const FLOOR_MS: u64 = 1_000;
+
+/// Calls made one after the other, with the limit of each, until one is answered in time.
+fn tries(patience: &mut Patience, now: &mut Time, took_ms: Option<u64>) -> Vec<u64> {
+  let mut limits = Vec::new();
+  for _ in 0..10 {
+    let limit_ms = patience.limit_ms(*now, CallKind::Read);
+    limits.push(limit_ms);
+    match took_ms {
+      Some(took_ms) if took_ms <= limit_ms => {
+        *now = now.after(took_ms);
+        patience.answered(*now, CallKind::Read, took_ms);
+        return limits;
+      }
+      Some(took_ms) => {
+        patience.given_up(now.after(limit_ms), CallKind::Read, limit_ms);
+        *now = now.after(took_ms);
+        patience.answered(*now, CallKind::Read, took_ms);
+      }
+      None => {
+        *now = now.after(limit_ms);
+        patience.given_up(*now, CallKind::Read, limit_ms);
+      }
+    }
+  }
+  limits
+}
+
+#[test]
+fn a_fast_store_has_the_floor() {
+  let (mut patience, mut now) = (Patience::new(FLOOR_MS), Time(0));
+  for _ in 0..20 {
+    assert_eq!(tries(&mut patience, &mut now, Some(5)), [FLOOR_MS]);
+  }
+}
+
+#[test]
+fn a_store_that_answers_in_three_seconds_is_served() {
+  let (mut patience, mut now) = (Patience::new(FLOOR_MS), Time(0));
+  assert_eq!(tries(&mut patience, &mut now, Some(3_000)).len(), 2);
+  for _ in 0..5 {
+    assert_eq!(tries(&mut patience, &mut now, Some(3_000)).len(), 1);
+  }
+}
+
+#[test]
+fn the_limit_falls_back_within_a_few_fast_answers() {
+  let (mut patience, mut now) = (Patience::new(FLOOR_MS), Time(0));
+  tries(&mut patience, &mut now, Some(3_000));
+  for _ in 0..3 {
+    tries(&mut patience, &mut now, Some(5));
+  }
+  assert_eq!(patience.limit_ms(now, CallKind::Read), FLOOR_MS);
+}
+
+/// A box's entry must be back within two seconds of the end of an outage.
+#[test]
+fn a_silent_store_is_asked_anew_as_often_as_ever() {
+  let (mut patience, mut now) = (Patience::new(FLOOR_MS), Time(0));
+  assert_eq!(tries(&mut patience, &mut now, None), [FLOOR_MS; 10]);
+}
+
+#[test]
+fn a_slow_store_that_falls_silent_is_noticed_sooner_from_call_to_call() {
+  let (mut patience, mut now) = (Patience::new(FLOOR_MS), Time(0));
+  tries(&mut patience, &mut now, Some(3_000));
+  let limits = tries(&mut patience, &mut now, None);
+  assert_eq!(limits[..4], [4_000, 2_000, FLOOR_MS, FLOOR_MS]);
+}
+
+#[test]
+fn a_call_given_up_before_the_last_answer_says_nothing_new() {
+  let (mut patience, now) = (Patience::new(FLOOR_MS), Time(0));
+  patience.answered(now, CallKind::Read, 1_900);
+  patience.given_up(now, CallKind::Read, FLOOR_MS);
+  assert_eq!(patience.limit_ms(now, CallKind::Read), 3_800);
+}
+
+#[test]
+fn no_limit_passes_the_cap() {
+  let (mut patience, now) = (Patience::new(FLOOR_MS), Time(0));
+  patience.answered(now, CallKind::Read, 60_000);
+  assert_eq!(patience.limit_ms(now, CallKind::Read), patience.cap_ms());
+}
+
+#[test]
+fn a_fast_answer_among_slow_ones_does_not_cut_off_the_next() {
+  let (mut patience, now) = (Patience::new(FLOOR_MS), Time(0));
+  for _ in 0..5 {
+    patience.answered(now, CallKind::Read, 1_900);
+    patience.answered(now, CallKind::Read, 5);
+    assert!(patience.limit_ms(now, CallKind::Read) >= 1_900);
+  }
+}
+
+#[test]
+fn kinds_of_calls_are_told_apart() {
+  let (mut patience, now) = (Patience::new(FLOOR_MS), Time(0));
+  patience.answered(now, CallKind::Read, 1_900);
+  assert_eq!(patience.limit_ms(now, CallKind::Lease), FLOOR_MS);
+}
+
+#[test]
+fn an_answer_of_long_ago_says_nothing() {
+  let (mut patience, now) = (Patience::new(FLOOR_MS), Time(0));
+  patience.answered(now, CallKind::Write, 1_900);
+  assert_eq!(patience.limit_ms(now.after(60_000), CallKind::Write), FLOOR_MS);
+}
--- /dev/null
+++ b/tests/store_client.rs
@@ -0,0 +1,249 @@
+//! The client of the platform's store against a store that is slow, falls silent, or answers at length.
+
+use {
+  base64::{Engine, prelude::BASE64_STANDARD},
+  ferryyoke::{
+    commands::block_on,
+    platform::StoreClient,
+    store::{self, Error, Key, Refusal, Reply, Revision, Store, StoreRequest},
+  },
+  monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+  },
+  std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// Milliseconds that the client grants a store of which it knows nothing.
+const FLOOR_MS: u64 = 100;
+
+/// Bytes of the largest value that the store may hold, where a test does not say otherwise.
+const VALUE_BYTES_MAX: usize = 1 << 20;
+
+/// What the store does to answer one request.
+#[derive(Clone)]
+enum Step {
+  /// Sends these bytes.
+  Send(Vec<u8>),
+  /// Leaves the connection open without a byte for this many milliseconds.
+  Wait(u64),
+}
+
+fn run(test: impl Future<Output = ()>) {
+  block_on(async {
+    let limit = Duration::from_secs(20);
+    monoio::time::timeout(limit, test).await.expect("the test hangs");
+  })
+  .expect("an event loop");
+}
+
+/// A store that answers every request by the steps that `answer` gives for its path.
+fn store(answer: impl Fn(&str) -> Vec<Step> + 'static) -> SocketAddr {
+  let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+  let address = listener.local_addr().expect("bound");
+  let answer = Rc::new(answer);
+  monoio::spawn(async move {
+    while let Ok((stream, _)) = listener.accept().await {
+      let answer = answer.clone();
+      monoio::spawn(async move { serve(stream, answer.as_ref()).await });
+    }
+  });
+  address
+}
+
+async fn serve(mut stream: TcpStream, answer: &dyn Fn(&str) -> Vec<Step>) {
+  loop {
+    let mut head = String::new();
+    while !head.contains("\r\n\r\n") {
+      let (read, buffer) = stream.read(vec![0; 4_096]).await;
+      match read {
+        Ok(count) if count > 0 => head.push_str(&String::from_utf8_lossy(&buffer[..count])),
+        _ => return,
+      }
+    }
+    let path = head.split(' ').nth(1).expect("a path").to_string();
+    for step in answer(&path) {
+      match step {
+        Step::Send(bytes) => {
+          if stream.write_all(bytes).await.0.is_err() {
+            return;
+          }
+        }
+        Step::Wait(wait_ms) => monoio::time::sleep(Duration::from_millis(wait_ms)).await,
+      }
+    }
+  }
+}
+
+fn head(length: usize) -> Vec<u8> {
+  format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n").into_bytes()
+}
+
+/// An answer that comes at once.
+fn whole(body: &str) -> Step {
+  Step::Send([head(body.len()), body.as_bytes().to_vec()].concat())
+}
+
+fn item(revision: u64, value_bytes: usize) -> String {
+  let value = BASE64_STANDARD.encode("v".repeat(value_bytes));
+  format!("{{\"Key\":\"op/config\",\"Revision\":{revision},\"Value\":\"{value}\"}}")
+}
+
+fn page(value_bytes: usize) -> String {
+  format!("{{\"items\":[{}],\"HasMore\":false,\"CurrentRev\":7}}", item(7, value_bytes))
+}
+
+fn changes(count: u64, value_bytes: usize) -> String {
+  let items: Vec<String> = (1..=count).map(|revision| item(revision, value_bytes)).collect();
+  format!("{{\"events\":[{}],\"CurrentRev\":{count}}}", items.join(","))
+}
+
+fn client(address: SocketAddr) -> StoreClient {
+  StoreClient::new(address, FLOOR_MS, VALUE_BYTES_MAX)
+}
+
+fn key() -> Key {
+  Key::of(&["op", "config"])
+}
+
+fn list() -> StoreRequest {
+  StoreRequest::List { prefix: key() }
+}
+
+fn watch(wait_ms: u64) -> StoreRequest {
+  StoreRequest::Watch { after: Revision(0), prefix: key(), wait_ms }
+}
+
+/// Why a call came to nothing, in words.
+fn reason(result: store::Result<Reply>) -> String {
+  match result {
+    Err(Error::Unknown { reason }) => reason,
+    other => panic!("an answer was not expected: {other:?}"),
+  }
+}
+
+#[test]
+fn a_store_slower_than_the_first_limit_is_served_after_a_few_calls() {
+  run(async {
+    let address = store(|_| vec![Step::Wait(FLOOR_MS * 5 / 2), whole(&page(10))]);
+    let client = client(address);
+    let mut tries = 0;
+    while client.call(list()).await.is_err() {
+      tries += 1;
+      assert!(tries < 4, "a store that answers all calls, only slowly, serves nobody");
+    }
+    // What the first answer took is known now.
+    for _ in 0..3 {
+      client.call(list()).await.expect("the limit follows what answers take");
+    }
+  });
+}
+
+#[test]
+fn a_body_that_comes_slowly_but_steadily_is_read_to_its_end() {
+  run(async {
+    let address = store(|_| {
+      let body = page(1_200).into_bytes();
+      let pieces = body.chunks(body.len().div_ceil(12));
+      let mut steps = vec![Step::Send(head(body.len()))];
+      steps.extend(
+        pieces.flat_map(|piece| [Step::Wait(FLOOR_MS * 4 / 5), Step::Send(piece.to_vec())]),
+      );
+      steps
+    });
+    let reply = client(address).call(list()).await.expect("bytes kept coming");
+    assert!(matches!(&reply, Reply::Entries { entries, .. } if entries[0].value.len() == 1_200));
+  });
+}
+
+#[test]
+fn a_body_that_falls_silent_is_given_up_with_the_bytes_that_had_come() {
+  run(async {
+    let address =
+      store(|_| vec![Step::Send(head(1_000)), Step::Send(vec![b' '; 321]), Step::Wait(60_000)]);
+    let reason = reason(client(address).call(list()).await);
+    assert!(reason.contains("read"), "the call's kind is missing: {reason}");
+    assert!(reason.contains("321 bytes"), "what had come is missing: {reason}");
+  });
+}
+
+#[test]
+fn a_body_that_trickles_without_an_end_is_given_up_at_last() {
+  run(async {
+    let address = store(|_| {
+      let mut steps = vec![Step::Send(head(1_000_000))];
+      steps.extend((0..1_000_000).flat_map(|_| [Step::Send(vec![b' ']), Step::Wait(5)]));
+      steps
+    });
+    let client = StoreClient::new(address, 10, VALUE_BYTES_MAX);
+    let reason = reason(client.call(list()).await);
+    assert!(reason.contains("bytes"), "{reason}");
+  });
+}
+
+#[test]
+fn a_call_without_an_answer_says_which_it_was_and_how_long_it_waited() {
+  run(async {
+    let client = client(store(|_| vec![Step::Wait(60_000)]));
+    let reading = reason(client.call(list()).await);
+    assert!(reading.contains("read") && reading.contains("0 bytes"), "{reading}");
+    assert!(reading.contains(&format!("{FLOOR_MS} ms")), "{reading}");
+    let watching = reason(client.call(watch(50)).await);
+    assert!(watching.contains("watch"), "{watching}");
+    assert!(watching.contains(&format!("{} ms", FLOOR_MS + 50)), "{watching}");
+  });
+}
+
+#[test]
+fn a_watch_with_more_versions_than_its_limit_holds_asks_to_read_the_newest() {
+  run(async {
+    let body = changes(3, VALUE_BYTES_MAX * 9 / 10);
+    let client = client(store(move |_| vec![whole(&body)]));
+    let result = client.call(watch(1_000)).await;
+    assert!(matches!(result, Err(Error::Refused(Refusal::AnswerTooLarge { .. }))), "{result:?}");
+  });
+}
+
+#[test]
+fn a_watch_of_unknown_length_is_given_up_where_it_passes_its_limit() {
+  run(async {
+    let body = changes(3, VALUE_BYTES_MAX * 9 / 10);
+    let size = body.len();
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let answer = format!("{head}{size:x}\r\n{body}\r\n0\r\n\r\n").into_bytes();
+    let client = client(store(move |_| vec![Step::Send(answer.clone())]));
+    let result = client.call(watch(1_000)).await;
+    assert!(matches!(result, Err(Error::Refused(Refusal::AnswerTooLarge { .. }))), "{result:?}");
+  });
+}
+
+#[test]
+fn a_value_as_large_as_the_store_may_hold_is_read_and_watched() {
+  const LARGE: usize = 6 << 20;
+  run(async {
+    let (listed, watched) = (page(LARGE), changes(1, LARGE));
+    let answer =
+      move |path: &str| vec![whole(if path.contains("watch") { &watched } else { &listed })];
+    let client = StoreClient::new(store(answer), 1_000, LARGE);
+    client.call(list()).await.expect("the store took it");
+    client.call(watch(1_000)).await.expect("the store took it");
+  });
+}
+
+#[test]
+fn a_silent_store_is_noticed_within_the_first_limit_after_fast_answers() {
+  run(async {
+    let calls = Rc::new(RefCell::new(0));
+    let address = store(move |_| {
+      *calls.borrow_mut() += 1;
+      let count = *calls.borrow();
+      if count <= 8 { vec![whole(&page(10))] } else { vec![Step::Wait(60_000)] }
+    });
+    let client = client(address);
+    for _ in 0..8 {
+      client.call(list()).await.expect("it answers");
+    }
+    let reason = reason(client.call(list()).await);
+    assert!(reason.contains(&format!("{FLOOR_MS} ms")), "{reason}");
+  });
+}
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -59,6 +59,8 @@
   last: u64,
   /// What the boxes' links carry, in Mbit/s.
   pub link_mbps: u32,
+  /// Linearizable reads of lists.
+  pub newest_reads: usize,
   /// The other end of each link: the box, and its name there.
   links: BTreeMap<(BoxId, LinkId), (BoxId, LinkId)>,
   /// What the boxes logged.
@@ -76,6 +78,8 @@
   /// Whole configurations that watches brought.
   pub watched_configurations: usize,
   watches: Vec<(BoxId, u64, StoreRequest, u64)>,
+  /// Most changes that the answer to a watch may hold.
+  pub watch_events_max: usize,
 }
 
 impl Followers {
@@ -88,6 +92,7 @@
       keyspace: Keyspace::default(),
       last: 0,
       link_mbps: 10,
+      newest_reads: 0,
       links: BTreeMap::new(),
       logged: Vec::new(),
       now: 1_000,
@@ -97,6 +102,7 @@
       unserved: BTreeSet::new(),
       watched_configurations: 0,
       watches: Vec::new(),
+      watch_events_max: usize::MAX,
     }
   }
 
@@ -287,6 +293,7 @@
     let is_cheap =
       matches!(request, StoreRequest::ListStale { .. } | StoreRequest::RenewLease { .. });
     self.store_tenths += if is_cheap { 1 } else { 10 };
+    self.newest_reads += usize::from(matches!(request, StoreRequest::List { .. }));
     if self.unserved.contains(box_id) {
       self.answer(box_id, call, Err(Refusal::TooMany { retry_after_ms: 100 }.into()));
       return;
@@ -313,8 +320,11 @@
       }
       let result = self.keyspace.call(Time(self.now), &request);
       let is_idle = matches!(&result, Ok(Reply::Changes { events, .. }) if events.is_empty());
+      let is_over = matches!(&result, Ok(Reply::Changes { events, .. }) if events.len() > self.watch_events_max);
       if is_idle && self.now < until {
         self.watches.push((box_id, call, request, until));
+      } else if is_over {
+        self.answer(&box_id, call, Err(Refusal::AnswerTooLarge { bytes_max: 1 }.into()));
       } else {
         if let Ok(Reply::Changes { events, .. }) = &result {
           let under = |key: &Key| key.is_under(&Key::of(&["op", "config"]));
