Let every call to the store know what one of them found out

Cause: each kind of call learnt by itself that the store is slow.

Change: beside the limit of its kind, a call has the one that the answers to all calls lead to, which falls as fast. The kinds keep their own, so that a slow read is not cut off by fast renewals.

--- a/src/store/patience.rs
+++ b/src/store/patience.rs
@@ -7,10 +7,13 @@
 #[derive(Clone, Debug)]
 pub struct Patience {
   floor_ms: u64,
+  /// By kind: a slow kind keeps its limit while others are answered fast.
   lately: BTreeMap<CallKind, Lately>,
+  /// From the answers to all calls: what one kind found out spares the others a call in vain.
+  lately_any: Option<Lately>,
 }
 
-/// What the calls of one kind lead to expect.
+/// What some calls lead to expect.
 #[derive(Clone, Copy, Debug)]
 struct Lately {
   at: Time,
@@ -30,7 +33,7 @@
 
   /// Grants `floor_ms` to a store that answers fast, or of which nothing is known.
   pub fn new(floor_ms: u64) -> Self {
-    Self { floor_ms, lately: BTreeMap::new() }
+    Self { floor_ms, lately: BTreeMap::new(), lately_any: None }
   }
 
   /// Milliseconds granted to a store that answers fast.
@@ -45,29 +48,38 @@
 
   /// Milliseconds that a call may wait until its answer begins, besides what the store waits on purpose.
   pub fn limit_ms(&self, now: Time, kind: CallKind) -> u64 {
-    let lately = self.lately.get(&kind).filter(|one| now.since_ms(one.at) < Self::FORGET_MS);
-    lately.map_or(self.floor_ms, |one| one.limit_ms)
+    let own_ms = self.recent_ms(now, self.lately.get(&kind));
+    own_ms.max(self.recent_ms(now, self.lately_any.as_ref()))
   }
 
-  /// An answer began after `took_ms`, in time or not. The limit falls by half an answer, so that a fast one
+  /// An answer began after `took_ms`, in time or not. A limit falls by half an answer, so that a fast one
   /// among slow ones does not cut off the next.
   pub fn answered(&mut self, now: Time, kind: CallKind, took_ms: u64) {
-    let limit_ms = (took_ms * Self::MARGIN).max(self.limit_ms(now, kind) / 2);
-    self.set(now, kind, limit_ms);
+    self.note(now, kind, took_ms * Self::MARGIN);
   }
 
   /// No answer began within `waited_ms`. Where the store was slow and is silent now, that is noticed sooner
   /// from call to call; where it is slower still, its answer says so when it comes.
   pub fn given_up(&mut self, now: Time, kind: CallKind, waited_ms: u64) {
-    let limit_ms = self.limit_ms(now, kind);
     // A call from before the last answer says nothing new.
-    if waited_ms >= limit_ms {
-      self.set(now, kind, limit_ms / 2);
+    if waited_ms >= self.limit_ms(now, kind) {
+      self.note(now, kind, self.floor_ms);
     }
   }
 
-  fn set(&mut self, now: Time, kind: CallKind, limit_ms: u64) {
-    let limit_ms = limit_ms.clamp(self.floor_ms, self.cap_ms());
-    self.lately.insert(kind, Lately { at: now, limit_ms });
+  fn recent_ms(&self, now: Time, lately: Option<&Lately>) -> u64 {
+    let recent = lately.filter(|one| now.since_ms(one.at) < Self::FORGET_MS);
+    recent.map_or(self.floor_ms, |one| one.limit_ms)
+  }
+
+  /// Halves what the kind and all calls lead to expect, where `least_ms` is not more.
+  fn note(&mut self, now: Time, kind: CallKind, least_ms: u64) {
+    let fallen = |lately: Option<&Lately>| {
+      let limit_ms = least_ms.max(self.recent_ms(now, lately) / 2);
+      Lately { at: now, limit_ms: limit_ms.clamp(self.floor_ms, self.cap_ms()) }
+    };
+    let (own, any) = (fallen(self.lately.get(&kind)), fallen(self.lately_any.as_ref()));
+    self.lately.insert(kind, own);
+    self.lately_any = Some(any);
   }
 }
