--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -167,9 +167,10 @@
   fn asked_for(&self, call: u64) -> &'static str {
     match self.watch {
       WatchPhase::Listing { call: own } if own == call => "the configuration",
-      WatchPhase::Watching { call: own, .. } if own == call => "changes",
       _ if self.directory_call == Some(call) => "the directory",
-      _ => "the own entry",
+      _ if self.registration.awaits(call) => "the own entry",
+      // Also a watch that is no longer needed, and is cut later.
+      _ => "changes",
     }
   }
 
--- a/src/distribution/registration.rs
+++ b/src/distribution/registration.rs
@@ -53,6 +53,11 @@
   /// within two seconds of its end.
   const RETRY_MAX_MS: u64 = 1_000;
 
+  /// Whether an answer to `call` is due.
+  pub fn awaits(&self, call: u64) -> bool {
+    self.pending.is_some_and(|(pending, _)| pending == call)
+  }
+
   /// The next call, where one is due. `entry` is the daemon's own endpoint; the lease is renewed
   /// every `renew_ms`.
   pub fn tick(
