Bound what boxes' links carry in the fleet in virtual time

The harness had a fixed delay and no bandwidth, so nothing showed what a large configuration does on links of 10 Mbit/s. Now each box's own link can have a bound each way; whatever goes one way goes one after the other. Without a bound all plays as before, but that what comes to a process that stands still keeps its order. Reading and writing its configurations, and the links, are files of their own.

--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -1,15 +1,19 @@
 //! A fleet of followers in virtual time, with a store that serves some boxes and not others.
 
+use super::{
+  lines::{self, Direction, Lines},
+  plain_source::{self, PlainSource},
+};
+
 use {
   ferryyoke::{
-    configuration::{Configuration, Patch, Policy, Revised, Service, Source, Unreadable},
     distribution::{
       Action, Distribution, Event, Follower, Identity, LinkId, Message, Moment, Timing, Update,
     },
     fleet::{Endpoint, EndpointState, Peer},
     standin::Keyspace,
     store::{self, Key, Refusal, Reply, StoreRequest},
-    values::{BoxId, Digest, Incarnation, PolicyName, Team, Time, Version},
+    values::{BoxId, Incarnation, Time, Version},
   },
   std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,32 +23,30 @@
 
 /// Milliseconds of one step of the world.
 const STEP_MS: u64 = 10;
-/// Milliseconds until a call, or a message, arrives.
+/// Milliseconds on the way until a call, or a message, arrives, beside its time on narrow links.
 const DELAY_MS: u64 = 10;
 
-/// Reads the product's own form of a configuration.
-#[derive(Debug)]
-struct PlainSource;
-
-impl Source for PlainSource {
-  fn key(&self) -> Key {
-    Key::of(&["op", "config"])
-  }
-
-  fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
-    // `unreadable 7` stands for a version 7 of which nothing else can be read.
-    if let Some(version) = value.strip_prefix("unreadable ") {
-      let version = version.parse().ok();
-      return Err(Unreadable { reason: "an unknown kind of route".into(), version });
-    }
-    serde_json::from_str(value).map_err(Unreadable::unknown_version)
-  }
-}
-
-/// What happens to a box at a time.
+/// What happens to a box, or what it does, at a time.
 enum Coming {
+  /// A call of the box's leaves its link.
+  Call {
+    call: u64,
+    request: StoreRequest,
+  },
   Event(Box<Event>),
-  Opened { link: LinkId, outbound: bool, peer: BoxId },
+  Opened {
+    link: LinkId,
+    outbound: bool,
+    peer: BoxId,
+  },
+  /// So many bytes reach the box's link, and then what they tell happens. Until a time they are still
+  /// at their sender.
+  Parcel {
+    bytes: usize,
+    coming: Box<Coming>,
+    left_at_us: u64,
+    sender: Option<BoxId>,
+  },
 }
 
 /// The fleet.
@@ -52,15 +54,18 @@
   /// Versions that boxes knew of before they held them.
   pub behind: Vec<(BoxId, Version)>,
   boxes: BTreeMap<BoxId, Follower>,
+  /// By microsecond, and in order of sending.
   coming: BTreeMap<(u64, u64), (BoxId, Coming)>,
   /// Boxes whose process stands still.
   pub frozen: BTreeSet<BoxId>,
   keyspace: Keyspace,
   last: u64,
-  /// What the boxes' links carry, in Mbit/s.
+  /// What the boxes say that their links carry, in Mbit/s, where nothing bounds these.
   pub link_mbps: u32,
   /// Linearizable reads of lists.
   pub newest_reads: usize,
+  /// What the boxes' links carry.
+  pub lines: Lines,
   /// The other end of each link: the box, and its name there.
   links: BTreeMap<(BoxId, LinkId), (BoxId, LinkId)>,
   /// What the boxes logged.
@@ -93,6 +98,7 @@
       last: 0,
       link_mbps: 10,
       newest_reads: 0,
+      lines: Lines::default(),
       links: BTreeMap::new(),
       logged: Vec::new(),
       now: 1_000,
@@ -120,8 +126,12 @@
     self.stop(index);
     let address = format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address");
     let data_hall = format!("hall-{}", index % 3).parse().expect("a name");
+    let link_mbps = match self.lines.mbps(&box_id) {
+      0 => self.link_mbps,
+      bound => bound,
+    };
     let endpoint = Endpoint {
-      link_mbps: self.link_mbps,
+      link_mbps,
       forward_address: address,
       incarnation: Incarnation(clock_ms),
       peer: Peer { address, box_id: box_id.clone(), data_hall },
@@ -141,29 +151,47 @@
     self.handle(&box_id, Event::EndpointState(EndpointState::Live));
   }
 
-  /// Ends a box without a word.
+  /// Ends a box without a word. What has not left its link is lost.
   pub fn stop(&mut self, index: usize) {
     let box_id = Self::box_id(index);
     self.boxes.remove(&box_id);
+    self.lines.clear(&box_id);
     self.watches.retain(|(owner, ..)| *owner != box_id);
-    self.coming.retain(|_, (owner, _)| *owner != box_id);
+    let now_us = self.now * 1_000;
+    self.coming.retain(|_, (owner, coming)| match coming {
+      Coming::Parcel { left_at_us, sender: Some(sender), .. } if *sender == box_id => {
+        *left_at_us <= now_us && *owner != box_id
+      }
+      _ => *owner != box_id,
+    });
     let ended: Vec<(BoxId, LinkId)> =
       self.links.keys().filter(|(owner, _)| *owner == box_id).cloned().collect();
     for end in ended {
-      self.close(&end);
+      self.close(&end, None);
     }
   }
 
-  fn close(&mut self, end: &(BoxId, LinkId)) {
+  /// Closes a link from one end; nobody is the sender where the box there ended.
+  fn close(&mut self, end: &(BoxId, LinkId), sender: Option<&BoxId>) {
     if let Some((peer, link)) = self.links.remove(end) {
       self.links.remove(&(peer.clone(), link));
-      self.later(&peer, Coming::Event(Box::new(Event::LinkClosed { link })));
+      self.convey(sender, &peer, 0, Coming::Event(Box::new(Event::LinkClosed { link })));
     }
   }
 
-  fn later(&mut self, box_id: &BoxId, coming: Coming) {
+  /// Brings something to a box over its own link, and that of the sender where it is a box.
+  fn convey(&mut self, sender: Option<&BoxId>, to: &BoxId, bytes: usize, coming: Coming) {
+    let now_us = self.now * 1_000;
+    let left_at_us =
+      sender.map_or(now_us, |sender| self.lines.carry(sender, Direction::Outward, now_us, bytes));
+    let (coming, sender) = (Box::new(coming), sender.cloned());
+    let parcel = Coming::Parcel { bytes, coming, left_at_us, sender };
+    self.at(left_at_us + DELAY_MS * 1_000, to, parcel);
+  }
+
+  fn at(&mut self, at_us: u64, box_id: &BoxId, coming: Coming) {
     self.last += 1;
-    self.coming.insert((self.now + DELAY_MS, self.last), (box_id.clone(), coming));
+    self.coming.insert((at_us, self.last), (box_id.clone(), coming));
   }
 
   /// The operators write a version.
@@ -173,25 +201,7 @@
 
   /// The operators write a version with so many services.
   pub fn write_services(&mut self, version: u64, count: usize) {
-    let mut configuration = Configuration { version: Version(version), ..Configuration::default() };
-    let owner: Team = "team".parse().expect("a name");
-    let name: PolicyName = "policy".parse().expect("a name");
-    let policy = Policy { attempts: 1, deadline_ms: 1, owner: owner.clone(), queue_length: 1 };
-    let revision = Patch::REVISION;
-    configuration.policies.insert(name.clone(), Revised { revision, value: policy });
-    for index in 0..count {
-      let value = Service {
-        connections: None,
-        health_path: None,
-        owner: owner.clone(),
-        policy: name.clone(),
-      };
-      // A name that does not compress, so that many services are large on a link.
-      let name = Digest::of(format!("service-{index}").as_bytes()).to_string();
-      let name = name[..40].parse().expect("a name");
-      configuration.services.insert(name, Revised { revision, value });
-    }
-    self.write_text(serde_json::to_string(&configuration).expect("JSON"));
+    self.write_text(plain_source::written(version, count));
   }
 
   /// The operators write some text where the configuration belongs.
@@ -212,14 +222,7 @@
       self.now += STEP_MS;
       self.keyspace.expire(Time(self.now));
       self.answer_watches();
-      while let Some(first) = self.coming.first_entry().filter(|one| one.key().0 <= self.now) {
-        let (box_id, coming) = first.remove();
-        if self.frozen.contains(&box_id) {
-          self.later(&box_id, coming);
-          continue;
-        }
-        self.arrive(&box_id, coming);
-      }
+      self.let_come();
       if self.now.is_multiple_of(50) {
         let ticking: Vec<BoxId> =
           self.boxes.keys().filter(|one| !self.frozen.contains(*one)).cloned().collect();
@@ -230,8 +233,29 @@
     }
   }
 
-  fn arrive(&mut self, box_id: &BoxId, coming: Coming) {
+  /// Lets all happen that is due. What comes to a box that stands still waits in its order.
+  fn let_come(&mut self) {
+    let mut waiting = Vec::new();
+    while let Some(first) = self.coming.first_entry().filter(|one| one.key().0 <= self.now * 1_000)
+    {
+      let (key, (box_id, coming)) = first.remove_entry();
+      let is_for_process = matches!(coming, Coming::Event(_) | Coming::Opened { .. });
+      if is_for_process && self.frozen.contains(&box_id) {
+        waiting.push((key, (box_id, coming)));
+      } else {
+        self.arrive(key.0, &box_id, coming);
+      }
+    }
+    self.coming.extend(waiting);
+  }
+
+  fn arrive(&mut self, at_us: u64, box_id: &BoxId, coming: Coming) {
     match coming {
+      Coming::Call { call, request } => self.call_arrives(box_id, call, request),
+      Coming::Parcel { bytes, coming, .. } => {
+        let through_us = self.lines.carry(box_id, Direction::Inward, at_us, bytes);
+        self.at(through_us, box_id, *coming);
+      }
       Coming::Event(event) => self.handle(box_id, *event),
       Coming::Opened { link, outbound, peer } => {
         self.handle(box_id, Event::LinkOpened { link, outbound, peer });
@@ -253,7 +277,7 @@
     match action {
       Action::Behind(version) => self.behind.push((box_id.clone(), version)),
       Action::CallStore { call, request } => self.call_store(box_id, call, request),
-      Action::CloseLink { link } => self.close(&(box_id.clone(), link)),
+      Action::CloseLink { link } => self.close(&(box_id.clone(), link), Some(box_id)),
       Action::Refuse { reason, .. } => self.refused.push((box_id.clone(), reason)),
       Action::Log(text) => self.logged.push(format!("{} {box_id}: {text}", self.now)),
       Action::OpenLink(peer) => self.open(box_id, &peer.box_id),
@@ -264,7 +288,8 @@
 
   fn open(&mut self, from: &BoxId, to: &BoxId) {
     if !self.boxes.contains_key(to) || self.frozen.contains(to) {
-      self.later(from, Coming::Event(Box::new(Event::LinkFailed { box_id: to.clone() })));
+      let failed = Event::LinkFailed { box_id: to.clone() };
+      self.convey(None, from, 0, Coming::Event(Box::new(failed)));
       return;
     }
     self.logged.push(format!("{} {from} links to {to}", self.now));
@@ -272,8 +297,10 @@
     let (near, far) = (LinkId(self.last), LinkId(self.last + 1));
     self.links.insert((from.clone(), near), (to.clone(), far));
     self.links.insert((to.clone(), far), (from.clone(), near));
-    self.later(to, Coming::Opened { link: far, outbound: false, peer: from.clone() });
-    self.later(from, Coming::Opened { link: near, outbound: true, peer: to.clone() });
+    let (opened, peer) =
+      (|link, outbound, peer| Coming::Opened { link, outbound, peer }, from.clone());
+    self.convey(Some(from), to, 0, opened(far, false, peer));
+    self.convey(Some(to), from, 0, opened(near, true, to.clone()));
   }
 
   fn send(&mut self, from: &BoxId, link: LinkId, message: Message) {
@@ -285,11 +312,27 @@
       self.pushed_objects += patches.iter().map(|patch| patch.operations.len()).sum::<usize>();
     }
     if let Some((to, link)) = self.links.get(&(from.clone(), link)).cloned() {
-      self.later(&to, Coming::Event(Box::new(Event::Received { link, message })));
+      let bytes = if self.lines.is_bound(from) || self.lines.is_bound(&to) {
+        lines::message_bytes(&message)
+      } else {
+        0
+      };
+      let received = Event::Received { link, message };
+      self.convey(Some(from), &to, bytes, Coming::Event(Box::new(received)));
     }
   }
 
   fn call_store(&mut self, box_id: &BoxId, call: u64, request: StoreRequest) {
+    let (bytes, now_us) = (lines::request_bytes(&request), self.now * 1_000);
+    let left_at_us = self.lines.carry(box_id, Direction::Outward, now_us, bytes);
+    if left_at_us <= now_us {
+      self.call_arrives(box_id, call, request);
+    } else {
+      self.at(left_at_us, box_id, Coming::Call { call, request });
+    }
+  }
+
+  fn call_arrives(&mut self, box_id: &BoxId, call: u64, request: StoreRequest) {
     let is_cheap =
       matches!(request, StoreRequest::ListStale { .. } | StoreRequest::RenewLease { .. });
     self.store_tenths += if is_cheap { 1 } else { 10 };
@@ -308,7 +351,9 @@
   }
 
   fn answer(&mut self, box_id: &BoxId, call: u64, result: store::Result<Reply>) {
-    self.later(box_id, Coming::Event(Box::new(Event::StoreAnswered { call, result })));
+    let bytes = lines::answer_bytes(&result);
+    let answered = Event::StoreAnswered { call, result };
+    self.convey(None, box_id, bytes, Coming::Event(Box::new(answered)));
   }
 
   fn answer_watches(&mut self) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,7 +5,9 @@
 pub mod command;
 pub mod endpoints;
 pub mod followers;
+pub mod lines;
 pub mod oracle;
+pub mod plain_source;
 pub mod world;
 
 use arbtest::{arbitrary::Unstructured, arbtest};
--- /dev/null
+++ b/tests/support/plain_source.rs
@@ -0,0 +1,45 @@
+//! Configurations in the product's own form, as the operators of a fleet in virtual time write them.
+
+use ferryyoke::{
+  configuration::{Configuration, Patch, Policy, Revised, Service, Source, Unreadable},
+  store::Key,
+  values::{Digest, PolicyName, Team, Version},
+};
+
+/// Reads the product's own form of a configuration.
+#[derive(Debug)]
+pub struct PlainSource;
+
+impl Source for PlainSource {
+  fn key(&self) -> Key {
+    Key::of(&["op", "config"])
+  }
+
+  fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
+    // `unreadable 7` stands for a version 7 of which nothing else can be read.
+    if let Some(version) = value.strip_prefix("unreadable ") {
+      let version = version.parse().ok();
+      return Err(Unreadable { reason: "an unknown kind of route".into(), version });
+    }
+    serde_json::from_str(value).map_err(Unreadable::unknown_version)
+  }
+}
+
+/// What the operators write for a version with so many services.
+pub fn written(version: u64, count: usize) -> String {
+  let mut configuration = Configuration { version: Version(version), ..Configuration::default() };
+  let owner: Team = "team".parse().expect("a name");
+  let name: PolicyName = "policy".parse().expect("a name");
+  let policy = Policy { attempts: 1, deadline_ms: 1, owner: owner.clone(), queue_length: 1 };
+  let revision = Patch::REVISION;
+  configuration.policies.insert(name.clone(), Revised { revision, value: policy });
+  for index in 0..count {
+    let value =
+      Service { connections: None, health_path: None, owner: owner.clone(), policy: name.clone() };
+    // A name that does not compress, so that many services are large on a link.
+    let name = Digest::of(format!("service-{index}").as_bytes()).to_string();
+    let name = name[..40].parse().expect("a name");
+    configuration.services.insert(name, Revised { revision, value });
+  }
+  serde_json::to_string(&configuration).expect("JSON")
+}
