Let a watch that neighbours will make needless wait for a moment only

Cause: boxes that start together know few others at first, take themselves for watchers, and begin a watch of 25 s. They rest once they have neighbours, but the store still answers that watch: the next change brings each of them the whole configuration, and the small update of a neighbour waits behind it on a narrow link. The daemon has no way to cancel a call. Ruled out: slow updates (the same fleet at rest for 30 s, when these watches have ended, has the change at all boxes after 150 ms).

A daemon that is no watcher, or started a moment ago, now watches for 1.5 s at a time.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -16,6 +16,10 @@
   /// Milliseconds that one watch waits. The store takes up to 30 s; renewals show in between whether
   /// it can be reached.
   const WATCH_MS: u64 = 25_000;
+  /// Milliseconds that a watch waits which neighbours will soon make needless. The store answers a watch
+  /// also once nobody needs the answer any more, and a whole configuration then holds up a narrow link for
+  /// a second, before the small update of a neighbour.
+  const PASSING_WATCH_MS: u64 = 1_500;
   /// Milliseconds of failed calls after which a watch that still waits is not believed any more.
   const WATCH_DOUBT_MS: u64 = 1_000;
 
@@ -202,7 +206,10 @@
   fn wait_for_changes(&mut self, after: Revision) {
     self.watch_failures = 0;
     let prefix = self.source.key();
-    let call = self.call_store(StoreRequest::Watch { after, prefix, wait_ms: Self::WATCH_MS });
+    // A daemon that starts does not know yet whether it stays a watcher.
+    let is_lasting = self.is_watcher() && !self.is_settling();
+    let wait_ms = if is_lasting { Self::WATCH_MS } else { Self::PASSING_WATCH_MS };
+    let call = self.call_store(StoreRequest::Watch { after, prefix, wait_ms });
     self.watch = WatchPhase::Watching { after, call };
   }
 
