Let the harness cut watches that begin while the store turns a box away

A box that ends its passing watch after 1.5 s begins its next one while the store turns it away, and says so rightly: `asked for changes`. The test of that line tells watches from other calls by how they fail, so the harness now fails every watch in one way.

--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -355,7 +355,12 @@
     self.store_tenths += if is_cheap { 1 } else { 10 };
     self.newest_reads += usize::from(matches!(request, StoreRequest::List { .. }));
     if self.unserved.contains(box_id) {
-      self.answer(box_id, call, Err(Refusal::TooMany { retry_after_ms: 100 }.into()));
+      // A watch is cut, whether it was under way or begins, so that tests can tell it from other calls.
+      let turned_away = match &request {
+        StoreRequest::Watch { .. } => store::Error::Unknown { reason: "cut".into() },
+        _ => Refusal::TooMany { retry_after_ms: 100 }.into(),
+      };
+      self.answer(box_id, call, Err(turned_away));
       return;
     }
     if let StoreRequest::Watch { wait_ms, .. } = &request {
