--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -25,6 +25,8 @@
 
 /// Milliseconds of one step of the world.
 const STEP_MS: u64 = 10;
+/// Milliseconds beyond its own wait after which a box gives up a watch without an answer.
+const PATIENCE_MS: u64 = 1_000;
 /// Milliseconds on the way until a call, or a message, arrives, beside its time on narrow links.
 const DELAY_MS: u64 = 10;
 
@@ -84,10 +86,16 @@
   pub store_tenths: u64,
   /// The last update that was unpacked to count its objects.
   unpacked: Option<(PackedUpdate, usize)>,
+  /// Ends of links from which nothing arrives any more, though both stay open.
+  silent_ends: BTreeSet<(BoxId, LinkId)>,
+  /// Watches that the store takes for answered, or never heard of. Their calls end without an answer.
+  silent_watches: BTreeSet<(BoxId, u64)>,
   /// Boxes that the store does not serve.
   pub unserved: BTreeSet<BoxId>,
   /// Whole configurations that watches brought.
   pub watched_configurations: usize,
+  /// Watches that reached the store.
+  pub watches_begun: usize,
   watches: Vec<(BoxId, u64, StoreRequest, u64)>,
   /// Most changes that the answer to a watch may hold.
   pub watch_events_max: usize,
@@ -110,11 +118,14 @@
       now: 1_000,
       pushed_objects: 0,
       refused: Vec::new(),
+      silent_ends: BTreeSet::new(),
+      silent_watches: BTreeSet::new(),
       source: Arc::new(PlainSource),
       store_tenths: 0,
       unpacked: None,
       unserved: BTreeSet::new(),
       watched_configurations: 0,
+      watches_begun: 0,
       watches: Vec::new(),
       watch_events_max: usize::MAX,
     }
@@ -182,6 +193,9 @@
   /// Closes a link from one end; nobody is the sender where the box there ended.
   fn close(&mut self, end: &(BoxId, LinkId), sender: Option<&BoxId>) {
     if let Some((peer, link)) = self.links.remove(end) {
+      if self.silent_ends.remove(end) {
+        return;
+      }
       self.links.remove(&(peer.clone(), link));
       self.convey(sender, &peer, 0, Coming::Event(Box::new(Event::LinkClosed { link })));
     }
@@ -312,6 +326,9 @@
   }
 
   fn send(&mut self, from: &BoxId, link: LinkId, message: Message) {
+    if self.silent_ends.contains(&(from.clone(), link)) {
+      return;
+    }
     if let Message::Update(packed) = &message {
       self.pushed_objects += self.objects_of(packed);
     }
@@ -364,6 +381,7 @@
       return;
     }
     if let StoreRequest::Watch { wait_ms, .. } = &request {
+      self.watches_begun += 1;
       let until = self.now + wait_ms;
       self.watches.push((box_id.clone(), call, request, until));
       return;
@@ -378,9 +396,32 @@
     self.convey(None, box_id, bytes, Coming::Event(Box::new(answered)));
   }
 
+  /// Lets the connections of all watches that wait go silent; new ones are well.
+  pub fn silence_watches(&mut self, boxes: impl Iterator<Item = usize>) {
+    let boxes: BTreeSet<BoxId> = boxes.map(Self::box_id).collect();
+    let of_these = self.watches.iter().filter(|(box_id, ..)| boxes.contains(box_id));
+    self.silent_watches.extend(of_these.map(|(box_id, call, ..)| (box_id.clone(), *call)));
+  }
+
+  /// Lets all open links go silent from one box to the other; new ones are well.
+  pub fn silence_links(&mut self, from: usize, to: usize) {
+    let (from, to) = (Self::box_id(from), Self::box_id(to));
+    let ends = self.links.iter().filter(|((near, _), (far, _))| *near == from && *far == to);
+    self.silent_ends.extend(ends.map(|(near, _)| near.clone()));
+  }
+
   fn answer_watches(&mut self) {
     let waiting = std::mem::take(&mut self.watches);
     for (box_id, call, request, until) in waiting {
+      if self.silent_watches.contains(&(box_id.clone(), call)) {
+        if self.now < until + PATIENCE_MS {
+          self.watches.push((box_id, call, request, until));
+        } else {
+          let reason = "no answer began".into();
+          self.answer(&box_id, call, Err(store::Error::Unknown { reason }));
+        }
+        continue;
+      }
       if self.unserved.contains(&box_id) {
         self.answer(&box_id, call, Err(store::Error::Unknown { reason: "cut".into() }));
         continue;
