Let watchers hear from each other, and begin watches that were outrun anew

Cause: a watcher believed its watch for 25 s, and renewals over other connections said that all was well. Nothing held the watch against what others knew: watchers left their neighbours.

Change: each watcher subscribes to the next one in a ring over all data halls, so what one watch tells reaches all watchers; a watch that did not tell within 1 s begins anew, from the neighbour's revision. Watches end in turns, one of the fleet every 1.5 s, for the case that all are silent. A failed watch goes on from its revision instead of reading all again. Renewals of watchers go from 0.5 to 1 s, for changes no longer wait for them. A watcher takes only its own store's word for fresh, so that the ring holds nobody for fresh in a circle.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -3,8 +3,9 @@
 /// Following the store: the own entry, and the watch on the configuration.
 impl Follower {
   /// Milliseconds between two renewals of a watcher's lease. They are the cheapest call, and tell the
-  /// watcher, and its subscribers, that the store can be reached.
-  const WATCHER_RENEW_MS: u64 = 500;
+  /// watcher, and its subscribers, that the store can be reached. Changes come by the ring of watchers
+  /// meanwhile, so a second is soon enough, and twice as often cost half as much again at rest.
+  const WATCHER_RENEW_MS: u64 = 1_000;
   /// Milliseconds after its start for which a daemon looks for neighbours before it watches the store
   /// although it is no watcher.
   pub(super) const SETTLING_MS: u64 = 1_500;
@@ -13,9 +14,6 @@
   const REFUSED_LOG_MS: u64 = 5_000;
   /// Longest pause of the watch after failures, in milliseconds; see [`Registration`].
   pub(super) const WATCH_RETRY_MAX_MS: u64 = 1_000;
-  /// Milliseconds that one watch waits. The store takes up to 30 s; renewals show in between whether
-  /// it can be reached.
-  const WATCH_MS: u64 = 25_000;
   /// Milliseconds that a watch waits which neighbours will soon make needless. The store answers a watch
   /// also once nobody needs the answer any more, and a whole configuration then holds up a narrow link for
   /// a second, before the small update of a neighbour.
@@ -48,8 +46,8 @@
     match self.watch {
       WatchPhase::Resting { after: Some(after) } if must_watch => self.wait_for_changes(after),
       WatchPhase::Resting { after: None } if must_watch => self.read_configuration(true),
-      WatchPhase::Backoff { until } if self.now.time >= until => match self.watch_revision() {
-        Some(after) => self.wait_for_changes(after),
+      WatchPhase::Backoff { after, until } if self.now.time >= until => match after {
+        Some(after) => self.wait_for_changes(self.revision_held(after)),
         None => self.read_configuration(true),
       },
       WatchPhase::Gathering { after, until } if self.now.time >= until => {
@@ -64,10 +62,12 @@
       }
       _ => {}
     }
+    self.tick_outrun();
   }
 
   /// What is held has all changes up to a revision: a watch that rests goes on from there.
   pub(super) fn skip_to(&mut self, revision: Option<Revision>) {
+    self.neighbours_revision = revision.max(self.neighbours_revision);
     if let WatchPhase::Resting { after } = &mut self.watch {
       *after = revision.max(*after);
     }
@@ -108,9 +108,13 @@
     }
     match self.watch {
       WatchPhase::Listing { call: own } | WatchPhase::Watching { call: own, .. } if own == call => {
+        self.outrun_since = None;
       }
       _ => return,
     }
+    if result.is_ok() {
+      self.watch_failures = 0;
+    }
     match result {
       Ok(Reply::Entries { entries, revision }) => {
         for entry in entries {
@@ -191,10 +195,11 @@
       self.read_configuration(false);
       return;
     }
+    let after = self.watch_revision();
     let base_ms = (100 << self.watch_failures.min(4)).min(Self::WATCH_RETRY_MAX_MS);
     self.watch_failures = self.watch_failures.saturating_add(1);
     let pause_ms = self.rng.random_range(base_ms / 2..=base_ms);
-    self.watch = WatchPhase::Backoff { until: self.now.time.after(pause_ms) };
+    self.watch = WatchPhase::Backoff { after, until: self.now.time.after(pause_ms) };
   }
 
   /// Waits a moment, so that changes in quick succession cost one call.
@@ -203,12 +208,12 @@
     self.watch = WatchPhase::Gathering { after, until };
   }
 
-  fn wait_for_changes(&mut self, after: Revision) {
-    self.watch_failures = 0;
+  pub(super) fn wait_for_changes(&mut self, after: Revision) {
+    self.outrun_since = None;
     let prefix = self.source.key();
     // A daemon that starts does not know yet whether it stays a watcher.
     let is_lasting = self.is_watcher() && !self.is_settling();
-    let wait_ms = if is_lasting { Self::WATCH_MS } else { Self::PASSING_WATCH_MS };
+    let wait_ms = if is_lasting { self.watch_ms() } else { Self::PASSING_WATCH_MS };
     let call = self.call_store(StoreRequest::Watch { after, prefix, wait_ms });
     self.watch = WatchPhase::Watching { after, call };
   }
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -2,23 +2,27 @@
 
 use super::*;
 
-use {self::returning::Returning, super::inquiry::Asker};
+use {
+  self::returning::Returning,
+  super::{inquiry::Asker, watchers::Watchers},
+};
 
 mod asking;
 mod directory;
 mod following;
 mod neighbours;
 mod returning;
+mod silence;
 mod updates;
 
 /// Decides how a daemon holds the newest configuration and the news about all boxes where the
 /// platform's operators write configurations into the store themselves.
 ///
 /// A [`Source`] reads configurations out of the store. Each daemon keeps an entry of its own there,
-/// under a lease. The boxes of each data hall with the fastest links watch the store, equal ones by a
-/// hash of their names; all others subscribe to two of these. A daemon whose neighbours are silent, or have not heard from
-/// the store themselves, watches it until they have: so a watcher may fail at any moment. A watcher
-/// that the store does not serve subscribes to others, which keep its entry alive.
+/// under a lease. A few boxes of each data hall watch the store, see [`Watchers`], and hear from each other
+/// in a ring; all others subscribe to two of these. A daemon whose neighbours are silent, or have not heard
+/// from the store themselves, watches it until they have: so a watcher may fail at any moment. A watcher that
+/// the store does not serve subscribes to others, which keep its entry alive.
 #[derive(Debug)]
 pub struct Follower {
   actions: Vec<Action>,
@@ -49,7 +53,11 @@
   links: BTreeMap<LinkId, Link>,
   /// The newest version that anybody told of.
   newest_known: Version,
+  /// Up to where a neighbour that holds nothing newer has seen the store's changes.
+  neighbours_revision: Option<Revision>,
   now: Moment,
+  /// Since when the watch that waits has not told of a change that a neighbour brought.
+  outrun_since: Option<Time>,
   own: Endpoint,
   /// What of the store's was not taken last; nothing once that version or a later one is held. Meanwhile
   /// the store cannot bring this daemon forward, and only neighbours can.
@@ -64,8 +72,7 @@
   started_at: Time,
   watch: WatchPhase,
   watch_failures: u32,
-  /// The boxes that watch the store for the own data hall, best first.
-  watchers: Vec<BoxId>,
+  watchers: Watchers,
 }
 
 /// A version in the store that this daemon did not take.
@@ -82,8 +89,9 @@
 /// Where the watch on the store stands.
 #[derive(Clone, Copy, Debug)]
 enum WatchPhase {
-  /// The store did not serve the last call.
+  /// The store did not serve the last call. A watch goes on from where it was.
   Backoff {
+    after: Option<Revision>,
     until: Time,
   },
   /// Changes came a moment ago; those that follow soon are read with the next call.
@@ -107,8 +115,6 @@
 impl Follower {
   /// Milliseconds between two ticks that mean that the process stood still: many ticks' worth.
   const FROZEN_MS: u64 = 20 * Distributor::TICK_MS;
-  /// Boxes of a data hall that watch the store, so that one may fail.
-  const WATCHERS: usize = 2;
 
   /// A daemon that holds nothing yet.
   pub fn new(now: Moment, seed: u64, identity: Identity, source: Arc<dyn Source>) -> Self {
@@ -133,8 +139,10 @@
       last_call: 0,
       lapsed: BTreeMap::new(),
       links: BTreeMap::new(),
+      neighbours_revision: None,
       newest_known: Version(0),
       now,
+      outrun_since: None,
       own,
       refused: None,
       registration: Registration::default(),
@@ -143,9 +151,9 @@
       source,
       kept_entries: BTreeSet::new(),
       started_at: now.time,
-      watch: WatchPhase::Backoff { until: now.time },
+      watch: WatchPhase::Backoff { after: None, until: now.time },
       watch_failures: 0,
-      watchers: Vec::new(),
+      watchers: Watchers::default(),
     }
   }
 
@@ -186,7 +194,7 @@
 
   /// Whether this box is one of those that watch the store for its data hall.
   fn is_watcher(&self) -> bool {
-    self.watchers.contains(&self.own.peer.box_id)
+    self.watchers.is_of_hall(&self.own.peer.box_id)
   }
 
   /// Whether the daemon has read which boxes there are, or had the time to. Before that it would take
@@ -203,19 +211,7 @@
   /// The news about boxes changed.
   fn endpoints_changed(&mut self) {
     self.act(Action::EndpointsChanged);
-    let hall = &self.own.peer.data_hall;
-    let mut ranked: Vec<(std::cmp::Reverse<u32>, Digest, &BoxId)> = self
-      .endpoints
-      .present()
-      .filter(|endpoint| endpoint.peer.data_hall == *hall)
-      .map(|endpoint| {
-        let box_id = &endpoint.peer.box_id;
-        (std::cmp::Reverse(endpoint.link_mbps), Digest::of(box_id.as_str().as_bytes()), box_id)
-      })
-      .collect();
-    ranked.sort();
-    ranked.truncate(Self::WATCHERS);
-    self.watchers = ranked.into_iter().map(|(.., box_id)| box_id.clone()).collect();
+    self.watchers = Watchers::among(self.endpoints.present(), &self.own.peer.data_hall);
   }
 
   /// Announces the box's own news with the next sequence.
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -10,7 +10,7 @@
   const CONNECT_MS: u64 = 1_000;
   /// Milliseconds since the store's word within which a neighbour's knowledge counts as fresh: a
   /// watcher's renewal, the longest wait for its answer, and a beat.
-  const FRESH_MS: u64 = 1_800;
+  const FRESH_MS: u64 = 2_300;
   /// Neighbours that a daemon subscribes to, so that one may fail.
   const NEIGHBOURS: usize = 2;
   /// Milliseconds without a word after which a neighbour counts as gone: two beats, and a late one.
@@ -30,7 +30,7 @@
       self.prefer_watchers();
       self.find_neighbour();
     } else {
-      self.leave_neighbours();
+      self.hear_from_next_watcher();
     }
     if now.since_ms(self.beat_at) >= Self::BEAT_MS {
       self.beat_at = now;
@@ -120,7 +120,7 @@
     let is_cut_off = self.failing_since.is_some();
     let rank = |peer: &Peer| {
       let is_far = peer.data_hall != self.own.peer.data_hall;
-      (is_far != is_cut_off, !self.watchers.contains(&peer.box_id))
+      (is_far != is_cut_off, !self.watchers.is_of_hall(&peer.box_id))
     };
     let Some(best) = others.iter().map(|peer| rank(peer)).min() else {
       return;
@@ -140,13 +140,15 @@
         && !self.connecting.contains_key(*box_id)
         && !self.avoided.contains_key(*box_id)
     };
-    if self.upstreams().len() < Self::NEIGHBOURS || !self.watchers.iter().any(|one| is_free(&one)) {
+    if self.upstreams().len() < Self::NEIGHBOURS
+      || !self.watchers.of_hall().any(|one| is_free(&one))
+    {
       return;
     }
     let other = self
       .links
       .iter()
-      .find(|(_, link)| link.role == LinkRole::Upstream && !self.watchers.contains(&link.peer));
+      .find(|(_, link)| link.role == LinkRole::Upstream && !self.watchers.is_of_hall(&link.peer));
     if let Some(link) = other.map(|(id, _)| *id) {
       self.close_link(link);
     }
@@ -157,13 +159,6 @@
     upstreams.map(|(id, _)| *id).collect()
   }
 
-  /// A watcher that the store serves needs no neighbours.
-  fn leave_neighbours(&mut self) {
-    for link in self.upstreams() {
-      self.close_link(link);
-    }
-  }
-
   pub(super) fn link_opened(&mut self, link: LinkId, outbound: bool, peer: &BoxId) {
     let is_call_back = outbound && self.is_call_back(peer);
     self.links.insert(link, Link::new(self.now.time, peer.clone(), LinkRole::Pending));
@@ -277,8 +272,11 @@
     if held <= self.catalog.version() {
       self.skip_to(beat.revision);
     }
+    // One that watches itself believes its own watch only: watchers hear from each other, and would hold
+    // each other for fresh.
     if let Some(age_ms) = beat.store_age_ms
       && held <= self.catalog.version()
+      && !self.is_served_watcher()
     {
       let at = Time(now.0.saturating_sub(age_ms));
       self.confirmed_at = self.confirmed_at.max(Some(at));
--- a/src/distribution/follower/updates.rs
+++ b/src/distribution/follower/updates.rs
@@ -80,7 +80,10 @@
     let taken =
       packed.unpack().and_then(|update| self.catalog.take(update, from, self.now.unix_ms));
     match taken {
-      Ok(()) => self.switched(),
+      Ok(()) => {
+        self.note_outrun();
+        self.switched();
+      }
       Err(Error::Backwards { .. }) => {}
       Err(err) => {
         self.log(format!("an update was refused: {err}"));
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -88,6 +88,7 @@
 mod update;
 mod upstream;
 mod watcher;
+mod watchers;
 
 /// Result of taking in an update.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
   slog::{Drain, Level, Logger, debug, info, o, warn},
   std::{
     cell::{Cell, RefCell},
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, VecDeque},
     error::Error as StdError,
     fmt::{self, Display, Formatter},
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -163,7 +163,7 @@
       |class: &CallerClass| self.running.values().filter(|(running, _)| running == class).count();
     let order = |one: &Waiting| {
       let is_late = self.is_late(now, one.due);
-      (one.priority, running_of(&one.class), is_late, std::cmp::Reverse((one.since, one.ticket)))
+      (one.priority, running_of(&one.class), is_late, Reverse((one.since, one.ticket)))
     };
     (0..self.waiting.len()).min_by_key(|index| order(&self.waiting[*index]))
   }
