Let connections go silent in the soak

Open connections between daemons, and from daemons to the store, go silent for good while new ones are well. They are drawn from a generator of their own, so the other faults of a seed stay what they were.

--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -37,6 +37,13 @@
         self.trouble_at(&[index], 0).await;
         Ok(())
       }
+      Fault::Sever { indexes } => {
+        for index in &indexes {
+          self.boxes[*index].sever();
+        }
+        self.trouble_at(&indexes, 0).await;
+        Ok(())
+      }
       Fault::Stop { indexes, gap_ms } => {
         for index in indexes {
           self.stop(index).await?;
@@ -44,6 +51,13 @@
         }
         Ok(())
       }
+      Fault::StoreSevers { indexes } => {
+        for index in &indexes {
+          self.boxes[*index].store.sever();
+        }
+        self.trouble_at(&indexes, 0).await;
+        Ok(())
+      }
       Fault::StoreTurnsAway { indexes, for_ms } => {
         for index in &indexes {
           self.boxes[*index].store.silence(true, true);
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -40,6 +40,8 @@
   Reload { index: usize },
   /// The operators add a route.
   Change,
+  /// Open connections from other daemons to some boxes go silent for good, while new ones are well.
+  Sever { indexes: Vec<usize> },
   /// Daemons are stopped as planned, one after the other, and started again.
   Stop { indexes: Vec<usize>, gap_ms: Ms },
   /// The store serves nobody; leases run out meanwhile, or wait.
@@ -48,6 +50,8 @@
   StoreForgets,
   /// The store loses answers to writes, which it carries out at once or later.
   StoreLoses { late_ms: Ms, writes: u32 },
+  /// Open connections of some boxes to the store go silent for good, while new ones are well.
+  StoreSevers { indexes: Vec<usize> },
   /// The store answers late.
   StoreSlow { for_ms: Ms, delay_ms: Ms },
   /// The store does not serve some boxes.
@@ -57,6 +61,8 @@
 impl Plan {
   /// Milliseconds between two faults, at most: they come in series and overlap.
   const GAP_MAX_MS: Ms = 1_600;
+  /// Milliseconds between two times at which connections go silent, at most.
+  const SEVERANCE_GAP_MAX_MS: Ms = 6_000;
   /// Milliseconds without new faults at the start, in which the fleet finds itself.
   const QUIET_START_MS: Ms = 1_000;
   /// Milliseconds without new faults at the end, after which everything must work again.
@@ -71,8 +77,28 @@
       steps.push(Step { at_ms, fault: Fault::random(&mut rng, boxes) });
       at_ms += rng.random_range(50..Self::GAP_MAX_MS);
     }
+    steps.extend(Self::severances(seed, boxes, length_ms));
+    steps.sort_by_key(|step| step.at_ms);
     Self { length_ms, steps }
   }
+
+  /// Silent connections, drawn apart: the other faults of a seed stay what they were without these.
+  fn severances(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(500..Self::SEVERANCE_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let indexes = Fault::some(&mut rng, boxes, boxes);
+      let is_of_store = rng.random();
+      let fault =
+        if is_of_store { Fault::StoreSevers { indexes } } else { Fault::Sever { indexes } };
+      steps.push(Step { at_ms, fault });
+    }
+  }
 }
 
 impl Fault {
@@ -80,10 +106,7 @@
     let index = rng.random_range(0..boxes);
     let for_ms = rng.random_range(300..5_000);
     let delay_ms = rng.random_range(20..400);
-    let some = |rng: &mut ChaCha8Rng, most: usize| -> Vec<usize> {
-      let count = rng.random_range(1..=most.max(1));
-      rand::seq::index::sample(rng, boxes, count).into_vec()
-    };
+    let some = |rng: &mut ChaCha8Rng, most: usize| Self::some(rng, boxes, most);
     match rng.random_range(0..18) {
       0 => Self::Cut { index, for_ms, one_way: rng.random() },
       1 => Self::Delay { index, for_ms, delay_ms },
@@ -101,4 +124,10 @@
       _ => Self::StoreTurnsAway { indexes: some(rng, boxes / 2), for_ms },
     }
   }
+
+  /// Some of the boxes, `most` at most.
+  fn some(rng: &mut ChaCha8Rng, boxes: usize, most: usize) -> Vec<usize> {
+    let count = rng.random_range(1..=most.max(1));
+    rand::seq::index::sample(rng, boxes, count).into_vec()
+  }
 }
