Ask the store less where a fleet starts, rests or is in an outage

Change: a fleet that starts as a whole is left to form, for 5 s at most, before anybody links or watches, and a configuration that is not there yet is looked for by old reads; an entry waits 4 s for its backend server; watchers read the directory in turns, one every 2 s, and others only where a neighbour knows other boxes; the store is probed by renewals before and during an outage; entries that lapsed are kept by neighbours only once their boxes had the time to write them again; leases are renewed after two fifths instead of a third.

--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -6,17 +6,32 @@
   const DIRECTORY_MS: u64 = 2_000;
   /// Milliseconds between the first reads: a fleet that starts at once finds itself that soon.
   const DIRECTORY_FIRST_MS: u64 = 500;
+  /// Milliseconds between two reads while the fleet forms.
+  const DIRECTORY_FORMING_MS: u64 = 1_000;
+  /// Milliseconds between the turns of two watchers to read the directory: whichever sees first that an entry
+  /// is gone tells the fleet.
+  const DIRECTORY_TURN_MS: u64 = 2_000;
   /// Milliseconds by which each box lengthens that time, so that the bytes read stay bounded.
   const DIRECTORY_PER_BOX_MS: u64 = 20;
-  /// Milliseconds between two reads by a daemon whose neighbours tell it the news.
-  const DIRECTORY_REST_MS: u64 = 15_000;
+  /// Milliseconds between two reads by a daemon whose neighbours tell it the news. Where that differs from what
+  /// it knows, it reads the directory at once; a read is 100 KB in a fleet of 200 boxes.
+  const DIRECTORY_REST_MS: u64 = 60_000;
+  /// Beats of a neighbour in a row that tell of other boxes than are known here, before the directory is read:
+  /// news are on their way for less.
+  const MISMATCHES_MAX: u32 = 3;
+  /// Milliseconds for which a box may be known by links only: it writes its entry once it takes work.
+  const NEWCOMER_MS: u64 = 10_000;
   /// Milliseconds after which a box whose entry left the store is taken as gone. It may have lapsed
   /// in an outage, and then its daemon writes it again within two seconds.
   const LAPSED_GRACE_MS: u64 = 2_500;
+  /// Milliseconds after which an entry that lapsed is usually written again by its box: half of the above, so
+  /// that a neighbour may still write it in time.
+  const REWRITTEN_MS: u64 = Self::LAPSED_GRACE_MS / 2;
 
   pub(super) fn tick_directory(&mut self) {
     let is_waiting = self.directory_call.is_some() || self.now.time < self.directory_at;
-    if is_waiting {
+    // In an outage the cheapest call alone tells when it is over.
+    if is_waiting || self.failing_since.is_some() {
       return;
     }
     let prefix = keys::endpoints();
@@ -27,8 +42,13 @@
   fn directory_pause_ms(&mut self) -> u64 {
     let boxes = self.endpoints.present().count() as u64;
     let is_told = matches!(self.watch, WatchPhase::Resting { .. }) && self.lapsed.is_empty();
-    let base_ms = if self.is_settling() {
+    let is_new = self.now.time.since_ms(self.started_at) < Self::DIRECTORY_FIRST_MS;
+    let base_ms = if is_new {
       Self::DIRECTORY_FIRST_MS
+    } else if self.is_forming() {
+      Self::DIRECTORY_FORMING_MS
+    } else if self.is_watcher() && !self.is_settling() && self.lapsed.is_empty() {
+      return self.until_turn_ms(Self::DIRECTORY_TURN_MS);
     } else if is_told {
       Self::DIRECTORY_REST_MS
     } else {
@@ -48,11 +68,22 @@
     if let Ok(Reply::Entries { entries, revision }) = result
       && *revision >= self.directory_revision
     {
+      let is_first = self.directory_revision == Revision(0);
       self.directory_revision = *revision;
       self.directory_read(entries, *revision);
+      self.note_fleet(is_first);
     }
   }
 
+  /// A fleet that was there before this daemon, or did not grow since the last read, is formed.
+  fn note_fleet(&mut self, is_first: bool) {
+    let others = self.endpoints.present().count().saturating_sub(1);
+    if others > 0 && (is_first || others == self.others_known) {
+      self.formed_at.get_or_insert(self.now.time);
+    }
+    self.others_known = others;
+  }
+
   fn directory_read(&mut self, entries: &[Entry], revision: Revision) {
     let mut present = BTreeSet::new();
     let mut fresh = Vec::new();
@@ -60,6 +91,8 @@
       let Some(box_id) = keys::endpoint_of(&entry.key) else {
         continue;
       };
+      self.listed.insert(box_id.clone());
+      self.newcomers.remove(&box_id);
       present.insert(box_id);
       match serde_json::from_str::<Endpoint>(&entry.value) {
         Ok(endpoint) if self.take_news(&endpoint) => fresh.push(endpoint),
@@ -87,13 +120,36 @@
       }
       return;
     }
-    if self.is_linked_downstream(&box_id) {
+    let now = self.now.time;
+    if !self.listed.contains(&box_id) {
+      let since = *self.newcomers.entry(box_id.clone()).or_insert(now);
+      if now.since_ms(since) < Self::NEWCOMER_MS {
+        return;
+      }
+    }
+    // After an outage all entries may have lapsed, and boxes that the store serves write them again themselves.
+    let is_still_missing =
+      self.lapsed.get(&box_id).is_some_and(|since| now.since_ms(*since) >= Self::REWRITTEN_MS);
+    if is_still_missing && self.is_linked_downstream(&box_id) {
       self.keep_entry_of(&box_id);
     }
     if self.lapsed.is_empty() {
-      self.directory_at = self.directory_at.min(self.now.time.after(Self::LAPSED_GRACE_MS / 2));
+      self.directory_at = self.directory_at.min(now.after(Self::REWRITTEN_MS));
+    }
+    self.lapsed.entry(box_id).or_insert(now);
+  }
+
+  /// A neighbour told what boxes it knows. Where that stays different, one of both missed news.
+  pub(super) fn compare_boxes(&mut self, link: LinkId, fingerprint: u32) {
+    let differs = fingerprint != self.endpoints.fingerprint();
+    let Some(known) = self.links.get_mut(&link) else {
+      return;
+    };
+    known.mismatches = if differs { known.mismatches + 1 } else { 0 };
+    if known.mismatches >= Self::MISMATCHES_MAX {
+      known.mismatches = 0;
+      self.directory_at = self.now.time;
     }
-    self.lapsed.entry(box_id).or_insert(self.now.time);
   }
 
   /// Takes boxes as gone whose entry did not come back, while the store serves this daemon.
@@ -111,6 +167,8 @@
     let mut lost = Vec::new();
     for box_id in over {
       self.lapsed.remove(&box_id);
+      self.listed.remove(&box_id);
+      self.newcomers.remove(&box_id);
       let Some(mut endpoint) = self.endpoints.get(&box_id).cloned() else {
         continue;
       };
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -6,9 +6,20 @@
   /// watcher, and its subscribers, that the store can be reached. Changes come by the ring of watchers
   /// meanwhile, so a second is soon enough, and twice as often cost half as much again at rest.
   const WATCHER_RENEW_MS: u64 = 1_000;
-  /// Milliseconds after its start for which a daemon looks for neighbours before it watches the store
-  /// although it is no watcher.
-  pub(super) const SETTLING_MS: u64 = 1_500;
+  /// Milliseconds for which a daemon looks for neighbours in a formed fleet before it watches the store although
+  /// it is no watcher.
+  pub(super) const SETTLING_MS: u64 = 2_000;
+  /// Milliseconds after which the entry of a box that takes no work yet is written: by then its backend server
+  /// was found, which spares a call a box, or is long in coming.
+  const ENTRY_DELAY_MS: u64 = 4_000;
+  /// Milliseconds after which a store that has no configuration yet is read again. An old read costs a tenth of
+  /// a watch, and each box of a fleet that starts as a whole would need one.
+  const UNREAD_MS: u64 = 500;
+  /// Milliseconds for which a fleet forms, at most. A change that is accepted meanwhile still has the time
+  /// that the first contact of a box takes.
+  pub(super) const FORMING_MS: u64 = 5_000;
+  /// Milliseconds for which an answer of the store shows that a call is worth its price.
+  const CONTACT_MS: u64 = 300;
   /// Milliseconds between two lines on a configuration that stays refused: a few of them are left in the
   /// last lines of a busy fleet, and they are nothing beside those of requests.
   const REFUSED_LOG_MS: u64 = 5_000;
@@ -25,24 +36,43 @@
     let call = self.last_call + 1;
     let ttl_ms = self.identity.timing.lease_ttl_ms;
     let is_watching = !matches!(self.watch, WatchPhase::Resting { .. });
-    let renew_ms = if is_watching { Self::WATCHER_RENEW_MS } else { ttl_ms / 3 };
-    if let Some(request) = self.registration.tick(self.now.time, call, ttl_ms, renew_ms, &self.own)
-    {
+    let renew_ms = if is_watching { Self::WATCHER_RENEW_MS } else { ttl_ms * 2 / 5 };
+    let (now, first_ms) = (self.now.time, Self::ENTRY_DELAY_MS);
+    let due = self.registration.tick(now, call, ttl_ms, renew_ms, first_ms, &self.own);
+    if let Some(request) = due {
       self.call_store(request);
     }
   }
 
   /// Whether this daemon asks the store itself, rather than its neighbours.
   fn must_watch(&self) -> bool {
-    // Where the store has no configuration yet, a neighbour that watches it tells of the first one.
-    let is_unread = self.catalog.version().is_none() && self.watch_revision().is_none();
-    is_unread
-      || (self.is_watcher() && self.knows_fleet())
-      || !(self.is_settling() || self.has_fresh_neighbour())
+    (self.is_watcher() && !self.is_forming()) || !(self.is_settling() || self.has_fresh_neighbour())
+  }
+
+  /// Whether the store answered a moment ago. Where that is not known a renewal asks, the cheapest call: in an
+  /// outage each box would otherwise pay for a watch a second.
+  fn is_in_contact(&mut self) -> bool {
+    if self.failing_since.is_some() {
+      return false;
+    }
+    let is_recent =
+      self.contact_at.is_some_and(|at| self.now.time.since_ms(at) <= Self::CONTACT_MS);
+    if !is_recent {
+      self.registration.wake();
+    }
+    is_recent
   }
 
   pub(super) fn tick_watch(&mut self) {
     let must_watch = self.must_watch();
+    let is_waiting = match self.watch {
+      WatchPhase::Backoff { until, .. } => self.contact_at.is_some() && self.now.time >= until,
+      WatchPhase::Resting { .. } => must_watch,
+      _ => false,
+    };
+    if is_waiting && !self.is_in_contact() {
+      return;
+    }
     match self.watch {
       WatchPhase::Resting { after: Some(after) } if must_watch => self.wait_for_changes(after),
       WatchPhase::Resting { after: None } if must_watch => self.read_configuration(true),
@@ -120,7 +150,9 @@
         for entry in entries {
           self.note_entry(entry);
         }
-        if self.must_watch() {
+        if entries.is_empty() && self.is_settling() {
+          self.watch = WatchPhase::Backoff { after: None, until: now.after(Self::UNREAD_MS) };
+        } else if self.must_watch() {
           self.wait_for_changes(*revision);
         } else {
           self.watch = WatchPhase::Resting { after: Some(*revision) };
@@ -147,6 +179,7 @@
     {
       if self.failing_since.is_none() {
         self.failing_since = Some(now);
+        self.registration.wake();
         // Which call, for how long and how far tells a store that is silent from a link that is full.
         let asked = self.asked_for(call);
         self.log(format!("the store does not serve this box, asked for {asked}: {err}"));
@@ -154,6 +187,7 @@
       }
       return;
     }
+    self.contact_at = Some(now);
     // Other calls tell nothing of what the watch would.
     if !matches!(self.watch, WatchPhase::Resting { .. }) {
       self.confirmed_at = Some(now);
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -36,6 +36,8 @@
   confirmed_at: Option<Time>,
   /// Boxes to which links are being opened, with when that began.
   connecting: BTreeMap<BoxId, Time>,
+  /// When the store last answered this daemon.
+  contact_at: Option<Time>,
   /// When the next read of the directory is due.
   directory_at: Time,
   /// The outstanding read of the directory.
@@ -45,14 +47,22 @@
   endpoints: EndpointTable,
   /// When the store stopped answering this daemon; nothing while it answers.
   failing_since: Option<Time>,
+  /// When the fleet was formed, as this daemon sees it.
+  formed_at: Option<Time>,
+  /// How many other boxes were known at the last read of the directory.
+  others_known: usize,
   identity: Identity,
   inquiries: Inquiries,
   last_call: u64,
   /// Boxes whose entry left the store, with when that was seen.
   lapsed: BTreeMap<BoxId, Time>,
   links: BTreeMap<LinkId, Link>,
+  /// Boxes whose entry this daemon saw in the store.
+  listed: BTreeSet<BoxId>,
   /// The newest version that anybody told of.
   newest_known: Version,
+  /// Boxes that are known by links only, with when that was seen.
+  newcomers: BTreeMap<BoxId, Time>,
   /// Up to where a neighbour that holds nothing newer has seen the store's changes.
   neighbours_revision: Option<Revision>,
   now: Moment,
@@ -129,19 +139,24 @@
       catalog: Catalog::default(),
       confirmed_at: None,
       connecting: BTreeMap::new(),
+      contact_at: None,
       directory_at: now.time,
       directory_call: None,
       directory_revision: Revision(0),
       endpoints,
       failing_since: None,
+      formed_at: None,
       identity,
       inquiries: Inquiries::default(),
       last_call: 0,
       lapsed: BTreeMap::new(),
       links: BTreeMap::new(),
+      listed: BTreeSet::new(),
       neighbours_revision: None,
+      newcomers: BTreeMap::new(),
       newest_known: Version(0),
       now,
+      others_known: 0,
       outrun_since: None,
       own,
       refused: None,
@@ -165,6 +180,9 @@
       self.directory_at = self.now.time;
       self.watch = WatchPhase::Resting { after: self.watch_revision() };
     }
+    if self.now.time.since_ms(self.started_at) >= Self::FORMING_MS {
+      self.formed_at.get_or_insert(self.now.time);
+    }
     self.tick_registration();
     self.tick_watch();
     self.tick_directory();
@@ -197,15 +215,16 @@
     self.watchers.is_of_hall(&self.own.peer.box_id)
   }
 
-  /// Whether the daemon has read which boxes there are, or had the time to. Before that it would take
-  /// itself for the best watcher of its data hall.
-  fn knows_fleet(&self) -> bool {
-    self.directory_revision > Revision(0) || !self.is_settling()
+  /// Whether the fleet starts as a whole, and its boxes are still coming up. Whoever took the first ones that
+  /// it sees for the watchers would leave them a moment later: links, watches and whole lists of boxes then
+  /// cost more than all that follows.
+  fn is_forming(&self) -> bool {
+    self.formed_at.is_none()
   }
 
-  /// Whether the daemon was started a moment ago and has not found its neighbours yet.
+  /// Whether the daemon has not had the time yet to find its neighbours.
   fn is_settling(&self) -> bool {
-    self.now.time.since_ms(self.started_at) < Self::SETTLING_MS
+    self.formed_at.is_none_or(|at| self.now.time.since_ms(at) < Self::SETTLING_MS)
   }
 
   /// The news about boxes changed.
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -24,7 +24,9 @@
     self.avoided.retain(|_, until| now < *until);
     self.close_silent_links();
     self.catch_up();
-    if self.needs_neighbours() {
+    if self.is_forming() {
+      // Whoever offers something is listened to, and nobody is looked for yet.
+    } else if self.needs_neighbours() {
       self.find_neighbour();
     } else if !self.is_watcher() {
       self.prefer_watchers();
@@ -154,7 +156,7 @@
     }
   }
 
-  fn upstreams(&self) -> Vec<LinkId> {
+  pub(super) fn upstreams(&self) -> Vec<LinkId> {
     let upstreams = self.links.iter().filter(|(_, link)| link.role == LinkRole::Upstream);
     upstreams.map(|(id, _)| *id).collect()
   }
@@ -265,6 +267,7 @@
       return;
     };
     let is_known_long = now.since_ms(known.opened_at) > Self::STALE_MS;
+    self.compare_boxes(link, beat.endpoints);
     let held = beat.version.map(|(version, _)| version);
     if let Some(version) = held {
       self.note_newer(version);
@@ -293,6 +296,11 @@
       if self.take_news(endpoint) {
         fresh.push(endpoint.clone());
       }
+      // Somebody found its entry gone, but it lives: what it answers to that is written for it.
+      let box_id = &endpoint.peer.box_id;
+      if endpoint.state == EndpointState::Lost && self.is_linked_downstream(box_id) {
+        self.kept_entries.insert(box_id.clone());
+      }
     }
     let kept_entries: Vec<BoxId> = fresh
       .iter()
--- a/src/distribution/follower/silence.rs
+++ b/src/distribution/follower/silence.rs
@@ -20,13 +20,15 @@
   /// Milliseconds that a watch which begins now waits: until the box's turn, or the next one where that is
   /// too soon for a call to be worth it.
   pub(super) fn watch_ms(&self) -> u64 {
+    self.until_turn_ms(Self::TURN_MS).min(Self::WATCH_MAX_MS)
+  }
+
+  /// Milliseconds until this watcher's turn among all watchers, or the next one where that is too soon.
+  pub(super) fn until_turn_ms(&self, turn_ms: u64) -> u64 {
     let own = &self.own.peer.box_id;
-    let until_ms = self.watchers.until_turn_ms(own, self.now.unix_ms, Self::TURN_MS);
-    let round_ms = self.watchers.round_ms(Self::TURN_MS);
-    let until_ms = until_ms.map_or(Self::WATCH_MAX_MS, |until_ms| {
-      if until_ms < Self::TURN_MS / 2 { until_ms + round_ms } else { until_ms }
-    });
-    until_ms.min(Self::WATCH_MAX_MS)
+    let round_ms = self.watchers.round_ms(turn_ms);
+    let until_ms = self.watchers.until_turn_ms(own, self.now.unix_ms, turn_ms).unwrap_or(round_ms);
+    if until_ms < turn_ms / 2 { until_ms + round_ms } else { until_ms }
   }
 
   /// A neighbour brought a change. Where this daemon watches the store, its watch must tell of it too.
--- a/src/distribution/registration.rs
+++ b/src/distribution/registration.rs
@@ -42,9 +42,6 @@
 }
 
 impl Registration {
-  /// Milliseconds for which an entry waits until the box takes work, where the store has none that says
-  /// so yet: the backend server is usually found within that time, and both are one write.
-  const FIRST_MS: u64 = 1_000;
   /// Milliseconds for which good news about the box is gathered before it is written.
   const GATHER_MS: u64 = 100;
   /// Shortest pause after a failure, in milliseconds: a few answer times of a healthy store.
@@ -58,14 +55,17 @@
     self.pending.is_some_and(|(pending, _)| pending == call)
   }
 
-  /// The next call, where one is due. `entry` is the daemon's own endpoint; the lease is renewed
-  /// every `renew_ms`.
+  /// The next call, where one is due. `entry` is the daemon's own endpoint; the lease is renewed every
+  /// `renew_ms`. Where the store has no entry yet that says that the box takes work, one that says that it
+  /// does not waits for `first_ms`: a backend server is usually found within that time, and both are one
+  /// write.
   pub fn tick(
     &mut self,
     now: Time,
     call: u64,
     lease_ttl_ms: u64,
     renew_ms: u64,
+    first_ms: u64,
     entry: &Endpoint,
   ) -> Option<StoreRequest> {
     if self.pending.is_some() || now < self.retry_at {
@@ -79,7 +79,7 @@
     };
     if self.written != Some(announced) {
       let since = *self.stale_since.get_or_insert(now);
-      if now.since_ms(since) < self.gather_ms(entry.state) {
+      if now.since_ms(since) < self.gather_ms(entry.state, first_ms) {
         return None;
       }
       self.stale_since = None;
@@ -97,10 +97,10 @@
   }
 
   /// Milliseconds for which news is gathered. That a box takes no more work is written at once.
-  fn gather_ms(&self, state: EndpointState) -> u64 {
+  fn gather_ms(&self, state: EndpointState, first_ms: u64) -> u64 {
     match state {
       EndpointState::Live => Self::GATHER_MS,
-      _ if !self.is_written_live => Self::FIRST_MS,
+      _ if !self.is_written_live => first_ms,
       _ => 0,
     }
   }
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -141,6 +141,11 @@
 
   /// Starts a box, or starts it anew with nothing in memory. `clock_ms` is what its clock shows.
   pub fn start(&mut self, index: usize, clock_ms: u64) {
+    self.start_beside(index, clock_ms, EndpointState::Live);
+  }
+
+  /// Starts a box whose backend server is in a state.
+  pub fn start_beside(&mut self, index: usize, clock_ms: u64, state: EndpointState) {
     let box_id = Self::box_id(index);
     self.stop(index);
     let address = format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address");
@@ -167,7 +172,7 @@
     let seed = index as u64 + self.now;
     let follower = Follower::new(self.moment(), seed, identity, self.source.clone());
     self.boxes.insert(box_id.clone(), follower);
-    self.handle(&box_id, Event::EndpointState(EndpointState::Live));
+    self.handle(&box_id, Event::EndpointState(state));
   }
 
   /// Ends a box without a word. What has not left its link is lost.
