Conclude nothing from a question for a try that was held up

Found by reading the code again: a question that the network holds up for longer than a daemon remembers tries finds nothing and bars the key. Its sender no longer waits for that, but a second question was answered by the bar with "never arrived", though the try had run: it would have run twice.

A bar says how far back it proves, and an answer counts only within the second that its question allows. A watch that waits for the word that the store answers begins with that word, not with the next tick.

--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -130,7 +130,11 @@
         self.announce();
         return;
       }
-      Some(_) => return self.tick_registration(),
+      Some(_) => {
+        // A watch may have waited for the word that the store answers.
+        self.tick_watch();
+        return self.tick_registration();
+      }
       None => {}
     }
     if self.directory_call == Some(call) {
--- a/src/proxy/arrivals.rs
+++ b/src/proxy/arrivals.rs
@@ -125,10 +125,13 @@
   age_ms: u64,
   repeatable: bool,
 ) -> Found {
+  let asked_at = shared.now().time;
   let limit = Duration::from_millis(ASK_TIMEOUT_MS);
   let asking = exchange(shared, order, key, age_ms + ASK_TIMEOUT_MS);
   let answered = monoio::time::timeout(limit, asking).await;
-  let Ok(Ok(mut response)) = answered else {
+  // Where this process stood still meanwhile, the answer may be older than the question allows.
+  let is_late = shared.now().time.since_ms(asked_at) > ASK_TIMEOUT_MS;
+  let Some(mut response) = answered.ok().and_then(Result::ok).filter(|_| !is_late) else {
     return Found::StillOut;
   };
   let told = response.headers_mut().remove(headers::ARRIVAL);
--- a/src/requests/arrival_book.rs
+++ b/src/requests/arrival_book.rs
@@ -17,8 +17,9 @@
 
 #[derive(Clone, Debug)]
 enum Entry<A> {
-  /// It was asked for before it came. It is refused until then.
-  Barred { until: Time },
+  /// It was asked for at that time and not known, when all that had arrived so many milliseconds before was
+  /// remembered. It is refused.
+  Barred { at: Time, remembered_ms: u64 },
   /// It ended at that time, perhaps with an answer that was kept.
   Ended { answer: Option<A>, at: Time },
   /// It waits or runs.
@@ -79,7 +80,11 @@
   /// for the answer for longer. A try that never arrived is barred.
   pub fn ask(&mut self, now: Time, key: TryKey, age_ms: u64) -> Whereabouts<A> {
     match self.entries.get(&key) {
-      Some(Entry::Barred { .. }) => Whereabouts::NeverArrived,
+      // The first question may have been held up, and then it proved nothing.
+      Some(Entry::Barred { at, remembered_ms }) if age_ms < remembered_ms + now.since_ms(*at) => {
+        Whereabouts::NeverArrived
+      }
+      Some(Entry::Barred { .. }) => Whereabouts::Unknown,
       Some(Entry::Ended { answer: Some(answer), .. }) => Whereabouts::Answered(answer.clone()),
       Some(Entry::Ended { answer: None, at }) if now.since_ms(*at) >= Self::ON_ITS_WAY_MS => {
         Whereabouts::Ended
@@ -87,7 +92,8 @@
       Some(Entry::Ended { .. } | Entry::Running) => Whereabouts::Running,
       None if age_ms >= self.remembered_ms(now) => Whereabouts::Unknown,
       None => {
-        self.entries.insert(key, Entry::Barred { until: now.after(Self::BARRED_MS) });
+        let remembered_ms = self.remembered_ms(now);
+        self.entries.insert(key, Entry::Barred { at: now, remembered_ms });
         Whereabouts::NeverArrived
       }
     }
@@ -104,7 +110,7 @@
     }
     self.swept_at = now;
     self.entries.retain(|_, entry| match entry {
-      Entry::Barred { until } => now < *until,
+      Entry::Barred { at, .. } => now.since_ms(*at) < Self::BARRED_MS,
       Entry::Ended { answer, at } => {
         let ended_ms = now.since_ms(*at);
         if ended_ms >= Self::ANSWER_KEPT_MS {
--- a/tests/arrivals.rs
+++ b/tests/arrivals.rs
@@ -67,6 +67,21 @@
   assert_eq!(restarted.ask(now.after(200), KEY, 150), Whereabouts::NeverArrived);
 }
 
+/// A question that was held up on its way is answered by what is remembered by then, and its sender does not wait
+/// for that. Nothing may be concluded from it later.
+#[test]
+fn a_question_that_was_held_up_proves_nothing_later() {
+  let (mut book, now) = book();
+  book.arrive(now, KEY);
+  book.end(now.after(100), KEY, Some(1));
+  book.arrive(now.after(9_000), TryKey(8));
+  assert_eq!(book.ask(now.after(9_000), KEY, 1_300), Whereabouts::NeverArrived, "held up for 8 s");
+  assert_eq!(book.ask(now.after(9_500), KEY, 9_500), Whereabouts::Unknown);
+  let (mut book, now) = self::book();
+  assert_eq!(book.ask(now, KEY, 1_300), Whereabouts::NeverArrived);
+  assert_eq!(book.ask(now.after(9_500), KEY, 10_800), Whereabouts::NeverArrived, "barred in time");
+}
+
 /// Whatever happens in whatever order: what was called "never arrived" does not run afterwards, and did not
 /// before; and the book holds no more than what runs, ended lately or is barred.
 #[test]
@@ -94,7 +109,10 @@
       1 if ran.contains_key(&key) => book.end(now, key, Some(key.0)),
       _ => {
         let age_ms = now.since_ms(sent_at);
-        if book.ask(now, key, age_ms) == Whereabouts::NeverArrived {
+        if source.ratio(1, 4)? {
+          // One that was held up: its sender does not wait for the answer.
+          book.ask(now, key, age_ms / 4);
+        } else if book.ask(now, key, age_ms) == Whereabouts::NeverArrived {
           assert!(!ran.contains_key(&key), "{key} ran and is said not to have arrived");
           denied.insert(key);
         }
