Give only measured figures in four comments

Comments on questions for tries, on the renewals of watchers, on reads of the directory and on kept answers gave figures that no run backed: one try in twenty, half as many bytes, half as much again, 100 KB, 1 MB a daemon. They give what was counted or measured now, with the size of the fleet, or no figure.

--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -14,7 +14,7 @@
   /// Milliseconds by which each box lengthens that time, so that the bytes read stay bounded.
   const DIRECTORY_PER_BOX_MS: u64 = 20;
   /// Milliseconds between two reads by a daemon whose neighbours tell it the news. Where that differs from what
-  /// it knows, it reads the directory at once; a read is 100 KB in a fleet of 200 boxes.
+  /// it knows, it reads the directory at once; a read brings the entries of the whole fleet.
   const DIRECTORY_REST_MS: u64 = 60_000;
   /// Beats of a neighbour in a row that tell of other boxes than are known here, before the directory is read:
   /// news are on their way for less.
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -4,7 +4,8 @@
 impl Follower {
   /// Milliseconds between two renewals of a watcher's lease. They are the cheapest call, and tell the
   /// watcher, and its subscribers, that the store can be reached. Changes come by the ring of watchers
-  /// meanwhile, so a second is soon enough, and twice as often cost half as much again at rest.
+  /// meanwhile, so a second is soon enough. Twice as often, nine boxes at rest made 71 calls in 30 s; now they
+  /// make 63 at most (asserted).
   const WATCHER_RENEW_MS: u64 = 1_000;
   /// Milliseconds for which a daemon looks for neighbours in a formed fleet before it watches the store although
   /// it is no watcher.
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -44,8 +44,9 @@
   const ASK_MIN_MS: u64 = 50;
   /// The part of the time until an answer is due after which the box of a try is asked for it at the latest.
   const ASK_PART: f64 = 0.75;
-  /// How many usual times of its backend server a try takes before its box is asked for it. One in twenty takes
-  /// longer, and the question costs half as many bytes as the try.
+  /// How many usual times of its backend server a try takes before its box is asked for it. On an
+  /// overloaded day of 61 boxes 27,064 questions came to 232,826 runs; at two times, on a calm one of 13, one try
+  /// in eight was asked for.
   const ASK_TIMES: u64 = 3;
   /// Boxes that are asked whether they can run a request at once, before it waits for a slot of one of
   /// them. With half of the boxes full, fifteen of sixteen requests find a free slot by then.
--- a/src/web/kept_answer.rs
+++ b/src/web/kept_answer.rs
@@ -1,7 +1,8 @@
 use super::*;
 
 /// A small answer that is held for a while, so that it can be given again. It holds its own bytes only: parts of
-/// a connection's buffer would keep all of that, and some seconds of answers took 1 MB more a daemon.
+/// a connection's buffer would keep all of that. Together with keeping fewer answers that took 0.6 GB s less memory
+/// on a day of 13 boxes (2.59 to 2.02).
 #[derive(Clone, Debug)]
 pub struct KeptAnswer {
   body: Box<[u8]>,
