--- a/crates/ferryyoke-bench/src/commands/balance.rs
+++ b/crates/ferryyoke-bench/src/commands/balance.rs
@@ -226,6 +226,7 @@
   let port = 1 + u16::try_from(index).expect("few servers");
   let address = ([127, 0, 0, 1], port).into();
   Endpoint {
+    backend_starts: 0,
     link_mbps: 0,
     forward_address: address,
     incarnation: Incarnation(1),
--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -22,7 +22,7 @@
         Ok(())
       }
       Fault::Drain { index } => {
-        self.boxes[index].backend_server.replace();
+        self.boxes[index].backend_server.replace(false);
         Ok(())
       }
       Fault::Freeze { index, for_ms } => {
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -9,6 +9,7 @@
   ferryyoke::{
     standin::Keyspace,
     store::{Entry, Event, Key, LeaseId, Refusal, Reply, Revision, StoreRequest},
+    unix_ms,
     values::{Digest, DurationMs, Time},
     web::{self, AnyBody, Incoming},
   },
--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -6,8 +6,12 @@
 }
 
 struct State {
+  /// When the process started, in milliseconds since 1970. Later for each process, also under one id.
+  born_unix_ms: u64,
   control: SocketAddr,
   instance: String,
+  /// Whether no process runs at present.
+  is_down: bool,
   is_leaving: bool,
   number: u32,
   record: Rc<RefCell<Record>>,
@@ -39,8 +43,10 @@
     started: Instant,
   ) -> Self {
     let state = Rc::new(RefCell::new(State {
+      born_unix_ms: unix_ms(),
       control,
       instance: format!("i-{name}-0"),
+      is_down: false,
       is_leaving: false,
       number: 0,
       record,
@@ -55,29 +61,70 @@
     Self { state }
   }
 
-  /// The process leaves, and another one takes its place at the same address.
-  pub fn replace(&self) {
+  /// The process leaves, and another one takes its place at the same address, under its id or another one.
+  pub fn replace(&self, keeps_id: bool) {
     let state = self.state.clone();
-    if std::mem::replace(&mut state.borrow_mut().is_leaving, true) {
+    if state.borrow().is_down || std::mem::replace(&mut state.borrow_mut().is_leaving, true) {
       return;
     }
-    let leaving = state.borrow().instance.clone();
+    let leaving = state.borrow().process();
     monoio::spawn(async move {
       let began = Instant::now();
-      let acknowledged = || state.borrow().record.borrow().left.contains_key(&leaving);
+      let is_over = || state.borrow().process() != leaving;
+      let acknowledged = || is_over() || state.borrow().record.borrow().left.contains_key(&leaving);
       while !acknowledged() && began.elapsed() < Duration::from_millis(Self::GIVE_UP_MS) {
         tell(&state).await;
         monoio::time::sleep(Duration::from_millis(100)).await;
       }
       monoio::time::sleep(Duration::from_millis(Self::DRAIN_MS)).await;
-      let mut state = state.borrow_mut();
-      state.number += 1;
-      let stem = leaving.rsplit_once('-').map_or(leaving.as_str(), |(stem, _)| stem);
-      state.instance = format!("{stem}-{}", state.number);
-      state.is_leaving = false;
-      state.sequence = 0;
+      if !is_over() {
+        deregister(&state).await;
+        state.borrow_mut().begin_process(keeps_id);
+      }
     });
   }
+
+  /// The process ends without a word, and starts again under its id after a time. Its connections end by
+  /// other means.
+  pub async fn crash(&self, down_ms: Ms) {
+    if std::mem::replace(&mut self.state.borrow_mut().is_down, true) {
+      return;
+    }
+    monoio::time::sleep(Duration::from_millis(down_ms)).await;
+    self.state.borrow_mut().begin_process(true);
+  }
+
+  /// The process that runs, by its id and the moment of its start.
+  pub fn process(&self) -> String {
+    self.state.borrow().process()
+  }
+
+  /// When the process that runs started, in milliseconds since 1970.
+  pub fn born_unix_ms(&self) -> u64 {
+    self.state.borrow().born_unix_ms
+  }
+
+  /// The id of the process that runs.
+  pub fn instance(&self) -> String {
+    self.state.borrow().instance.clone()
+  }
+}
+
+impl State {
+  fn process(&self) -> String {
+    format!("{}@{}", self.instance, self.born_unix_ms)
+  }
+
+  /// Another process begins, which knows nothing of the one before it.
+  fn begin_process(&mut self, keeps_id: bool) {
+    if !keeps_id {
+      self.number += 1;
+      let stem = self.instance.rsplit_once('-').map_or("i", |(stem, _)| stem);
+      self.instance = format!("{stem}-{}", self.number);
+    }
+    self.born_unix_ms = unix_ms().max(self.born_unix_ms + 1);
+    (self.is_down, self.is_leaving, self.sequence) = (false, false, 0);
+  }
 }
 
 async fn report(state: Rc<RefCell<State>>) {
@@ -89,7 +136,10 @@
 
 /// Reports once. An acknowledged leaving binds from the moment of the acknowledgement.
 async fn tell(state: &Rc<RefCell<State>>) {
-  let (control, instance, is_leaving, body) = {
+  if state.borrow().is_down {
+    return;
+  }
+  let (process, is_leaving, body) = {
     let mut state = state.borrow_mut();
     state.sequence += 1;
     let word = if state.is_leaving { "draining" } else { "ready" };
@@ -99,28 +149,44 @@
         "Service": state.service, "Slots": BackendServer::SLOTS, "Version": "v1", "Zone": "hall",
       },
       "Status": { "CallSeq": state.sequence, "ColdLeft": "0ms", "State": word },
+      "born": state.born_unix_ms,
     });
-    (state.control, state.instance.clone(), state.is_leaving, body.to_string())
+    (state.process(), state.is_leaving, body)
   };
-  let request = Request::post(format!("/ferryyoke/instances/{instance}/heartbeat"))
+  if say(state, "heartbeat", &body).await && is_leaving {
+    let state = state.borrow();
+    let now = elapsed_ms(state.started);
+    state.record.borrow_mut().left.entry(process).or_insert(now);
+  }
+}
+
+/// Says that the process goes.
+async fn deregister(state: &Rc<RefCell<State>>) {
+  let body = serde_json::json!({ "born": state.borrow().born_unix_ms });
+  say(state, "deregister", &body).await;
+}
+
+/// Makes a call to the daemon beside the process. Returns whether it was acknowledged.
+async fn say(state: &Rc<RefCell<State>>, call: &str, body: &serde_json::Value) -> bool {
+  let (control, instance) = (state.borrow().control, state.borrow().instance.clone());
+  let request = Request::post(format!("/ferryyoke/instances/{instance}/{call}"))
     .header(http::header::HOST, control.to_string())
-    .body(web::full(body))
+    .body(web::full(body.to_string()))
     .expect("a fixed head");
   let pool = Rc::new(web::Pool::new(BackendServer::REPORT_TIMEOUT_MS));
   let exchange = pool.exchange(control, request, 4_096);
   let limit = Duration::from_millis(BackendServer::REPORT_TIMEOUT_MS);
   let answered = monoio::time::timeout(limit, exchange).await;
-  if is_leaving && matches!(answered, Ok(Ok((status, _))) if status.is_success()) {
-    let state = state.borrow();
-    let now = elapsed_ms(state.started);
-    state.record.borrow_mut().left.entry(instance).or_insert(now);
-  }
+  matches!(answered, Ok(Ok((status, _))) if status.is_success())
 }
 
 /// The header by which a request tells for how many milliseconds it is worked on.
 pub const WORK_MS: &str = "x-soak-work-ms";
 
 async fn serve(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
+  if state.borrow().is_down {
+    return std::future::pending().await;
+  }
   let instance = state.borrow().instance.clone();
   let with_instance = |mut response: Response<AnyBody>| {
     if let Ok(value) = instance.parse() {
@@ -143,8 +209,8 @@
   let request_id = header(REQUEST_ID).unwrap_or_default();
   let work_ms = {
     let mut state = state.borrow_mut();
-    let run =
-      record::Run { at_ms: elapsed_ms(state.started), instance, request_id: request_id.clone() };
+    let (at_ms, instance) = (elapsed_ms(state.started), state.process());
+    let run = record::Run { at_ms, instance, request_id: request_id.clone() };
     state.record.borrow_mut().runs.push(run);
     let told_ms = header(WORK_MS).and_then(|value| value.parse().ok());
     told_ms.unwrap_or_else(|| state.rng.random_range(2..60))
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -2,8 +2,12 @@
 
 /// One box: its daemon, its backend server, and the proxies around the daemon.
 pub struct SoakBox {
+  /// Between the daemon and the backend server.
+  backend: FaultProxy,
   /// Where callers come.
   pub callers: SocketAddr,
+  /// Where the backend server reports.
+  pub control: SocketAddr,
   /// The backend server.
   pub backend_server: platform::BackendServer,
   daemon: RefCell<Option<Process>>,
@@ -45,14 +49,14 @@
     let address = |port: usize| ports[port].address;
     let service = Self::SERVICES[index % Self::SERVICES.len()];
     let (forward, links) = (FaultProxy::start(address(2))?, FaultProxy::start(address(3))?);
-    let store = FaultProxy::start(store)?;
+    let (backend, store) = (FaultProxy::start(address(4))?, FaultProxy::start(store)?);
     let settings = serde_json::json!({
       "addresses": {
         "administration": address(0), "announced_forward": forward.address,
         "announced_links": links.address, "callers": address(1), "forward": address(2),
         "links": address(3),
       },
-      "backend_server": { "address": address(4) },
+      "backend_server": { "address": backend.address },
       "box": format!("box-{index}"),
       "data_hall": format!("hall-{}", index % Self::HALLS),
       "deployment": {
@@ -77,7 +81,9 @@
       started,
     );
     Ok(Self {
+      backend,
       callers: address(1),
+      control: address(5),
       backend_server,
       daemon: RefCell::default(),
       directory: directory.into(),
@@ -124,6 +130,15 @@
     self.links.silence(towards, back);
   }
 
+  /// The backend server's process ends without a word, and starts again under its id after a time.
+  pub async fn crash_backend_server(&self, down_ms: Ms) {
+    self.backend.silence(true, true);
+    self.backend.reset();
+    self.backend_server.crash(down_ms).await;
+    self.backend.reset();
+    self.backend.silence(false, false);
+  }
+
   /// Lets all open connections from other daemons to this box go silent for good.
   pub fn sever(&self) {
     self.forward.sever();
--- /dev/null
+++ b/crates/ferryyoke-soak/tests/reborn.rs
@@ -0,0 +1,247 @@
+//! Backend servers that start again under the id that they had, and reports of other writers, on real processes.
+//!
+//! A process is known by its id and the moment of its start. One that starts again knows nothing of before, and
+//! its counts start anew; what the daemon beside it learned of the former one says nothing of it. Protected: it
+//! gets work in time, also where the former one had left; its word that it leaves counts; and no report that
+//! cannot be read, or is of the former process, changes anything.
+
+mod support;
+
+use {
+  ferryyoke::web::{self, Pool},
+  http::{Request, StatusCode},
+  serde_json::{Value, json},
+  std::{future::Future, rc::Rc, time::Duration},
+  support::{Answer, Fleet, soon},
+};
+
+/// Boxes of the fleet: one for each service, so that nobody takes over.
+const BOXES: usize = 2;
+
+/// The box whose backend server starts again, and a path of its service.
+const REBORN: (usize, &str) = (0, "/read/");
+
+/// Milliseconds within which a process that started gets work: a report, a look at its health, and news.
+const TAKEN_MS: u64 = 2_000;
+
+/// Milliseconds after an acknowledged leaving within which work may still come.
+const DRAIN_MS: u64 = 2_000;
+
+/// Milliseconds within which a process has reported, and was found at its health endpoint.
+const REPORTED_MS: u64 = 1_500;
+
+/// Milliseconds for everything that need not be fast.
+const PATIENCE_MS: u64 = 20_000;
+
+async fn fleet() -> Fleet {
+  let fleet = Fleet::prepare(BOXES);
+  fleet.write(1, 0, "safe");
+  (0..BOXES).for_each(|index| fleet.start(index));
+  for index in 0..BOXES {
+    fleet.ask_until(index, REBORN.1, soon(PATIENCE_MS), Answer::is_served).await;
+  }
+  fleet
+}
+
+fn run(test: impl Future<Output = ()>) {
+  ferryyoke::commands::block_on(test).expect("an event loop");
+}
+
+async fn pause(ms: u64) {
+  monoio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// A whole report of a process.
+fn report(born: u64, sequence: u64, state: &str) -> Value {
+  json!({
+    "Address": "127.0.0.1:1",
+    "Info": { "Service": "archive", "Slots": 8, "Version": "v1", "Zone": "hall" },
+    "Status": { "CallSeq": sequence, "ColdLeft": "0ms", "State": state },
+    "born": born,
+  })
+}
+
+/// Makes a call to the daemon of the box as its backend server would.
+async fn call(
+  fleet: &Fleet,
+  instance: &str,
+  call: &str,
+  body: impl Into<bytes::Bytes>,
+) -> StatusCode {
+  let control = fleet.boxes[REBORN.0].control;
+  let request = Request::post(format!("/ferryyoke/instances/{instance}/{call}"))
+    .header(http::header::HOST, control.to_string())
+    .body(web::full(body.into()))
+    .expect("a fixed head");
+  let answered = Rc::new(Pool::new(1_000)).exchange(control, request, 65_536).await;
+  answered.expect("an answer").0
+}
+
+/// Both boxes get an answer from the process that runs now.
+async fn check_taken(fleet: &Fleet) {
+  let until = soon(TAKEN_MS);
+  for index in 0..BOXES {
+    fleet.ask_until(index, REBORN.1, until, Answer::is_served).await;
+  }
+  let process = fleet.boxes[REBORN.0].backend_server.process();
+  let record = fleet.record.borrow();
+  let last = record.runs.iter().rev().find(|run| run.instance.starts_with("i-box0"));
+  assert_eq!(last.map(|run| run.instance.as_str()), Some(process.as_str()));
+}
+
+#[test]
+fn a_process_that_starts_again_after_a_crash_gets_work() {
+  run(async {
+    let fleet = fleet().await;
+    for down_ms in [100, 700, 2_500] {
+      pause(2_000).await;
+      fleet.boxes[REBORN.0].crash_backend_server(down_ms).await;
+      check_taken(&fleet).await;
+    }
+  });
+}
+
+#[test]
+fn a_process_that_starts_again_after_it_left_gets_work() {
+  run(async {
+    let fleet = fleet().await;
+    for _ in 0..2 {
+      let server = &fleet.boxes[REBORN.0].backend_server;
+      let before = server.process();
+      server.replace(true);
+      while server.process() == before {
+        pause(20).await;
+      }
+      check_taken(&fleet).await;
+    }
+  });
+}
+
+/// The former process had made many reports, and the one that leaves few.
+#[test]
+fn a_process_that_started_again_is_believed_that_it_leaves() {
+  run(async {
+    let fleet = fleet().await;
+    pause(4_000).await;
+    let server = &fleet.boxes[REBORN.0].backend_server;
+    fleet.boxes[REBORN.0].crash_backend_server(100).await;
+    check_taken(&fleet).await;
+    let process = server.process();
+    server.replace(false);
+    let left_ms = loop {
+      if let Some(left_ms) = fleet.record.borrow().left.get(&process) {
+        break *left_ms;
+      }
+      pause(20).await;
+    };
+    pause(DRAIN_MS).await;
+    for index in 0..BOXES {
+      // Whether its successor answers already is not what is asked here.
+      fleet.ask(index, REBORN.1).await.ok();
+    }
+    let record = fleet.record.borrow();
+    let late = record.runs.iter().filter(|run| run.instance == process);
+    let late = late.filter(|run| run.at_ms > left_ms + DRAIN_MS).count();
+    assert_eq!(late, 0, "{}", fleet.boxes[REBORN.0].log());
+  });
+}
+
+/// What the former process said arrives late, also that it leaves or goes.
+#[test]
+fn late_words_of_the_former_process_change_nothing() {
+  run(async {
+    let fleet = fleet().await;
+    let server = &fleet.boxes[REBORN.0].backend_server;
+    let former = server.born_unix_ms();
+    fleet.boxes[REBORN.0].crash_backend_server(100).await;
+    check_taken(&fleet).await;
+    // The one that runs must have been heard of: until then these words are the newest.
+    pause(REPORTED_MS).await;
+    let instance = server.instance();
+    for sequence in [1, 2, 300, 301, 302, 303] {
+      let body = report(former, sequence, "draining").to_string();
+      assert_eq!(call(&fleet, &instance, "heartbeat", body).await, StatusCode::OK);
+      fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+    }
+    let body = json!({ "born": former }).to_string();
+    assert_eq!(call(&fleet, &instance, "deregister", body).await, StatusCode::OK);
+    fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+  });
+}
+
+/// Bodies that no backend server of this box sends.
+fn foreign(born: u64) -> Vec<Vec<u8>> {
+  let whole = report(born, 1_000_000, "draining");
+  let spoiled = |path: &str, value: Value| {
+    let mut body = whole.clone();
+    *body.pointer_mut(path).expect("a field") = value;
+    body.to_string().into_bytes()
+  };
+  let without = |name: &str| {
+    let mut body = whole.clone();
+    body.as_object_mut().expect("an object").remove(name);
+    body.to_string().into_bytes()
+  };
+  let mut bodies = vec![
+    Vec::new(),
+    b"{}".to_vec(),
+    b"null".to_vec(),
+    b"\xff\xfe{".to_vec(),
+    whole.to_string().into_bytes()[..90].to_vec(),
+    format!("{}{}", "[".repeat(1_500), "]".repeat(1_500)).into_bytes(),
+    format!("{whole}{}", " ".repeat(4_096)).into_bytes(),
+  ];
+  bodies.extend(["born", "Info", "Status"].map(without));
+  bodies.extend(
+    [json!("soon"), json!(1.5), json!(-3), json!(null), json!([born])].map(|v| spoiled("/born", v)),
+  );
+  bodies.extend(
+    [json!("jolly"), json!(""), json!(7), json!(null)].map(|v| spoiled("/Status/State", v)),
+  );
+  bodies.extend([json!("elsewhere"), json!(7), json!("")].map(|v| spoiled("/Info/Service", v)));
+  bodies.extend([json!("eight"), json!(-1), json!(1e30)].map(|v| spoiled("/Info/Slots", v)));
+  bodies.extend([json!("one"), json!(-1), json!({})].map(|v| spoiled("/Status/CallSeq", v)));
+  bodies.extend([json!(5), json!("soon"), json!([])].map(|v| spoiled("/Status/ColdLeft", v)));
+  bodies
+}
+
+#[test]
+fn reports_of_other_writers_are_refused_and_change_nothing() {
+  run(async {
+    let fleet = fleet().await;
+    let server = &fleet.boxes[REBORN.0].backend_server;
+    for body in foreign(server.born_unix_ms()) {
+      let text = String::from_utf8_lossy(&body).chars().take(120).collect::<String>();
+      let status = call(&fleet, &server.instance(), "heartbeat", body).await;
+      assert!(status.is_client_error(), "{status}: {text}");
+      fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+    }
+    for body in ["{\"born\":\"soon\"}", "{\"born\":null}", "[]", "\u{1}"] {
+      let status = call(&fleet, &server.instance(), "deregister", body).await;
+      assert!(status.is_client_error(), "{status}: {body}");
+      fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+    }
+    assert!(fleet.boxes[REBORN.0].exit_code().expect("a process").is_none(), "the daemon ended");
+    check_taken(&fleet).await;
+  });
+}
+
+/// Another writer's word that a process unknown here leaves displaces nobody.
+#[test]
+fn reports_of_unknown_processes_change_nothing() {
+  run(async {
+    let fleet = fleet().await;
+    let born = fleet.boxes[REBORN.0].backend_server.born_unix_ms();
+    for (born, state) in
+      [(1, "ready"), (1, "draining"), (born + 60_000, "ready"), (u64::MAX, "draining")]
+    {
+      for sequence in 1..5 {
+        let body = report(born, sequence, state).to_string();
+        call(&fleet, "i-foreign", "heartbeat", body).await;
+        fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+      }
+    }
+    pause(1_000).await;
+    check_taken(&fleet).await;
+  });
+}
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -154,6 +154,7 @@
     data_hall: settings.data_hall.clone(),
   };
   let endpoint = Endpoint {
+    backend_starts: 0,
     forward_address: settings.addresses.announced_forward,
     link_mbps: settings.deployment.as_ref().map_or(0, Deployment::whole_link_mbps),
     incarnation: shared.names.incarnation,
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -118,7 +118,8 @@
       Event::Accepted { version } => self.accepted(version, None),
       Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
-      Event::EndpointServes { service, slots } => {
+      Event::EndpointServes { service, slots, starts } => {
+        self.own.backend_starts = starts;
         self.own.service = service;
         self.own.slots = slots;
       }
--- a/src/distribution/event.rs
+++ b/src/distribution/event.rs
@@ -28,6 +28,8 @@
     service: ServiceName,
     /// Requests that it runs at once.
     slots: u32,
+    /// How many of its processes followed the first one.
+    starts: u32,
   },
   /// The state of the daemon's own backend server changed.
   EndpointState(EndpointState),
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -250,10 +250,12 @@
     self.tick_registration();
   }
 
-  fn change_service(&mut self, service: ServiceName, slots: u32) {
-    if self.own.service != service || self.own.slots != slots {
-      self.own.service = service;
-      self.own.slots = slots;
+  fn change_service(&mut self, service: ServiceName, slots: u32, starts: u32) {
+    let own = &mut self.own;
+    if own.service != service || own.slots != slots || own.backend_starts != starts {
+      own.backend_starts = starts;
+      own.service = service;
+      own.slots = slots;
       self.announce();
     }
   }
@@ -307,7 +309,9 @@
       Event::Accepted { .. } => {}
       Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
-      Event::EndpointServes { service, slots } => self.change_service(service, slots),
+      Event::EndpointServes { service, slots, starts } => {
+        self.change_service(service, slots, starts);
+      }
       Event::EndpointState(state) => self.change_state(state),
       Event::LinkClosed { link } => self.link_lost(link),
       Event::LinkFailed { box_id } => self.link_failed(&box_id),
--- a/src/fleet/endpoint.rs
+++ b/src/fleet/endpoint.rs
@@ -3,8 +3,12 @@
 /// The newest news about one box and its backend server.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Endpoint {
+  /// How many processes of the backend server followed the first one of this life. What was learned of one says
+  /// nothing of the next.
+  #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
+  pub backend_starts: u32,
   /// Megabits a second of the box's network link; 0 where that is not known.
-  #[serde(rename = "m", default, skip_serializing_if = "is_unknown")]
+  #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
   pub link_mbps: u32,
   /// Where the daemon takes requests from other daemons.
   #[serde(rename = "f")]
@@ -66,6 +70,6 @@
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref)]
-fn is_unknown(link_mbps: &u32) -> bool {
-  *link_mbps == 0
+fn is_zero(number: &u32) -> bool {
+  *number == 0
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,15 +3,21 @@
 use super::*;
 
 pub use self::{
-  backend_record::{BackendRecord, BackendReport, BackendState},
+  backend_record::{BackendRecord, BackendState},
+  backend_report::BackendReport,
   endpoint::Endpoint,
   endpoint_state::EndpointState,
   endpoint_table::EndpointTable,
+  heard::Heard,
   peer::Peer,
+  process::Process,
 };
 
 mod backend_record;
+mod backend_report;
 mod endpoint;
 mod endpoint_state;
 mod endpoint_table;
+mod heard;
 mod peer;
+mod process;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,8 @@
 
 use {
   crate::values::{
-    BoxId, ChangeId, DataHall, Digest, DurationMs, Incarnation, InstanceId, Operator, PolicyName,
-    Region, RequestId, RouteName, ServiceName, Team, Time, TryKey, Version, text,
+    Born, BoxId, ChangeId, DataHall, Digest, DurationMs, Incarnation, InstanceId, Operator,
+    PolicyName, Region, RequestId, RouteName, ServiceName, Team, Time, TryKey, Version, text,
   },
   bytes::{Buf, Bytes, BytesMut},
   clap::{Arg, ArgAction, ArgMatches, Command},
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,9 @@
     Action, Distribution, Distributor, Event, LinkId, Message, Moment, Question, Report,
     UnreadableEntry,
   },
-  fleet::{BackendRecord, BackendReport, BackendState, Endpoint, EndpointState, Peer},
+  fleet::{
+    BackendRecord, BackendReport, BackendState, Endpoint, EndpointState, Heard, Peer, Process,
+  },
   links::{self, Credentials, IncomingFrames, Outgoing},
   requests::{
     AnswerSizes, ArrivalBook, AtWork, BackendMonitor, Balancer, CallerTimes, Condition, Limiter,
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -9,73 +9,111 @@
 }
 
 impl Node {
-  /// The backend server reported.
-  pub fn backend_reported(&self, report: &BackendReport) {
+  /// How far ahead of this box's clock the clock of a backend server may be, in milliseconds: clocks may jump
+  /// by seconds. A process cannot have started later.
+  const BORN_AHEAD_MAX_MS: u64 = 60_000;
+
+  /// The backend server reported, or somebody in its name.
+  pub fn backend_reported(&self, report: &BackendReport) -> Heard {
     let now = self.shared.now().time;
-    let is_newer =
-      self.change_backend(&report.instance, report.sequence, |record| record.reported(now, report));
-    if !is_newer {
-      debug!(
-        self.shared.log.logger, "a late report of a backend server was passed over";
-        "instance" => report.instance.as_str(), "sequence" => report.sequence
-      );
+    let heard = match self.why_foreign(report) {
+      Some(reason) => Heard::Foreign(reason),
+      None => {
+        self.change_backend(&report.process, report.sequence, |record| record.reported(now, report))
+      }
+    };
+    let told = match heard {
+      Heard::Foreign(reason) => reason,
+      Heard::Late => "it is late",
+      Heard::News => return heard,
+    };
+    debug!(
+      self.shared.log.logger, "a report of a backend server was passed over";
+      "reason" => told, "sequence" => report.sequence, "process" => %report.process
+    );
+    heard
+  }
+
+  /// Why a report cannot be one of this box's backend server.
+  fn why_foreign(&self, report: &BackendReport) -> Option<&'static str> {
+    let latest = self.shared.now().unix_ms.saturating_add(Self::BORN_AHEAD_MAX_MS);
+    if report.process.born.is_some_and(|born| born.0 > latest) {
+      return Some("its process has not started yet");
     }
+    let held = self.shared.configuration()?;
+    let is_known = held.services.contains_key(&report.service)
+      || report.service == self.shared.own_service()
+      || report.service == self.shared.settings.service;
+    (!is_known).then_some("no configuration names its service")
   }
 
-  /// The backend server said that it goes.
-  pub fn backend_deregistered(&self, instance: &InstanceId) {
-    self.change_backend(instance, 0, |record| record.deregistered(instance));
+  /// A process of the backend server said that it goes.
+  pub fn backend_deregistered(&self, process: &Process) {
+    self.change_backend(process, 0, |record| record.deregistered(process));
   }
 
   /// The health endpoint answered for a process.
-  pub fn backend_probed(&self, instance: &InstanceId) {
+  pub fn backend_probed(&self, id: &InstanceId) {
     let now = self.shared.now().time;
-    self.change_backend(instance, 0, |record| record.probed(now, instance));
+    let process = Process { born: None, id: id.clone() };
+    self.change_backend(&process, 0, |record| record.probed(now, id));
   }
 
   /// Changes what is known of the backend server, and tells the fleet and the log what came of it.
   fn change_backend<T>(
     &self,
-    instance: &InstanceId,
+    process: &Process,
     sequence: u64,
     change: impl FnOnce(&mut BackendRecord) -> T,
   ) -> T {
     let shared = &self.shared;
-    let (before, former) = (shared.backend_state(), shared.backend.borrow().instance().cloned());
+    let (before, starts) = (shared.backend_state(), shared.backend.borrow().starts());
     let outcome = change(&mut shared.backend.borrow_mut());
-    if former.is_some() && former.as_ref() != shared.backend.borrow().instance() {
-      shared.monitor.borrow_mut().forget();
+    if shared.backend.borrow().starts() != starts {
+      self.forget_former_process();
     }
     self.take_over_slots();
-    self.announce_backend(before, instance, sequence);
+    self.announce_backend(before, process, sequence);
     outcome
   }
 
+  /// Another process runs now: what was learned of the one before it, and connections to it, say nothing.
+  fn forget_former_process(&self) {
+    let shared = &self.shared;
+    shared.monitor.borrow_mut().forget();
+    shared.backend_pool.forget_idle();
+    let running = shared.backend.borrow().process().map(ToString::to_string);
+    info!(
+      shared.log.logger, "another process of the backend server runs now";
+      "process" => running.unwrap_or_default()
+    );
+  }
+
   /// Brings the limiter, and the fleet, to what the backend server reported.
   fn take_over_slots(&self) {
     let shared = &self.shared;
     let reported = {
       let record = shared.backend.borrow();
-      record.slots().zip(record.service().cloned())
+      record.slots().zip(record.service().cloned()).zip(Some(record.starts()))
     };
-    let Some((slots, service)) = reported else {
+    let Some(((slots, service), starts)) = reported else {
       return;
     };
     let admitted = shared.limiter.borrow_mut().set_slots(shared.now().time, slots as usize);
     for ticket in admitted {
       shared.admit(ticket);
     }
-    self.distribution.handle(Event::EndpointServes { service, slots });
+    self.distribution.handle(Event::EndpointServes { service, slots, starts });
   }
 
   /// Tells the fleet, and the log, what the backend server can do from now on.
-  fn announce_backend(&self, before: BackendState, instance: &InstanceId, sequence: u64) {
+  fn announce_backend(&self, before: BackendState, process: &Process, sequence: u64) {
     let shared = &self.shared;
     let state = shared.backend_state();
     if state != before {
       info!(
         shared.log.logger, "the backend server changed its state";
-        "instance" => instance.as_str(), "sequence" => sequence,
+        "process" => %process, "sequence" => sequence,
         "before" => ?before, "state" => ?state
       );
     }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -263,6 +263,15 @@
     *self.refused_configuration.borrow_mut() = Some(format!("version {told}: {reason}"));
   }
 
+  /// Counts a report that no backend server of this box sent, and tells the log of the first in a while.
+  pub fn note_foreign_report(&self, call: &str, reason: &str) {
+    self.metrics.reports_refused.inc();
+    warn!(
+      self.log.logger, #Log::REQUEST, "a report of another writer was refused";
+      "reason" => reason, "call" => call
+    );
+  }
+
   /// Counts an entry of the directory that cannot be read, and tells the log.
   pub fn note_unreadable_entry(&self, entry: &UnreadableEntry) {
     self.metrics.entries_unreadable.inc();
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -2,22 +2,16 @@
 
 use super::*;
 
+use std::num::NonZeroU32;
+
 /// Largest report of a backend server in bytes, as the platform bounds it.
 const REPORT_BYTES_MAX: usize = 4_096;
 
-/// A backend server's report.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Heartbeat {
-  info: Info,
-  status: Status,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Info {
   service: ServiceName,
-  slots: u32,
+  slots: NonZeroU32,
 }
 
 #[derive(Deserialize)]
@@ -27,8 +21,14 @@
   call_seq: u64,
   #[serde(deserialize_with = "duration_ms")]
   cold_left: u64,
-  /// `ready` or `draining`.
-  state: String,
+  state: ReportedState,
+}
+
+#[derive(Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum ReportedState {
+  Draining,
+  Ready,
 }
 
 /// Tells the platform whether the daemon takes callers.
@@ -48,39 +48,56 @@
   let Some(call) = path.strip_prefix("/ferryyoke/instances/") else {
     return web::text(StatusCode::NOT_FOUND, "give POST /ferryyoke/instances/ID/heartbeat");
   };
-  let Some((Ok(instance), call)) = call.split_once('/').map(|(id, call)| (id.parse(), call)) else {
+  let Some((Ok(id), call)) = call.split_once('/').map(|(id, call)| (id.parse(), call)) else {
     return web::text(StatusCode::BAD_REQUEST, "the path lacks an instance or a call");
   };
-  match call {
-    "heartbeat" => heartbeat(&node, instance, request).await,
-    "deregister" => {
-      node.backend_deregistered(&instance);
-      web::text(StatusCode::OK, "{}")
-    }
-    _ => web::text(StatusCode::NOT_FOUND, "give heartbeat or deregister"),
-  }
-}
-
-async fn heartbeat(
-  node: &Node,
-  instance: InstanceId,
-  request: Request<Incoming>,
-) -> Response<AnyBody> {
   let body = match web::collect(request.into_body(), REPORT_BYTES_MAX).await {
     Ok(body) => body,
     Err(err) => return web::text(StatusCode::BAD_REQUEST, err.to_string()),
   };
-  let read: Heartbeat = match serde_json::from_slice(&body) {
-    Ok(read) => read,
-    Err(err) => return web::text(StatusCode::BAD_REQUEST, err.to_string()),
+  let said = match call {
+    "heartbeat" => heartbeat(&node, id, &body),
+    "deregister" => deregister(&node, id, &body),
+    _ => return web::text(StatusCode::NOT_FOUND, "give heartbeat or deregister"),
   };
-  node.backend_reported(&BackendReport {
-    cold_left_ms: read.status.cold_left,
-    instance,
-    leaving: read.status.state != "ready",
-    sequence: read.status.call_seq,
-    service: read.info.service,
-    slots: read.info.slots,
+  match said {
+    Ok(()) => web::json(StatusCode::OK, &serde_json::json!({})),
+    Err(reason) => {
+      node.shared.note_foreign_report(call, &reason);
+      web::text(StatusCode::BAD_REQUEST, reason)
+    }
+  }
+}
+
+fn heartbeat(node: &Node, id: InstanceId, body: &[u8]) -> Result<(), String> {
+  let fields = Fields::of(text(body)?)?;
+  let (info, status): (Info, Status) = (fields.get("Info")?, fields.get("Status")?);
+  let heard = node.backend_reported(&BackendReport {
+    cold_left_ms: status.cold_left,
+    leaving: status.state == ReportedState::Draining,
+    process: Process { born: born(&fields)?, id },
+    sequence: status.call_seq,
+    service: info.service,
+    slots: info.slots.get(),
   });
-  web::json(StatusCode::OK, &serde_json::json!({}))
+  match heard {
+    Heard::Foreign(reason) => Err(reason.into()),
+    Heard::Late | Heard::News => Ok(()),
+  }
+}
+
+/// Some processes say nothing of themselves as they go: then it is the one that bears the id.
+fn deregister(node: &Node, id: InstanceId, body: &[u8]) -> Result<(), String> {
+  let born = if body.is_empty() { None } else { born(&Fields::of(text(body)?)?)? };
+  node.backend_deregistered(&Process { born, id });
+  Ok(())
+}
+
+/// When a process started, as it says at the top level of whatever it says.
+fn born(fields: &Fields) -> Result<Option<Born>, String> {
+  Ok(fields.find("born")?.map(Born))
+}
+
+fn text(body: &[u8]) -> Result<&str, String> {
+  std::str::from_utf8(body).map_err(|err| err.to_string())
 }
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -21,8 +21,8 @@
   }
 
   /// A field that may be missing, or what is wrong with it.
-  pub(super) fn find<T: Deserialize<'a> + Default>(&self, name: &str) -> Result<T, String> {
-    if self.0.contains_key(name) { self.get(name) } else { Ok(T::default()) }
+  pub(super) fn find<T: Deserialize<'a>>(&self, name: &str) -> Result<Option<T>, String> {
+    if self.0.contains_key(name) { self.get(name).map(Some) } else { Ok(None) }
   }
 
   /// The items in a field.
--- a/src/platform/item.rs
+++ b/src/platform/item.rs
@@ -26,7 +26,7 @@
   pub(super) fn of(fields: &Fields) -> Self {
     let key = fields.get::<String>("Key");
     let revision = fields.get::<u64>("Revision");
-    let is_gone = fields.find::<bool>("Tombstone");
+    let is_gone = fields.find::<bool>("Tombstone").map(Option::unwrap_or_default);
     let wrong = [key.as_ref().err(), revision.as_ref().err(), is_gone.as_ref().err()];
     let value = match wrong.into_iter().flatten().next() {
       Some(reason) => Value::unreadable(reason),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,7 +10,7 @@
     CallerLimits, Configuration, Handling, Patch, Policy, Revised, Route, Service, Source,
     Unreadable, WeightedService,
   },
-  fleet::BackendReport,
+  fleet::{BackendReport, Heard, Process},
   node::{Dialect, Node},
   store::{
     self, CallKind, Entry, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store,
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -105,7 +105,7 @@
 /// What happened to a request beside its backend server, for the log.
 #[derive(Default)]
 struct Passage {
-  instance: Option<InstanceId>,
+  process: Option<Process>,
   /// Microseconds on the daemon's clock when it had its slot.
   slot_us: Option<u64>,
 }
@@ -121,7 +121,7 @@
     info!(
       shared.log.logger, #Log::REQUEST, "a request passed the backend server";
       "request_id" => forwarded.id.as_str(), "outcome" => outcome,
-      "instance" => self.instance.as_ref().map_or("none", InstanceId::as_str),
+      "process" => self.process.as_ref().map_or("none".into(), ToString::to_string),
       "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
       "took_us" => now_us - self.slot_us.unwrap_or(now_us),
       "time_left_ms" => forwarded.deadline.since_ms(shared.now().time),
@@ -145,7 +145,7 @@
   take_link(shared, forwarded, &body)?;
   let slot = HeldSlot::take(shared, forwarded).await?;
   passage.slot_us = Some(shared.elapsed_us());
-  passage.instance = shared.backend.borrow().instance().cloned();
+  passage.process = shared.backend.borrow().process().cloned();
   if let Some(reason) = refuse_early(shared, forwarded) {
     return Err(AttemptOutcome::not_run(reason, Shared::RETRY_AFTER_MS));
   }
@@ -286,7 +286,7 @@
   if dialect.request_id != headers::REQUEST_ID {
     headers::remove_mesh_headers(headers);
   }
-  let instance = shared.backend.borrow().instance().map(ToString::to_string);
+  let instance = shared.backend.borrow().process().map(|process| process.id.to_string());
   let told = [
     (&dialect.caller_service, Some(forwarded.caller_service.to_string())),
     (&dialect.expected_instance, instance),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,7 +7,7 @@
 use super::*;
 
 use crate::{
-  fleet::BackendState,
+  fleet::{BackendState, Process},
   node::Shared,
   requests::{
     Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Claim, ClaimState, ClaimStep,
--- a/src/requests/balancer.rs
+++ b/src/requests/balancer.rs
@@ -22,10 +22,11 @@
   /// Tries in a row that got no answer.
   failures: u32,
   in_flight: u32,
-  /// The life of the box that all of this is about, so that a new one starts without its past.
-  incarnation: Option<Incarnation>,
   /// A moving average of what tries took, in microseconds, quick to rise.
   latency_us: f64,
+  /// The life of the box, and the process of its backend server, that all of this is about, so that a new one
+  /// starts without its past.
+  life: Option<(Incarnation, u32)>,
 }
 
 /// What a typical backend server of a service does.
@@ -208,10 +209,11 @@
 
   fn view(&mut self, endpoint: &Endpoint) -> &mut View {
     let view = self.known(&endpoint.peer.box_id);
-    if view.incarnation.is_some_and(|known| known < endpoint.incarnation) {
+    let life = (endpoint.incarnation, endpoint.backend_starts);
+    if view.life.is_some_and(|known| known < life) {
       *view = View { in_flight: view.in_flight, ..View::default() };
     }
-    view.incarnation = Some(endpoint.incarnation);
+    view.life = Some(life);
     view
   }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -29,6 +29,8 @@
   /// Links refused for a wrong key, an old protocol or garbage.
   links_refused: Family<LinkLabels, Counter>,
   registry: Registry,
+  /// Reports to this daemon that none of its backend server's processes sent.
+  pub reports_refused: Counter,
   request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram>,
   store_calls: Family<StoreLabels, Counter>,
   /// The configuration version in force.
@@ -64,6 +66,12 @@
       "Backend servers that take work, as far as this daemon knows",
       live_endpoints.clone(),
     );
+    let reports_refused: Counter = Counter::default();
+    registry.register(
+      "reports_refused",
+      "Reports that none of the backend server's processes sent",
+      reports_refused.clone(),
+    );
     let store_calls = Family::default();
     let version: Gauge = Gauge::default();
     registry.register(
@@ -90,6 +98,7 @@
       live_endpoints,
       links_refused,
       registry,
+      reports_refused,
       request_seconds,
       store_calls,
       version,
--- a/src/values/mod.rs
+++ b/src/values/mod.rs
@@ -3,12 +3,14 @@
 use super::*;
 
 pub use self::{
-  box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest, duration_ms::DurationMs,
-  error::Error, incarnation::Incarnation, instance_id::InstanceId, operator::Operator,
-  policy_name::PolicyName, region::Region, request_id::RequestId, route_name::RouteName,
-  service_name::ServiceName, team::Team, time::Time, try_key::TryKey, version::Version,
+  born::Born, box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest,
+  duration_ms::DurationMs, error::Error, incarnation::Incarnation, instance_id::InstanceId,
+  operator::Operator, policy_name::PolicyName, region::Region, request_id::RequestId,
+  route_name::RouteName, service_name::ServiceName, team::Team, time::Time, try_key::TryKey,
+  version::Version,
 };
 
+mod born;
 mod box_id;
 mod change_id;
 mod data_hall;
--- /dev/null
+++ b/tests/backend_record.rs
@@ -0,0 +1,302 @@
+//! What a daemon makes of the reports of its backend server: late ones, ones of processes that left or that start
+//! again under their id, and ones of other writers.
+
+mod support;
+
+use ferryyoke::{
+  fleet::{BackendRecord, BackendReport, BackendState, Heard, Process},
+  values::{Born, InstanceId, Time},
+};
+
+fn report(instance: &str, sequence: u64, leaving: bool) -> BackendReport {
+  report_of(process(instance, None), sequence, leaving)
+}
+
+fn report_of(process: Process, sequence: u64, leaving: bool) -> BackendReport {
+  let service = "archive".parse().expect("a name");
+  BackendReport { cold_left_ms: 0, leaving, process, sequence, service, slots: 12 }
+}
+
+fn process(id: &str, born: Option<u64>) -> Process {
+  Process { born: born.map(Born), id: instance(id) }
+}
+
+fn instance(name: &str) -> InstanceId {
+  name.parse().expect("a name")
+}
+
+/// What is known of a process that the health endpoint named and that reported since.
+fn known(name: &str, sequence: u64) -> BackendRecord {
+  let mut record = BackendRecord::default();
+  record.probed(Time(0), &instance(name));
+  assert_eq!(record.reported(Time(0), &report(name, sequence, false)), Heard::News);
+  record
+}
+
+#[test]
+fn a_late_report_takes_nothing_back() {
+  assert_eq!(BackendRecord::default().state(), BackendState::Unknown);
+  let mut record = known("i-1", 5);
+  assert_eq!(record.state(), BackendState::Ready);
+  assert_eq!(record.reported(Time(1), &report("i-1", 7, true)), Heard::News);
+  assert_eq!(
+    record.reported(Time(2), &report("i-1", 6, false)),
+    Heard::Late,
+    "it was sent before the drain"
+  );
+  assert_eq!(record.state(), BackendState::Leaving);
+  assert_eq!(record.reported(Time(3), &report("i-1", 8, false)), Heard::News);
+  assert_eq!(record.state(), BackendState::Leaving, "a process that leaves does not come back");
+  record.probed(Time(4), &instance("i-1"));
+  assert_eq!(record.state(), BackendState::Leaving, "whatever its health endpoint says");
+}
+
+#[test]
+fn a_process_that_went_stays_gone_though_its_report_arrives() {
+  let mut record = known("i-1", 5);
+  record.deregistered(&process("i-1", None));
+  assert_eq!(record.state(), BackendState::Leaving);
+  assert_eq!(record.reported(Time(1), &report("i-1", 6, false)), Heard::Late);
+  assert_eq!(record.reported(Time(2), &report("i-2", 1, false)), Heard::News, "its successor");
+  record.probed(Time(2), &instance("i-2"));
+  assert_eq!(record.state(), BackendState::Ready);
+  assert_eq!(
+    record.reported(Time(3), &report("i-1", 9, false)),
+    Heard::Late,
+    "the one before it, late"
+  );
+  assert_eq!(record.process(), Some(&process("i-2", None)));
+}
+
+#[test]
+fn a_fresh_daemon_believes_the_health_endpoint_until_the_first_report() {
+  let mut record = BackendRecord::default();
+  assert!(record.is_in_doubt());
+  record.probed(Time(0), &instance("i-1"));
+  assert_eq!(record.state(), BackendState::Ready);
+  assert!(!record.is_in_doubt());
+  record.vanished();
+  assert_eq!(record.state(), BackendState::Unknown);
+  assert_eq!(record.reported(Time(0), &report("i-1", 3, false)), Heard::News);
+  assert_eq!(record.state(), BackendState::Ready);
+  record.probed(Time(0), &instance("i-9"));
+  assert_eq!(record.process(), Some(&process("i-1", None)));
+}
+
+/// The daemon may have acknowledged in its former life that the process leaves.
+#[test]
+fn one_report_alone_proves_no_process_to_a_fresh_daemon() {
+  let mut record = BackendRecord::default();
+  assert_eq!(record.reported(Time(0), &report("i-1", 5, false)), Heard::News);
+  assert_eq!(record.state(), BackendState::Unknown, "it may have been sent before a drain");
+  assert_eq!(record.reported(Time(1), &report("i-1", 4, false)), Heard::Late);
+  assert_eq!(record.reported(Time(500), &report("i-1", 6, false)), Heard::News);
+  assert_eq!(record.state(), BackendState::Unknown);
+  assert_eq!(record.reported(Time(1_000), &report("i-1", 7, false)), Heard::News);
+  assert_eq!(record.state(), BackendState::Ready, "late reports come one or two at a time");
+}
+
+#[test]
+fn a_fresh_daemon_believes_at_once_that_a_process_leaves() {
+  let mut record = BackendRecord::default();
+  assert_eq!(record.reported(Time(0), &report("i-1", 5, true)), Heard::News);
+  assert_eq!(record.state(), BackendState::Leaving);
+  assert_eq!(record.reported(Time(1), &report("i-1", 4, false)), Heard::Late);
+  assert_eq!(record.state(), BackendState::Leaving);
+}
+
+#[test]
+fn a_late_report_of_an_unknown_process_does_not_displace_the_running_one() {
+  let mut record = known("i-2", 1);
+  assert_eq!(
+    record.reported(Time(1), &report("i-1", 90, false)),
+    Heard::News,
+    "from before this life"
+  );
+  assert_eq!(
+    (record.process(), record.state()),
+    (Some(&process("i-2", None)), BackendState::Ready)
+  );
+  assert!(record.is_in_doubt());
+  record.probed(Time(2), &instance("i-2"));
+  assert!(!record.is_in_doubt(), "no further probes");
+  assert_eq!(record.reported(Time(3), &report("i-2", 2, false)), Heard::News);
+  assert_eq!(record.reported(Time(4), &report("i-1", 91, true)), Heard::News);
+  assert_eq!(
+    (record.process(), record.state()),
+    (Some(&process("i-2", None)), BackendState::Ready)
+  );
+}
+
+#[test]
+fn a_successor_takes_over_once_the_health_endpoint_names_it() {
+  let mut record = known("i-1", 5);
+  assert_eq!(record.reported(Time(1), &report("i-2", 1, false)), Heard::News);
+  assert_eq!(record.process(), Some(&process("i-1", None)));
+  record.probed(Time(2), &instance("i-2"));
+  assert_eq!(
+    (record.process(), record.state()),
+    (Some(&process("i-2", None)), BackendState::Ready)
+  );
+  assert_eq!(record.reported(Time(3), &report("i-1", 6, false)), Heard::Late, "the former one");
+}
+
+/// What is known of a process that says when it started.
+fn known_born(id: &str, born: u64, sequence: u64) -> BackendRecord {
+  let mut record = BackendRecord::default();
+  record.probed(Time(0), &instance(id));
+  let report = report_of(process(id, Some(born)), sequence, false);
+  assert_eq!(record.reported(Time(0), &report), Heard::News);
+  record
+}
+
+fn born(id: &str, born: u64, sequence: u64, leaving: bool) -> BackendReport {
+  report_of(process(id, Some(born)), sequence, leaving)
+}
+
+#[test]
+fn a_process_that_starts_again_under_its_id_begins_anew() {
+  let mut record = known_born("i-1", 100, 40);
+  record.vanished();
+  let again = BackendReport { slots: 3, ..born("i-1", 200, 1, false) };
+  assert_eq!(record.reported(Time(10), &again), Heard::News);
+  assert!(record.is_in_doubt());
+  record.probed(Time(20), &instance("i-1"));
+  assert_eq!((record.state(), record.slots()), (BackendState::Ready, Some(3)));
+  assert_eq!(record.process(), Some(&process("i-1", Some(200))));
+  assert_eq!(record.starts(), 1);
+  assert_eq!(record.reported(Time(30), &born("i-1", 200, 2, true)), Heard::News);
+  assert_eq!(record.state(), BackendState::Leaving, "its own counts hold, not the former ones");
+}
+
+#[test]
+fn a_process_that_starts_again_after_its_namesake_left_is_taken() {
+  for says_moment in [true, false] {
+    let mut record = known_born("i-1", 100, 40);
+    assert_eq!(record.reported(Time(1), &born("i-1", 100, 41, true)), Heard::News);
+    record.deregistered(&process("i-1", says_moment.then_some(100)));
+    record.probed(Time(5), &instance("i-1"));
+    assert_eq!(record.state(), BackendState::Leaving);
+    assert_eq!(record.reported(Time(10), &born("i-1", 200, 1, false)), Heard::News);
+    record.probed(Time(20), &instance("i-1"));
+    assert_eq!(record.state(), BackendState::Ready);
+    for sequence in [42, 500] {
+      assert_eq!(record.reported(Time(30), &born("i-1", 100, sequence, true)), Heard::Late);
+    }
+    record.deregistered(&process("i-1", Some(100)));
+    assert_eq!(record.state(), BackendState::Ready, "the former one goes once more, late");
+  }
+}
+
+/// The word that a process leaves binds, also where it is the first that is heard of it.
+#[test]
+fn a_process_that_started_again_is_believed_at_once_that_it_leaves() {
+  let mut record = known_born("i-1", 100, 40);
+  assert_eq!(record.reported(Time(1), &born("i-1", 200, 7, true)), Heard::News);
+  assert_eq!(record.state(), BackendState::Leaving);
+  record.probed(Time(2), &instance("i-1"));
+  assert_eq!(record.state(), BackendState::Leaving);
+}
+
+#[test]
+fn a_report_without_the_moment_of_a_start_counts_only_where_nobody_tells_it() {
+  let mut record = known_born("i-1", 100, 4);
+  for leaving in [false, true] {
+    assert!(matches!(record.reported(Time(1), &report("i-1", 90, leaving)), Heard::Foreign(_)));
+    assert!(matches!(record.reported(Time(1), &report("i-2", 90, leaving)), Heard::Foreign(_)));
+  }
+  assert_eq!(record.state(), BackendState::Ready);
+  assert_eq!(record.reported(Time(2), &born("i-1", 100, 5, false)), Heard::News);
+}
+
+#[test]
+fn a_process_does_not_change_its_service() {
+  let mut record = known_born("i-1", 100, 4);
+  let elsewhere =
+    BackendReport { service: "registry".parse().expect("a name"), ..born("i-1", 100, 5, true) };
+  assert!(matches!(record.reported(Time(1), &elsewhere), Heard::Foreign(_)));
+  assert_eq!(record.state(), BackendState::Ready);
+}
+
+/// A burst that was held up, or was made up, comes within a moment.
+#[test]
+fn a_burst_of_reports_displaces_nobody() {
+  let mut record = known_born("i-1", 100, 4);
+  for sequence in 1..50 {
+    record.reported(Time(sequence), &born("i-foreign", 150, sequence, false));
+  }
+  assert_eq!(record.process(), Some(&process("i-1", Some(100))));
+  // Nor does one that goes on while the running one reports.
+  for second in 1..50 {
+    let now = Time(second * 1_000);
+    record.reported(now, &born("i-foreign", 150, 100 + second, false));
+    record.reported(now, &born("i-1", 100, 4 + second, false));
+    record.reported(now, &born("i-foreign", 150, 1_000 + second, false));
+  }
+  assert_eq!(record.process(), Some(&process("i-1", Some(100))));
+}
+
+/// Whoever was believed in error gives way to the one that goes on reporting.
+#[test]
+fn a_made_up_process_is_given_up_for_the_one_that_reports() {
+  let mut record = known_born("i-1", 100, 4);
+  assert_eq!(record.reported(Time(1), &born("i-1", 150, 1, true)), Heard::News);
+  assert_eq!(record.state(), BackendState::Leaving);
+  for second in 1..4 {
+    record.reported(Time(second * 1_000), &born("i-1", 100, 4 + second, false));
+  }
+  assert_eq!(record.process(), Some(&process("i-1", Some(100))));
+  assert_eq!(record.state(), BackendState::Ready);
+}
+
+/// Random histories: processes start one after the other under a few ids, their words arrive late and twice.
+#[test]
+fn whatever_arrives_late_the_newest_process_is_found_and_one_that_left_is_not_used() {
+  support::histories(2_000, |u| {
+    let mut record = BackendRecord::default();
+    let (mut now, mut moment, mut sequence) = (0, 1_000, 0);
+    let (mut id, mut is_leaving) = ("i-0", false);
+    let mut sent: Vec<BackendReport> = Vec::new();
+    let steps: usize = u.int_in_range(1..=60)?;
+    for _ in 0..steps {
+      now += u.int_in_range(1..=700)?;
+      match u.int_in_range(0..=9)? {
+        0 => {
+          id = *u.choose(&["i-0", "i-1", "i-2"])?;
+          (moment, sequence, is_leaving) = (moment + 1_000, 0, false);
+        }
+        1 => is_leaving = true,
+        2 | 3 if !sent.is_empty() => {
+          let late = u.choose(&sent)?.clone();
+          record.reported(Time(now), &late);
+        }
+        4 if !is_leaving => record.probed(Time(now), &instance(id)),
+        5 => record.vanished(),
+        _ => {
+          sequence += 1;
+          let report = born(id, moment, sequence, is_leaving);
+          record.reported(Time(now), &report);
+          sent.push(report);
+        }
+      }
+      let reported_leaving =
+        |one: &BackendReport| one.leaving && Some(&one.process) == record.process();
+      assert!(
+        record.state() != BackendState::Ready || !sent.iter().any(reported_leaving),
+        "a process that left is used: {record:?}"
+      );
+    }
+    // The newest one goes on, and is well.
+    if is_leaving {
+      (moment, sequence) = (moment + 1_000, 0);
+    }
+    for _ in 0..4 {
+      (now, sequence) = (now + 1_000, sequence + 1);
+      record.reported(Time(now), &born(id, moment, sequence, false));
+      record.probed(Time(now), &instance(id));
+    }
+    assert_eq!(record.process(), Some(&process(id, Some(moment))));
+    assert_eq!(record.state(), BackendState::Ready, "{record:?}");
+    Ok(())
+  });
+}
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -3,12 +3,11 @@
 use {
   ferryyoke::{
     configuration::{Handling, WeightedService},
-    fleet::{BackendRecord, BackendReport, BackendState},
     requests::{
       Arrival, AtWork, CallerClass, CallerTimes, Demand, Limiter, LinkBudget, RetryBudget,
       RetryLimits, Splitter, Ticket, Urgency,
     },
-    values::{InstanceId, RequestId, RouteName, ServiceName, Time},
+    values::{RequestId, RouteName, ServiceName, Time},
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
@@ -298,113 +297,3 @@
     assert!(spent <= bound, "{spent} retries of {daemons} daemons, and {bound} may be");
   }
 }
-
-fn report(instance: &str, sequence: u64, leaving: bool) -> BackendReport {
-  BackendReport {
-    cold_left_ms: 0,
-    instance: instance.parse().expect("a name"),
-    leaving,
-    sequence,
-    service: service("archive"),
-    slots: 12,
-  }
-}
-
-fn instance(name: &str) -> InstanceId {
-  name.parse().expect("a name")
-}
-
-/// What is known of a process that the health endpoint named and that reported since.
-fn known(name: &str, sequence: u64) -> BackendRecord {
-  let mut record = BackendRecord::default();
-  record.probed(Time(0), &instance(name));
-  assert!(record.reported(Time(0), &report(name, sequence, false)));
-  record
-}
-
-#[test]
-fn a_late_report_takes_nothing_back() {
-  assert_eq!(BackendRecord::default().state(), BackendState::Unknown);
-  let mut record = known("i-1", 5);
-  assert_eq!(record.state(), BackendState::Ready);
-  assert!(record.reported(Time(1), &report("i-1", 7, true)));
-  assert!(!record.reported(Time(2), &report("i-1", 6, false)), "it was sent before the drain");
-  assert_eq!(record.state(), BackendState::Leaving);
-  assert!(record.reported(Time(3), &report("i-1", 8, false)));
-  assert_eq!(record.state(), BackendState::Leaving, "a process that leaves does not come back");
-  record.probed(Time(4), &instance("i-1"));
-  assert_eq!(record.state(), BackendState::Leaving, "whatever its health endpoint says");
-}
-
-#[test]
-fn a_process_that_went_stays_gone_though_its_report_arrives() {
-  let mut record = known("i-1", 5);
-  record.deregistered(&instance("i-1"));
-  assert_eq!(record.state(), BackendState::Leaving);
-  assert!(!record.reported(Time(1), &report("i-1", 6, false)));
-  assert!(record.reported(Time(2), &report("i-2", 1, false)), "its successor");
-  record.probed(Time(2), &instance("i-2"));
-  assert_eq!(record.state(), BackendState::Ready);
-  assert!(!record.reported(Time(3), &report("i-1", 9, false)), "the one before it, late");
-  assert_eq!(record.instance(), Some(&instance("i-2")));
-}
-
-#[test]
-fn a_fresh_daemon_believes_the_health_endpoint_until_the_first_report() {
-  let mut record = BackendRecord::default();
-  assert!(record.is_in_doubt());
-  record.probed(Time(0), &instance("i-1"));
-  assert_eq!(record.state(), BackendState::Ready);
-  assert!(!record.is_in_doubt());
-  record.vanished();
-  assert_eq!(record.state(), BackendState::Unknown);
-  assert!(record.reported(Time(0), &report("i-1", 3, false)));
-  assert_eq!(record.state(), BackendState::Ready);
-  record.probed(Time(0), &instance("i-9"));
-  assert_eq!(record.instance(), Some(&instance("i-1")));
-}
-
-/// The daemon may have acknowledged in its former life that the process leaves.
-#[test]
-fn one_report_alone_proves_no_process_to_a_fresh_daemon() {
-  let mut record = BackendRecord::default();
-  assert!(record.reported(Time(0), &report("i-1", 5, false)));
-  assert_eq!(record.state(), BackendState::Unknown, "it may have been sent before a drain");
-  assert!(!record.reported(Time(1), &report("i-1", 4, false)));
-  assert!(record.reported(Time(2), &report("i-1", 6, false)));
-  assert_eq!(record.state(), BackendState::Unknown);
-  assert!(record.reported(Time(3), &report("i-1", 7, false)));
-  assert_eq!(record.state(), BackendState::Ready, "late reports come one or two at a time");
-}
-
-#[test]
-fn a_fresh_daemon_believes_at_once_that_a_process_leaves() {
-  let mut record = BackendRecord::default();
-  assert!(record.reported(Time(0), &report("i-1", 5, true)));
-  assert_eq!(record.state(), BackendState::Leaving);
-  assert!(!record.reported(Time(1), &report("i-1", 4, false)));
-  assert_eq!(record.state(), BackendState::Leaving);
-}
-
-#[test]
-fn a_late_report_of_an_unknown_process_does_not_displace_the_running_one() {
-  let mut record = known("i-2", 1);
-  assert!(record.reported(Time(1), &report("i-1", 90, false)), "from before this life");
-  assert_eq!((record.instance(), record.state()), (Some(&instance("i-2")), BackendState::Ready));
-  assert!(record.is_in_doubt());
-  record.probed(Time(2), &instance("i-2"));
-  assert!(!record.is_in_doubt(), "no further probes");
-  assert!(record.reported(Time(3), &report("i-2", 2, false)));
-  assert!(record.reported(Time(4), &report("i-1", 91, true)));
-  assert_eq!((record.instance(), record.state()), (Some(&instance("i-2")), BackendState::Ready));
-}
-
-#[test]
-fn a_successor_takes_over_once_the_health_endpoint_names_it() {
-  let mut record = known("i-1", 5);
-  assert!(record.reported(Time(1), &report("i-2", 1, false)));
-  assert_eq!(record.instance(), Some(&instance("i-1")));
-  record.probed(Time(2), &instance("i-2"));
-  assert_eq!((record.instance(), record.state()), (Some(&instance("i-2")), BackendState::Ready));
-  assert!(!record.reported(Time(3), &report("i-1", 6, false)), "the former one");
-}
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -168,6 +168,7 @@
 fn endpoint(index: usize, data_hall: usize) -> Endpoint {
   let port = 1 + u16::try_from(index).expect("few boxes");
   Endpoint {
+    backend_starts: 0,
     link_mbps: 0,
     forward_address: ([127, 0, 0, 1], port).into(),
     incarnation: Incarnation(1),
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -161,6 +161,7 @@
       bound => bound,
     };
     let endpoint = Endpoint {
+      backend_starts: 0,
       link_mbps,
       forward_address: address,
       incarnation: Incarnation(clock_ms),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -179,6 +179,7 @@
     one.life += 1;
     one.frozen_until = 0;
     let endpoint = Endpoint {
+      backend_starts: 0,
       link_mbps: 0,
       forward_address: one.peer.address,
       incarnation: Incarnation(now.unix_ms),
