--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -7,6 +7,10 @@
   pub(super) async fn harm(&self, fault: Fault) -> Result {
     match fault {
       Fault::Change => self.change(),
+      Fault::Crash { index, down_ms } => {
+        self.boxes[index].crash_backend_server(down_ms).await;
+        Ok(())
+      }
       Fault::Cut { index, for_ms, one_way } => {
         self.boxes[index].silence(true, !one_way);
         self.trouble_at(&[index], for_ms).await;
@@ -21,10 +25,11 @@
         self.boxes[index].delay(0);
         Ok(())
       }
-      Fault::Drain { index } => {
-        self.boxes[index].backend_server.replace(false);
+      Fault::Drain { index, keeps_id } => {
+        self.boxes[index].backend_server.replace(keeps_id);
         Ok(())
       }
+      Fault::Foreign(foreign) => self.write_foreign(foreign).await,
       Fault::Freeze { index, for_ms } => {
         self.boxes[index].signal("STOP")?;
         self.trouble_at(&[index], for_ms).await;
@@ -79,6 +84,31 @@
     }
   }
 
+  async fn write_foreign(&self, foreign: Foreign) -> Result {
+    match foreign {
+      Foreign::Configuration { form, for_ms } => {
+        self.store.write_foreign("op/config", Foreign::items().swap_remove(form))?;
+        pause(for_ms).await;
+        let added = self.record.borrow().changes.len() - 1;
+        self.store.accept(platform::configuration(&SoakBox::SERVICES, added))
+      }
+      Foreign::Entry { form, index } => {
+        let key = format!("mesh/boxes/box-{index}");
+        self.store.write_foreign(&key, Foreign::items().swap_remove(form))
+      }
+      Foreign::Report { index } => {
+        for body in Foreign::reports() {
+          let status = self.boxes[index].backend_server.say("heartbeat", &body).await;
+          if status.is_some_and(|status| !status.is_client_error()) {
+            let seen = format!("box {index} answers {status:?} to {body}");
+            self.violate("reports of other writers are refused", seen);
+          }
+        }
+        Ok(())
+      }
+    }
+  }
+
   async fn harm_store(&self, fault: Fault) {
     /// Milliseconds for which the store loses answers, at most.
     const LOSES_MS: Ms = 2_000;
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -39,6 +39,7 @@
 pub use self::{
   caller::{Attempt, Kind, Outcome},
   commands::execute,
+  foreign::Foreign,
   plan::{Fault, Plan, Step},
   record::{Probe, Record, Run, Violation},
   soak_box::SoakBox,
@@ -49,6 +50,7 @@
 mod caller;
 mod commands;
 mod fault_proxy;
+mod foreign;
 mod harm;
 mod plan;
 pub mod platform;
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -24,12 +24,16 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fault {
+  /// The process of a backend server ends without a word, and starts again under its id.
+  Crash { index: usize, down_ms: Ms },
   /// Connections from other daemons to a box carry nothing, in one direction or both.
   Cut { index: usize, for_ms: Ms, one_way: bool },
   /// Connections from other daemons to a box are slow.
   Delay { index: usize, for_ms: Ms, delay_ms: Ms },
-  /// A backend server drains and another process takes its place.
-  Drain { index: usize },
+  /// A backend server drains and another process takes its place, under its id or another one.
+  Drain { index: usize, keeps_id: bool },
+  /// Another writer puts something into the store, or reports in the name of a backend server.
+  Foreign(Foreign),
   /// A daemon stands still.
   Freeze { index: usize, for_ms: Ms },
   /// Daemons are killed at once and started again.
@@ -61,6 +65,8 @@
 impl Plan {
   /// Milliseconds between two faults, at most: they come in series and overlap.
   const GAP_MAX_MS: Ms = 1_600;
+  /// Milliseconds between two starts of processes under their id or words of other writers, at most.
+  const REBIRTH_GAP_MAX_MS: Ms = 3_000;
   /// Milliseconds between two times at which connections go silent, at most.
   const SEVERANCE_GAP_MAX_MS: Ms = 6_000;
   /// Milliseconds without new faults at the start, in which the fleet finds itself.
@@ -78,6 +84,7 @@
       at_ms += rng.random_range(50..Self::GAP_MAX_MS);
     }
     steps.extend(Self::severances(seed, boxes, length_ms));
+    steps.extend(Self::rebirths(seed, boxes, length_ms));
     steps.sort_by_key(|step| step.at_ms);
     Self { length_ms, steps }
   }
@@ -99,6 +106,36 @@
       steps.push(Step { at_ms, fault });
     }
   }
+
+  /// Backend servers that start again under their id, also while their daemon stands still, is restarted or cut
+  /// off, and other writers. Drawn apart as well.
+  fn rebirths(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(200..Self::REBIRTH_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let index = rng.random_range(0..boxes);
+      let (down_ms, for_ms) = (rng.random_range(100..5_000), rng.random_range(100..2_000));
+      let with = match rng.random_range(0..6) {
+        0 => Some(Fault::Freeze { index, for_ms }),
+        1 => Some(Fault::Kill { indexes: vec![index], down_ms: for_ms / 2 }),
+        2 => Some(Fault::Cut { index, for_ms, one_way: false }),
+        _ => None,
+      };
+      let fault = match rng.random_range(0..5) {
+        0 | 1 => Fault::Crash { index, down_ms },
+        2 => Fault::Drain { index, keeps_id: true },
+        _ => Fault::Foreign(Foreign::random(&mut rng, boxes)),
+      };
+      let is_rebirth = !matches!(fault, Fault::Foreign(_));
+      steps.extend(with.filter(|_| is_rebirth).map(|fault| Step { at_ms, fault }));
+      steps.push(Step { at_ms: at_ms + 20, fault });
+    }
+  }
 }
 
 impl Fault {
@@ -110,7 +147,7 @@
     match rng.random_range(0..18) {
       0 => Self::Cut { index, for_ms, one_way: rng.random() },
       1 => Self::Delay { index, for_ms, delay_ms },
-      2 | 3 => Self::Drain { index },
+      2 | 3 => Self::Drain { index, keeps_id: false },
       4 => Self::Freeze { index, for_ms },
       5 | 6 => Self::Kill { indexes: some(rng, boxes), down_ms: for_ms / 4 },
       7 => Self::Reset { index },
--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -94,6 +94,11 @@
     self.state.borrow_mut().begin_process(true);
   }
 
+  /// Makes a call to the daemon beside the process, in its name. Returns the status of the answer.
+  pub async fn say(&self, call: &str, body: &serde_json::Value) -> Option<StatusCode> {
+    say(&self.state, call, body).await
+  }
+
   /// The process that runs, by its id and the moment of its start.
   pub fn process(&self) -> String {
     self.state.borrow().process()
@@ -153,7 +158,8 @@
     });
     (state.process(), state.is_leaving, body)
   };
-  if say(state, "heartbeat", &body).await && is_leaving {
+  let status = say(state, "heartbeat", &body).await;
+  if is_leaving && status.is_some_and(|status| status.is_success()) {
     let state = state.borrow();
     let now = elapsed_ms(state.started);
     state.record.borrow_mut().left.entry(process).or_insert(now);
@@ -166,8 +172,11 @@
   say(state, "deregister", &body).await;
 }
 
-/// Makes a call to the daemon beside the process. Returns whether it was acknowledged.
-async fn say(state: &Rc<RefCell<State>>, call: &str, body: &serde_json::Value) -> bool {
+async fn say(
+  state: &Rc<RefCell<State>>,
+  call: &str,
+  body: &serde_json::Value,
+) -> Option<StatusCode> {
   let (control, instance) = (state.borrow().control, state.borrow().instance.clone());
   let request = Request::post(format!("/ferryyoke/instances/{instance}/{call}"))
     .header(http::header::HOST, control.to_string())
@@ -177,7 +186,7 @@
   let exchange = pool.exchange(control, request, 4_096);
   let limit = Duration::from_millis(BackendServer::REPORT_TIMEOUT_MS);
   let answered = monoio::time::timeout(limit, exchange).await;
-  matches!(answered, Ok(Ok((status, _))) if status.is_success())
+  answered.ok()?.ok().map(|(status, _)| status)
 }
 
 /// The header by which a request tells for how many milliseconds it is worked on.
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -18,10 +18,10 @@
     for step in Plan::of(seed, 6, 30_000).steps {
       assert!(step.at_ms + Plan::QUIET_END_MS < 30_000, "{step:?}");
       let text = format!("{:?}", step.fault);
-      kinds.insert(text.split([' ', '{']).next().unwrap_or_default().to_string());
+      kinds.insert(text.split([' ', '{', '(']).next().unwrap_or_default().to_string());
     }
   }
-  assert_eq!(kinds.len(), 16, "{kinds:?}");
+  assert_eq!(kinds.len(), 18, "{kinds:?}");
   assert!(kinds.contains(format!("{:?}", Fault::Change).as_str()));
 }
 
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -40,10 +40,11 @@
     if report.process.born.is_some_and(|born| born.0 > latest) {
       return Some("its process has not started yet");
     }
-    let held = self.shared.configuration()?;
-    let is_known = held.services.contains_key(&report.service)
-      || report.service == self.shared.own_service()
-      || report.service == self.shared.settings.service;
+    let service = &report.service;
+    let held = self.shared.configuration();
+    let is_known = held.is_some_and(|held| held.services.contains_key(service))
+      || *service == self.shared.own_service()
+      || *service == self.shared.settings.service;
     (!is_known).then_some("no configuration names its service")
   }
 
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -1,17 +1,15 @@
 //! The client of the platform's store against a store that is slow, falls silent, or answers at length.
 
+mod support;
+
 use {
   base64::{Engine, prelude::BASE64_STANDARD},
   ferryyoke::{
-    commands::block_on,
     platform::StoreClient,
     store::{self, Error, Key, Refusal, Reply, Revision, Store, StoreRequest, Value},
   },
-  monoio::{
-    io::{AsyncReadRent, AsyncWriteRentExt},
-    net::{TcpListener, TcpStream},
-  },
-  std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+  std::{cell::RefCell, net::SocketAddr, rc::Rc},
+  support::answering_store::{Step, head, run, store, whole},
 };
 
 /// Milliseconds that the client grants a store of which it knows nothing.
@@ -20,70 +18,6 @@
 /// Bytes of the largest value that the store may hold, where a test does not say otherwise.
 const VALUE_BYTES_MAX: usize = 1 << 20;
 
-/// What the store does to answer one request.
-#[derive(Clone)]
-enum Step {
-  /// Sends these bytes.
-  Send(Vec<u8>),
-  /// Leaves the connection open without a byte for this many milliseconds.
-  Wait(u64),
-}
-
-fn run(test: impl Future<Output = ()>) {
-  block_on(async {
-    let limit = Duration::from_secs(20);
-    monoio::time::timeout(limit, test).await.expect("the test hangs");
-  })
-  .expect("an event loop");
-}
-
-/// A store that answers every request by the steps that `answer` gives for its path.
-fn store(answer: impl Fn(&str) -> Vec<Step> + 'static) -> SocketAddr {
-  let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-  let address = listener.local_addr().expect("bound");
-  let answer = Rc::new(answer);
-  monoio::spawn(async move {
-    while let Ok((stream, _)) = listener.accept().await {
-      let answer = answer.clone();
-      monoio::spawn(async move { serve(stream, answer.as_ref()).await });
-    }
-  });
-  address
-}
-
-async fn serve(mut stream: TcpStream, answer: &dyn Fn(&str) -> Vec<Step>) {
-  loop {
-    let mut head = String::new();
-    while !head.contains("\r\n\r\n") {
-      let (read, buffer) = stream.read(vec![0; 4_096]).await;
-      match read {
-        Ok(count) if count > 0 => head.push_str(&String::from_utf8_lossy(&buffer[..count])),
-        _ => return,
-      }
-    }
-    let path = head.split(' ').nth(1).expect("a path").to_string();
-    for step in answer(&path) {
-      match step {
-        Step::Send(bytes) => {
-          if stream.write_all(bytes).await.0.is_err() {
-            return;
-          }
-        }
-        Step::Wait(wait_ms) => monoio::time::sleep(Duration::from_millis(wait_ms)).await,
-      }
-    }
-  }
-}
-
-fn head(length: usize) -> Vec<u8> {
-  format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n").into_bytes()
-}
-
-/// An answer that comes at once.
-fn whole(body: &str) -> Step {
-  Step::Send([head(body.len()), body.as_bytes().to_vec()].concat())
-}
-
 fn item(revision: u64, value_bytes: usize) -> String {
   let value = BASE64_STANDARD.encode("v".repeat(value_bytes));
   format!("{{\"Key\":\"op/config\",\"Revision\":{revision},\"Value\":\"{value}\"}}")
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod answering_store;
 pub mod command;
 pub mod endpoints;
 pub mod followers;
