--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -133,7 +133,7 @@
       };
       let is_rebirth = !matches!(fault, Fault::Foreign(_));
       steps.extend(with.filter(|_| is_rebirth).map(|fault| Step { at_ms, fault }));
-      steps.push(Step { at_ms: at_ms + 20, fault });
+      steps.push(Step { at_ms, fault });
     }
   }
 }
