Let the soak end with changes in spite of other writers, and see that each backend server gets work

Change: once the faults are over each spoiled form of a configuration stands before a change that must be in force in time, each backend server must run something, and no box's entry may stay spoiled.

--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -166,7 +166,7 @@
   }
 
   /// The operators add a route.
-  fn change(&self) -> Result {
+  pub(super) fn change(&self) -> Result {
     let added = self.record.borrow().changes.len();
     self.store.accept(platform::configuration(&SoakBox::SERVICES, added))?;
     let now = self.now();
--- a/crates/ferryyoke-soak/src/platform/store.rs
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -69,6 +69,17 @@
     self.state.borrow_mut().put(Key::of(&["op", "config"]), configuration).map(drop)
   }
 
+  /// Whether what stands at a key is another writer's.
+  pub fn is_foreign(&self, key: &str) -> bool {
+    let (key, mut state) = (Key::of(&[key]), self.state.borrow_mut());
+    match state.call(&StoreRequest::Read { key }) {
+      Ok(Reply::Entry { entry: Some(entry), .. }) => {
+        state.foreign.contains_key(&(entry.key, entry.revision))
+      }
+      _ => false,
+    }
+  }
+
   /// Another writer puts an item in, some of whose fields differ from those of a whole one. Null stands for
   /// a field that it lacks.
   pub fn write_foreign(&self, key: &str, fields: Fields) -> Result {
--- a/crates/ferryyoke-soak/src/record.rs
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -69,7 +69,7 @@
 
 impl Record {
   /// Milliseconds within which a change is in force.
-  const APPLY_MS: Ms = 2_000;
+  pub(super) const APPLY_MS: Ms = 2_000;
   /// Milliseconds without trouble after which a box counts as in touch.
   const CONTACT_MS: Ms = 3_000;
   /// Milliseconds after the acknowledgement within which work may still reach a leaving process.
@@ -77,7 +77,7 @@
   /// Milliseconds beyond its time within which a request must have come to an end.
   const HANG_MS: Ms = 1_500;
   /// Milliseconds that the soak's own clock and scheduling may be off, on a busy machine.
-  const SLACK_MS: Ms = 500;
+  pub(super) const SLACK_MS: Ms = 500;
 
   /// Checks the whole run.
   pub fn check(&mut self) -> Vec<Violation> {
--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -77,7 +77,7 @@
   run.is_over.set(true);
   // The last requests come to their end.
   monoio::time::sleep(Duration::from_secs(3)).await;
-  run.check_recovery().await;
+  run.check_recovery().await?;
   run.check_exits()?;
   for one in &run.boxes {
     one.kill()?;
@@ -228,24 +228,78 @@
     answer.ok()?.ok().map(|(status, _)| status)
   }
 
-  /// Everything works again once the faults are over.
-  async fn check_recovery(&self) {
+  /// Everything works again once the faults are over. What other writers do even then harms nobody.
+  async fn check_recovery(&self) -> Result {
+    self.store.write_foreign("mesh/boxes/of-nobody", Foreign::items().swap_remove(0))?;
+    for form in 0..Foreign::items().len() {
+      self.store.write_foreign("op/config", Foreign::items().swap_remove(form))?;
+      self.change()?;
+      self.check_newest_route().await;
+    }
+    self.check_work().await;
+    for index in 0..self.boxes.len() {
+      if self.store.is_foreign(&format!("mesh/boxes/box-{index}")) {
+        let seen = format!("the entry of box {index} was not written again");
+        self.violate("all works once the faults are over", seen);
+      }
+    }
+    Ok(())
+  }
+
+  /// A change that was accepted just now is in force on every box in time.
+  async fn check_newest_route(&self) {
     let pool = Rc::new(web::Pool::new(1_000));
     let route = self.record.borrow().changes.len() - 1;
+    let until = self.now() + Record::APPLY_MS + Record::SLACK_MS;
     for index in 0..self.boxes.len() {
-      let mut rng = ChaCha8Rng::seed_from_u64(index as u64);
-      let attempt = self.attempt(&pool, index, Kind::Read, &mut rng).await;
-      if attempt.outcome != Outcome::Answered {
-        let seen = format!("box {index} answers a read with {:?}", attempt.outcome);
-        self.violate("all works once the faults are over", seen);
+      while self.ask_route(&pool, index, route).await != Some(StatusCode::OK) {
+        if self.now() > until {
+          let seen = format!("box {index} does not serve the newest route");
+          return self.violate("all works once the faults are over", seen);
+        }
+        monoio::time::sleep(Duration::from_millis(LOOK_MS)).await;
       }
-      if route > 0 && self.ask_route(&pool, index, route).await != Some(StatusCode::OK) {
-        let seen = format!("box {index} does not serve the newest route");
-        self.violate("all works once the faults are over", seen);
+    }
+  }
+
+  /// Every box answers, and every backend server gets work.
+  async fn check_work(&self) {
+    /// Milliseconds after which that must be so: the longest rest of a box that failed often, and a little.
+    const WORK_MS: Ms = 32_000;
+    let (pool, from_ms) = (Rc::new(web::Pool::new(1_000)), self.now());
+    let mut rng = ChaCha8Rng::seed_from_u64(0);
+    loop {
+      let mut unanswered = BTreeSet::new();
+      for index in 0..self.boxes.len() {
+        for kind in [Kind::Read, Kind::Send] {
+          if self.attempt(&pool, index, kind, &mut rng).await.outcome != Outcome::Answered {
+            unanswered.insert(index);
+          }
+        }
+      }
+      let idle = self.idle_since(from_ms);
+      if unanswered.is_empty() && idle.is_empty() {
+        return;
+      }
+      if self.now() > from_ms + WORK_MS {
+        let seen = format!("boxes {unanswered:?} do not answer, {idle:?} get no work");
+        return self.violate("all works once the faults are over", seen);
       }
     }
   }
 
+  /// Boxes whose backend server ran nothing since then.
+  fn idle_since(&self, from_ms: Ms) -> Vec<usize> {
+    let record = self.record.borrow();
+    let recent = record.runs.iter().filter(|run| run.at_ms >= from_ms);
+    let busy: BTreeSet<&str> = recent.map(|run| run.instance.as_str()).collect();
+    let is_idle = |index: &usize| {
+      let process = self.boxes[*index].backend_server.process();
+      !busy.contains(process.as_str())
+    };
+    (0..self.boxes.len()).filter(is_idle).collect()
+  }
+
   /// No daemon ended by itself.
   fn check_exits(&self) -> Result {
     for one in &self.boxes {
