--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -29,7 +29,7 @@
     };
     debug!(
       self.shared.log.logger, "a report of a backend server was passed over";
-      "reason" => told, "sequence" => report.sequence, "process" => %report.process
+      "reason" => told, "sequence" => report.sequence, "instance" => %report.process
     );
     heard
   }
@@ -86,7 +86,7 @@
     let running = shared.backend.borrow().process().map(ToString::to_string);
     info!(
       shared.log.logger, "another process of the backend server runs now";
-      "process" => running.unwrap_or_default()
+      "instance" => running.unwrap_or_default()
     );
   }
 
@@ -114,7 +114,7 @@
     if state != before {
       info!(
         shared.log.logger, "the backend server changed its state";
-        "process" => %process, "sequence" => sequence,
+        "instance" => %process, "sequence" => sequence,
         "before" => ?before, "state" => ?state
       );
     }
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -121,7 +121,7 @@
     info!(
       shared.log.logger, #Log::REQUEST, "a request passed the backend server";
       "request_id" => forwarded.id.as_str(), "outcome" => outcome,
-      "process" => self.process.as_ref().map_or("none".into(), ToString::to_string),
+      "instance" => self.process.as_ref().map_or("none".into(), ToString::to_string),
       "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
       "took_us" => now_us - self.slot_us.unwrap_or(now_us),
       "time_left_ms" => forwarded.deadline.since_ms(shared.now().time),
