--- a/crates/ferryyoke-soak/tests/reborn.rs
+++ b/crates/ferryyoke-soak/tests/reborn.rs
@@ -10,6 +10,8 @@
 use {
   ferryyoke::web::{self, Pool},
   http::{Request, StatusCode},
+  rand::{Rng, SeedableRng, seq::IndexedRandom},
+  rand_chacha::ChaCha8Rng,
   serde_json::{Value, json},
   std::{future::Future, rc::Rc, time::Duration},
   support::{Answer, Fleet, soon},
@@ -245,3 +247,43 @@
     check_taken(&fleet).await;
   });
 }
+
+/// Random damage to a whole report that says that the process is ready: one byte, one field, or one type.
+fn damaged(rng: &mut ChaCha8Rng, born: u64) -> Vec<u8> {
+  let mut body = report(born, rng.random_range(1..1_000), "ready");
+  let paths = ["/born", "/Info", "/Status", "/Info/Service", "/Info/Slots", "/Status/CallSeq"];
+  let (path, in_path) = (*paths.choose(rng).expect("paths"), rng.random_range(0..3));
+  let others = [json!(null), json!(-1), json!(0.5), json!(""), json!([]), json!({}), json!(true)];
+  if in_path == 0 {
+    *body.pointer_mut(path).expect("a field") = others.choose(rng).expect("values").clone();
+  } else if in_path == 1 {
+    let (parent, name) = path.rsplit_once('/').expect("a path");
+    body.pointer_mut(parent).and_then(Value::as_object_mut).expect("an object").remove(name);
+  }
+  let mut bytes = body.to_string().into_bytes();
+  if in_path == 2 {
+    let at = rng.random_range(0..bytes.len());
+    bytes[at] = rng.random();
+  }
+  bytes
+}
+
+/// Whatever is done to a report, the daemon answers it, lives, and its backend server goes on working.
+#[test]
+fn no_damaged_report_takes_a_backend_server_out_of_use() {
+  run(async {
+    let fleet = fleet().await;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let server = &fleet.boxes[REBORN.0].backend_server;
+    for round in 0..600 {
+      let body = damaged(&mut rng, server.born_unix_ms());
+      let text = String::from_utf8_lossy(&body).into_owned();
+      let status = call(&fleet, &server.instance(), "heartbeat", body).await;
+      assert!(status.is_success() || status.is_client_error(), "{status}: {text}");
+      if round % 20 == 0 {
+        fleet.ask_once(REBORN.0, REBORN.1, Answer::is_served).await;
+      }
+    }
+    check_taken(&fleet).await;
+  });
+}
