--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -124,7 +124,7 @@
 
   /// Takes what a read of the configuration found, and goes on from there.
   ///
-  /// An old answer names the store's revision of now. Whoever went on from that would miss a change that the
+  /// An old answer may name the store's revision of now. Whoever went on from that would miss a change that the
   /// answer does not show yet, until the next one: a fleet of 13 boxes that started anew right after a change
   /// did. So the watch goes on from the revision of what it does show. Where the store has forgotten the
   /// history since then, it says so, and the newest is read.
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -15,10 +15,7 @@
 const NOBODY: [usize; 0] = [];
 
 fn fleet() -> Followers {
-  let mut fleet = Followers::new();
-  fleet.write_version(1);
-  (0..BOXES).for_each(|index| fleet.start(index, 1_000));
-  fleet.run(8_000);
+  let fleet = Followers::at_rest(BOXES);
   assert_eq!(unseen(&fleet, 0), NOBODY);
   fleet
 }
--- a/tests/old_reads.rs
+++ b/tests/old_reads.rs
@@ -20,20 +20,6 @@
 
 const NOBODY: [usize; 0] = [];
 
-fn fleet() -> Followers {
-  let mut fleet = Followers::new();
-  fleet.write_version(1);
-  (0..BOXES).for_each(|index| fleet.start(index, 1_000));
-  fleet.run(8_000);
-  assert_eq!(late(&fleet, 1), NOBODY);
-  fleet
-}
-
-/// Boxes that do not hold a version.
-fn late(fleet: &Followers, version: u64) -> Vec<usize> {
-  fleet.lacking(BOXES, |fleet, index| fleet.version(index) == Some(version))
-}
-
 /// Lets boxes start anew right after a change that reads do not show yet.
 fn restart_after_change(fleet: &mut Followers, boxes: impl Iterator<Item = usize>) {
   fleet.begin_old_reads();
@@ -45,17 +31,17 @@
 #[test]
 fn a_fleet_that_starts_anew_right_after_a_change_has_it_in_time() {
   for forgets in [false, true] {
-    let mut fleet = fleet();
+    let mut fleet = Followers::at_rest(BOXES);
     restart_after_change(&mut fleet, 0..BOXES);
     if forgets {
       fleet.forget_history();
     }
     fleet.run(CONTACT_MS + APPLY_MS);
-    assert_eq!(late(&fleet, 2), NOBODY, "{:#?}", fleet.logged);
+    assert_eq!(fleet.late(BOXES, 2), NOBODY, "{:#?}", fleet.logged);
     fleet.end_old_reads();
     fleet.write_version(3);
     fleet.run(APPLY_MS);
-    assert_eq!(late(&fleet, 3), NOBODY, "{:#?}", fleet.logged);
+    assert_eq!(fleet.late(BOXES, 3), NOBODY, "{:#?}", fleet.logged);
   }
 }
 
@@ -63,9 +49,9 @@
 #[test]
 fn a_box_that_starts_anew_right_after_a_change_holds_nobody_up() {
   for index in 0..BOXES {
-    let mut fleet = fleet();
+    let mut fleet = Followers::at_rest(BOXES);
     restart_after_change(&mut fleet, [index].into_iter());
     fleet.run(CONTACT_MS + APPLY_MS);
-    assert_eq!(late(&fleet, 2), NOBODY, "box {index}: {:#?}", fleet.logged);
+    assert_eq!(fleet.late(BOXES, 2), NOBODY, "box {index}: {:#?}", fleet.logged);
   }
 }
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -137,6 +137,21 @@
     }
   }
 
+  /// A fleet that has found itself and holds version 1.
+  pub fn at_rest(boxes: usize) -> Self {
+    let mut fleet = Self::new();
+    fleet.write_version(1);
+    (0..boxes).for_each(|index| fleet.start(index, 1_000));
+    fleet.run(8_000);
+    assert!(fleet.late(boxes, 1).is_empty(), "{:#?}", fleet.logged);
+    fleet
+  }
+
+  /// Boxes that run, by index, and do not hold a version.
+  pub fn late(&self, boxes: usize, version: u64) -> Vec<usize> {
+    self.lacking(boxes, |fleet, index| fleet.version(index) == Some(version))
+  }
+
   pub fn box_id(index: usize) -> BoxId {
     format!("box-{index}").parse().expect("a name")
   }
