--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -241,14 +241,34 @@
       self.change()?;
       self.check_newest_route().await;
     }
+    self.check_entries().await?;
     self.check_work().await;
+    Ok(())
+  }
+
+  /// Each box writes its entry again that another writer spoiled.
+  async fn check_entries(&self) -> Result {
+    /// Milliseconds within which it must: every watcher reads the directory in turn, and tells the box.
+    const WRITTEN_MS: Ms = 20_000;
     for index in 0..self.boxes.len() {
-      if self.store.is_foreign(&platform::entry_key(index)) {
-        let seen = format!("the entry of box {index} was not written again");
+      let forms = platform::foreign_items();
+      let form = forms[index % forms.len()].clone();
+      self.store.write_foreign(&platform::entry_key(index), form)?;
+    }
+    let until = self.now() + WRITTEN_MS;
+    let is_spoiled = |index: &usize| self.store.is_foreign(&platform::entry_key(*index));
+    loop {
+      let spoiled: Vec<usize> = (0..self.boxes.len()).filter(is_spoiled).collect();
+      if spoiled.is_empty() {
+        return Ok(());
+      }
+      if self.now() > until {
+        let seen = format!("the entries of boxes {spoiled:?} were not written again");
         self.violate("all works once the faults are over", seen);
+        return Ok(());
       }
+      monoio::time::sleep(Duration::from_millis(LOOK_MS)).await;
     }
-    Ok(())
   }
 
   /// A change that was accepted just now is in force on every box in time.
