End the soak with reports of other writers, and give up a made-up process that bears the running one's id

Cause: with any state taken for a leaving, put in on purpose, the soak's last check found more than it was for: boxes stayed out of use for 32 s and longer. A made-up process with the running one's id and a later start is believed that it leaves, and should be given up once the real one goes on reporting; but each look at the health endpoint, every 250 ms while in doubt, took the real one's reports for those of somebody else. Change: a look says nothing of a process that bears the same id. The soak ends with reports of other writers at every box, for six plans had none. Measured: a_made_up_process_is_given_up, with looks between the reports, fails before and passes after.

--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -84,7 +84,7 @@
     }
   }
 
-  async fn write_foreign(&self, foreign: Foreign) -> Result {
+  pub(super) async fn write_foreign(&self, foreign: Foreign) -> Result {
     match foreign {
       Foreign::Configuration { form, for_ms } => {
         self
--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -241,6 +241,9 @@
       self.change()?;
       self.check_newest_route().await;
     }
+    for index in 0..self.boxes.len() {
+      self.write_foreign(Foreign::Report { index }).await?;
+    }
     self.check_entries().await?;
     self.check_work().await;
     Ok(())
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -169,8 +169,10 @@
     if self.process.as_ref().is_none_or(|running| running.id != *id) {
       return;
     }
-    // Whoever else reported is not the one that runs.
-    self.candidate = None;
+    // Whoever else reported is not the one that runs, but for one that bears its id.
+    if !is_former {
+      self.candidate = None;
+    }
     if self.state == BackendState::Unknown {
       self.state = BackendState::Ready;
     }
--- a/tests/backend_record.rs
+++ b/tests/backend_record.rs
@@ -244,6 +244,8 @@
   assert_eq!(record.state(), BackendState::Leaving);
   for second in 1..4 {
     record.reported(Time(second * 1_000), &born("i-1", 100, 4 + second, false));
+    // The health endpoint names the id that both bear.
+    record.probed(Time(second * 1_000 + 250), &instance("i-1"));
   }
   assert_eq!(record.process(), Some(&process("i-1", Some(100))));
   assert_eq!(record.state(), BackendState::Ready);
