Name the method and path of a request in its log lines

Cause: an operator who reads that twelve requests failed as their backend server ended could not tell which of them came before under another server that ended; the lines named an id, which is new for each attempt. Change: both lines of a request name its method and path, as its record does.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -207,7 +207,8 @@
     let route = record.route.as_ref().map_or("none", |(route, _)| route.as_str());
     let service = record.route.as_ref().map_or("none", |(_, service)| service.as_str());
     let values = o!(
-      "request_id" => record.id.to_string(), "status" => record.status,
+      "request_id" => record.id.to_string(), "line" => record.line.clone(),
+      "status" => record.status,
       "version" => record.version.0, "route" => route.to_string(),
       "service" => service.to_string(), "took_us" => record.took_us,
       "box" => last.map_or("none", |last| last.box_id.as_str()).to_string(),
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -225,15 +225,13 @@
 
 impl Recorder {
   fn start(shared: &Rc<Shared>, incoming: &IncomingRequest, head: &http::request::Parts) -> Self {
-    const LINE_CHARS_MAX: usize = 200;
-    let line = format!("{} {}", head.method, head.uri.path());
     let record = RequestRecord {
       attempts: Vec::new(),
       box_id: shared.settings.box_id.clone(),
       claim: None,
       class: incoming.class.clone(),
       id: incoming.id.clone(),
-      line: line.chars().take(LINE_CHARS_MAX).collect(),
+      line: RequestRecord::line_of(&head.method, &head.uri),
       refusal: None,
       route: None,
       status: 0,
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -120,7 +120,8 @@
     let (running, waiting) = shared.load();
     info!(
       shared.log.logger, #Log::REQUEST, "a request passed the backend server";
-      "request_id" => forwarded.id.as_str(), "outcome" => outcome,
+      "request_id" => forwarded.id.as_str(), "line" => forwarded.head.line(),
+      "outcome" => outcome,
       "instance" => self.process.as_ref().map_or("none".into(), ToString::to_string),
       "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
       "took_us" => now_us - self.slot_us.unwrap_or(now_us),
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -43,6 +43,13 @@
   pub target: http::Uri,
 }
 
+impl ForwardedHead {
+  /// Method and path, for logs and records.
+  pub fn line(&self) -> String {
+    RequestRecord::line_of(&self.method, &self.target)
+  }
+}
+
 impl Forwarded {
   /// The request as the next hop gets it.
   pub fn request(&self, body: AnyBody, now: Time) -> Request<AnyBody> {
--- a/src/requests/request_record.rs
+++ b/src/requests/request_record.rs
@@ -30,6 +30,14 @@
 }
 
 impl RequestRecord {
+  /// Characters of a method and path that are kept.
+  const LINE_CHARS_MAX: usize = 200;
+
+  /// The method and path of a request, as records and logs name it.
+  pub fn line_of(method: &Method, target: &http::Uri) -> String {
+    format!("{method} {}", target.path()).chars().take(Self::LINE_CHARS_MAX).collect()
+  }
+
   /// Whether the request ended in a way that someone may ask about.
   pub fn is_failure(&self) -> bool {
     self.refusal.is_some() || self.status >= 500 || self.attempts.len() > 1
