--- a/crates/ferryyoke-soak/src/fault_proxy.rs
+++ b/crates/ferryyoke-soak/src/fault_proxy.rs
@@ -1,9 +1,11 @@
 use super::*;
 
 /// A proxy on loopback in front of one listener, that harms what it carries.
+#[derive(Clone)]
 pub struct FaultProxy {
   /// Where it listens.
   pub address: SocketAddr,
+  _held_port: Rc<HeldPort>,
   state: Rc<State>,
 }
 
@@ -11,6 +13,8 @@
 struct State {
   /// Milliseconds by which every piece is late.
   delay_ms: Cell<Ms>,
+  /// Whether nobody listens, as where a process has ended.
+  refuses: Cell<bool>,
   /// Grows when all connections are to be reset.
   resets: Cell<u64>,
   /// Grows when all open connections go silent for good, while new ones are well.
@@ -27,16 +31,17 @@
 
   /// Starts a proxy in front of `target`.
   pub fn start(target: SocketAddr) -> Result<Self> {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    let address = listener.local_addr()?;
+    let held_port = HeldPort::take()?;
+    let address = held_port.address;
     let state = Rc::new(State::default());
-    let accepting = state.clone();
-    monoio::spawn(async move {
-      while let Ok((stream, _)) = listener.accept().await {
-        monoio::spawn(carry(stream, target, accepting.clone()));
-      }
-    });
-    Ok(Self { address, state })
+    let listener = web::Listener::bind(address)?;
+    monoio::spawn(listen(address, listener, target, state.clone()));
+    Ok(Self { address, _held_port: Rc::new(held_port), state })
+  }
+
+  /// Whether connections are refused from now on, within [`Self::LOOK_MS`].
+  pub fn refuse(&self, refuses: bool) {
+    self.state.refuses.set(refuses);
   }
 
   /// Makes everything late.
@@ -60,6 +65,36 @@
   }
 }
 
+/// Takes connections, but while nobody is to listen.
+async fn listen(
+  address: SocketAddr,
+  mut listener: web::Listener,
+  target: SocketAddr,
+  state: Rc<State>,
+) {
+  let look = || monoio::time::sleep(Duration::from_millis(FaultProxy::LOOK_MS));
+  loop {
+    while !state.refuses.get() {
+      if let Either::Left((stream, _)) = select(Box::pin(listener.accept()), Box::pin(look())).await
+        && !state.refuses.get()
+      {
+        monoio::spawn(carry(stream, target, state.clone()));
+      }
+    }
+    drop(listener);
+    listener = loop {
+      look().await;
+      if state.refuses.get() {
+        continue;
+      }
+      match web::Listener::bind(address) {
+        Ok(listener) => break listener,
+        Err(err) => eprintln!("the proxy at {address} does not listen yet: {err}"),
+      }
+    };
+  }
+}
+
 async fn carry(stream: TcpStream, target: SocketAddr, state: Rc<State>) {
   let Ok(onward) = TcpStream::connect_addr(target).await else {
     return;
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -18,7 +18,7 @@
   http::{Method, Request, Response, StatusCode},
   monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt, Splitable},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
   },
   rand::{Rng, SeedableRng, seq::IndexedRandom},
   rand_chacha::ChaCha8Rng,
--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -9,6 +9,10 @@
   /// When the process started, in milliseconds since 1970. Later for each process, also under one id.
   born_unix_ms: u64,
   control: SocketAddr,
+  /// Processes that a request ended.
+  crashes: u32,
+  /// What its connections come through.
+  front: FaultProxy,
   instance: String,
   /// Whether no process runs at present.
   is_down: bool,
@@ -33,9 +37,13 @@
   /// Requests that run at once.
   pub const SLOTS: u32 = 8;
 
-  /// Starts to serve, and to report to `control`.
+  /// Milliseconds until a process that a request ended runs again.
+  const RESTART_MS: Ms = 1_200;
+
+  /// Starts to serve behind `front`, and to report to `control`.
   pub fn start(
     listener: web::Listener,
+    front: FaultProxy,
     control: SocketAddr,
     service: &str,
     name: &str,
@@ -45,6 +53,8 @@
     let state = Rc::new(RefCell::new(State {
       born_unix_ms: unix_ms(),
       control,
+      crashes: 0,
+      front,
       instance: format!("i-{name}-0"),
       is_down: false,
       is_leaving: false,
@@ -109,6 +119,11 @@
     self.state.borrow().born_unix_ms
   }
 
+  /// How many of its processes a request ended.
+  pub fn crashes(&self) -> u32 {
+    self.state.borrow().crashes
+  }
+
   /// The id of the process that runs.
   pub fn instance(&self) -> String {
     self.state.borrow().instance.clone()
@@ -192,6 +207,27 @@
 /// The header by which a request tells for how many milliseconds it is worked on.
 pub const WORK_MS: &str = "x-soak-work-ms";
 
+/// The header of a request that ends the process which runs it, so many milliseconds after it began.
+pub const CRASH_MS: &str = "x-soak-crash-ms";
+
+/// The process ends under a request: its connections break, nobody listens, and the next one starts after a time.
+async fn crash_under(state: Rc<RefCell<State>>, process: String) {
+  let front = {
+    let mut state = state.borrow_mut();
+    if state.is_down || state.process() != process {
+      return;
+    }
+    state.is_down = true;
+    state.crashes += 1;
+    state.front.clone()
+  };
+  front.refuse(true);
+  front.reset();
+  monoio::time::sleep(Duration::from_millis(BackendServer::RESTART_MS)).await;
+  state.borrow_mut().begin_process(false);
+  front.refuse(false);
+}
+
 async fn serve(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
   if state.borrow().is_down {
     return std::future::pending().await;
@@ -224,9 +260,17 @@
     let told_ms = header(WORK_MS).and_then(|value| value.parse().ok());
     told_ms.unwrap_or_else(|| state.rng.random_range(2..60))
   };
+  let crash_ms = header(CRASH_MS).and_then(|value| value.parse().ok());
   let Ok(body) = web::collect(request.into_body(), 4 << 20).await else {
     return web::text(StatusCode::BAD_REQUEST, "the body broke off");
   };
+  if let Some(crash_ms) = crash_ms {
+    let process = state.borrow().process();
+    monoio::time::sleep(Duration::from_millis(crash_ms)).await;
+    // The end of this connection, which is part of it, must not end the crash.
+    monoio::spawn(crash_under(state, process));
+    return std::future::pending().await;
+  }
   monoio::time::sleep(Duration::from_millis(work_ms)).await;
   let mut response = web::text(StatusCode::OK, caller::expected_answer(&request_id, &body));
   let headers = response.headers_mut();
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -74,6 +74,7 @@
     fs::write(Self::settings_path(directory, index), settings.to_string())?;
     let backend_server = platform::BackendServer::start(
       web::Listener::bind(address(4))?,
+      backend.clone(),
       address(5),
       service,
       &format!("box{index}"),
