Show which requests are held back, and let an operator allow one

Cause: an operator could see in a refusal that a request is held back, but not which others are, on which evidence, and could not lift it before its time. Change: 'show suspects' tells each fingerprint, how many processes ended, at which boxes, and what that means now; 'allow request FINGERPRINT' clears it in the whole fleet, as a whole run does. Tests beside it, on eight real daemons: what others get while such a request comes, crashes of all servers by another cause, and other callers and queries on its path.

--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -104,6 +104,12 @@
     self.state.borrow_mut().begin_process(true);
   }
 
+  /// The process ends by a cause that has nothing to do with what it runs.
+  pub fn lose_process(&self) {
+    let process = self.process();
+    monoio::spawn(crash_under(self.state.clone(), process));
+  }
+
   /// Makes a call to the daemon beside the process, in its name. Returns the status of the answer.
   pub async fn say(&self, call: &str, body: &serde_json::Value) -> Option<StatusCode> {
     say(&self.state, call, body).await
@@ -210,7 +216,7 @@
 /// The header of a request that ends the process which runs it, so many milliseconds after it began.
 pub const CRASH_MS: &str = "x-soak-crash-ms";
 
-/// The process ends under a request: its connections break, nobody listens, and the next one starts after a time.
+/// The process ends: its connections break, nobody listens, and the next one starts after a time.
 async fn crash_under(state: Rc<RefCell<State>>, process: String) {
   let front = {
     let mut state = state.borrow_mut();
--- a/crates/ferryyoke-soak/tests/crashing_requests.rs
+++ b/crates/ferryyoke-soak/tests/crashing_requests.rs
@@ -67,6 +67,32 @@
   }
 }
 
+/// What others got: requests that are well, with a few paths that come again and again.
+#[derive(Debug, Default)]
+struct Others {
+  /// Refused because they were held back.
+  held_back: usize,
+  sent: usize,
+  served: usize,
+}
+
+/// Other callers send requests from `from_ms` to `to_ms` from now on, each at another box.
+async fn ask_beside(fleet: &Fleet, from_ms: u64, to_ms: u64) -> Others {
+  let began = Instant::now();
+  let at = |ms: u64| began + Duration::from_millis(ms);
+  let mut others = Others::default();
+  monoio::time::sleep(Duration::from_millis(from_ms)).await;
+  while Instant::now() < at(to_ms) {
+    let path = format!("/read/well-{}", others.sent % 5);
+    let answer = fleet.send(others.sent % BOXES, Method::GET, &path, &[]).await;
+    others.sent += 1;
+    others.served += usize::from(answer.as_ref().is_ok_and(Answer::is_served));
+    others.held_back += usize::from(answer.is_ok_and(|answer| answer.body.contains("held back")));
+    monoio::time::sleep(Duration::from_millis(15)).await;
+  }
+  others
+}
+
 /// When the request's runs began, in milliseconds since the fleet was prepared.
 fn runs_ms(fleet: &Fleet) -> Vec<u64> {
   let record = fleet.record.borrow();
@@ -87,3 +113,62 @@
     assert!(late <= RETRIES_MAX, "{late} runs after the third and {CONTACT_MS} ms: {runs:?}");
   });
 }
+
+/// Seen before: 2 of 8 such requests were served, for the servers of all the others ended too.
+#[test]
+fn requests_beside_it_are_served() {
+  run(async {
+    let fleet = fleet().await;
+    let pressing = press(&fleet, "20");
+    let asking = ask_beside(&fleet, 2 * CONTACT_MS, SPELL_MS);
+    let ((), others) = futures_util::future::join(pressing, asking).await;
+    println!("{others:?}");
+    assert!(others.served * 100 >= others.sent * 95, "{others:?}");
+    assert_eq!(others.held_back, 0, "{others:?}");
+  });
+}
+
+/// All servers of the service end at once, three times in a row, by a cause that no request has part in.
+#[test]
+fn a_crash_by_another_cause_accuses_no_request() {
+  run(async {
+    let fleet = fleet().await;
+    let losing = async {
+      for _ in 0..3 {
+        monoio::time::sleep(Duration::from_secs(2)).await;
+        fleet.boxes.iter().for_each(|one| one.backend_server.lose_process());
+      }
+    };
+    // Whatever was on its way in two of these is free again three seconds after the last.
+    let asking = ask_beside(&fleet, 0, 6_000);
+    let ((), meanwhile) = futures_util::future::join(losing, asking).await;
+    let after = ask_beside(&fleet, CONTACT_MS, CONTACT_MS + 2_000).await;
+    println!("meanwhile {meanwhile:?}, after {after:?}");
+    assert_eq!(after.held_back, 0, "{after:?}");
+    assert_eq!(after.served, after.sent, "{after:?}");
+  });
+}
+
+/// What one request does says nothing of others on the same path with another body, or of another caller.
+#[test]
+fn others_on_its_path_are_served() {
+  run(async {
+    let fleet = fleet().await;
+    let until = Instant::now() + Duration::from_secs(6);
+    let mut number = 0;
+    while Instant::now() < until {
+      let id = format!("{ATTEMPT}{number}");
+      let headers = [(platform::REQUEST_ID, id.as_str()), (platform::CRASH_MS, "20")];
+      fleet.send(number % BOXES, Method::GET, "/read/shared", &headers).await.ok();
+      number += 1;
+      monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let own = fleet.send(0, Method::GET, "/read/shared", &[]).await;
+    assert!(own.is_ok_and(|answer| answer.body.contains("held back")), "the guilty one is held");
+    let of_another_caller = [("x-ferryyoke-caller-class", "another")];
+    let answer = fleet.send(0, Method::GET, "/read/shared", &of_another_caller).await;
+    assert!(answer.as_ref().is_ok_and(Answer::is_served), "another caller's: {answer:?}");
+    let answer = fleet.send(0, Method::GET, "/read/shared?other", &[]).await;
+    assert!(answer.as_ref().is_ok_and(Answer::is_served), "another query: {answer:?}");
+  });
+}
--- a/src/administration/mod.rs
+++ b/src/administration/mod.rs
@@ -10,7 +10,7 @@
   fleet::Endpoint,
   language::{Author, Document, Kind, Plan, Question, Script, Statement},
   node::{Node, Shared},
-  requests::RequestRecord,
+  requests::{RequestRecord, Suspect},
   settings::Role,
   store::{Entry, Reply, StoreRequest},
   web::{AnyBody, Incoming},
--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -27,6 +27,7 @@
     Question::Show(kind, filters) => show(node, *kind, filters),
     Question::ShowOne(name) => show_one(node, name),
     Question::Status => Ok(status(node)),
+    Question::Suspects => Ok(suspects(node)),
     Question::WhyBox(box_id, route) => why::box_holds(node, box_id, route).await,
     Question::WhyRequest(id) => why::request(node, id).await,
   }
@@ -183,6 +184,27 @@
   Answer::table("", table)
 }
 
+/// The requests under which backend servers ended, those of the most crashes first, and what that means for them now.
+fn suspects(node: &Node) -> Answer {
+  let now = node.shared.now().time;
+  let quarantine = node.shared.quarantine.borrow();
+  let mut suspects: Vec<(Fingerprint, &Suspect)> = quarantine.suspects().collect();
+  suspects.sort_by_key(|(fingerprint, suspect)| (Reverse(suspect.crashes), *fingerprint));
+  let mut table = Table::new(&["fingerprint", "crashes", "last_ms_ago", "boxes", "standing"]);
+  for (fingerprint, suspect) in suspects {
+    let boxes: Vec<String> = suspect.boxes.iter().map(ToString::to_string).collect();
+    let standing = quarantine.standing(now, fingerprint).to_string();
+    table.add([
+      json!(fingerprint.to_string()),
+      json!(suspect.crashes),
+      json!(now.since_ms(suspect.last_crash_at)),
+      json!(boxes.join(" ")),
+      json!(standing),
+    ]);
+  }
+  Answer::table("", table)
+}
+
 /// Which version each box applies, as the relays know it, by box.
 async fn applied(
   node: &Rc<Node>,
--- a/src/administration/serve.rs
+++ b/src/administration/serve.rs
@@ -53,6 +53,11 @@
   let script: Script = request.text.parse()?;
   match &script.statements[..] {
     [Statement::Ask(question)] => questions::answer(node, question).await,
+    [Statement::AllowRequest(fingerprint)] => {
+      bearer.check(Role::Editor, "allow a request that is held back")?;
+      node.shared.allow_request(*fingerprint);
+      Ok(Answer::done(format!("the fleet is told that request {fingerprint} may run")))
+    }
     [Statement::RestoreStore] => {
       bearer.check(Role::Administrator, "restore the store")?;
       changes::restore_store(node).await
--- a/src/language/plan.rs
+++ b/src/language/plan.rs
@@ -49,7 +49,10 @@
   ) -> Result {
     match statement {
       Statement::Apply(document) => self.replace(document, configuration),
-      Statement::Ask(_) | Statement::RestoreStore | Statement::SetLogLevel(_) => Ok(()),
+      Statement::AllowRequest(_)
+      | Statement::Ask(_)
+      | Statement::RestoreStore
+      | Statement::SetLogLevel(_) => Ok(()),
       Statement::Create(draft) => {
         if self.working.contains_key(&draft.object) {
           return Err(Error::AlreadyThere { object: draft.object.clone() });
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -32,6 +32,8 @@
   ShowOne(ObjectName),
   /// What the asked daemon does.
   Status,
+  /// The requests under which backend servers ended.
+  Suspects,
   /// Why a box holds a route.
   WhyBox(BoxId, RouteName),
   /// What became of a request.
@@ -78,9 +80,14 @@
   }
 
   fn read_show(cursor: &mut Cursor) -> Result<Self> {
-    const KEYWORDS: [&str; 9] =
-      ["change", "drain", "drains", "policies", "policy", "route", "routes", "service", "services"];
+    const KEYWORDS: [&str; 10] = [
+      "change", "drain", "drains", "policies", "policy", "route", "routes", "service", "services",
+      "suspects",
+    ];
     let keyword = cursor.one_of(&KEYWORDS)?;
+    if keyword == "suspects" {
+      return Ok(Self::Suspects);
+    }
     if keyword == "change" {
       return Ok(Self::Change(cursor.value("the id of a change")?));
     }
@@ -133,6 +140,7 @@
       }
       Self::ShowOne(object) => write!(f, "show {object}"),
       Self::Status => write!(f, "status"),
+      Self::Suspects => write!(f, "show suspects"),
       Self::WhyBox(box_id, route) => write!(f, "why box {box_id} holds route {route}"),
       Self::WhyRequest(id) => write!(f, "why request {id}"),
     }
--- a/src/language/statement.rs
+++ b/src/language/statement.rs
@@ -3,6 +3,8 @@
 /// One statement.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Statement {
+  /// Lets a request go to backend servers again that is held back.
+  AllowRequest(Fingerprint),
   /// Makes the configuration what a document says.
   Apply(Document),
   /// Asks.
@@ -26,12 +28,18 @@
 }
 
 impl Statement {
-  const CHANGES: [&'static str; 8] =
-    ["apply", "create", "delete", "drain", "restore", "rollback", "set", "undrain"];
+  const CHANGES: [&'static str; 9] =
+    ["allow", "apply", "create", "delete", "drain", "restore", "rollback", "set", "undrain"];
 
   pub(super) fn read(cursor: &mut Cursor) -> Result<Self> {
     let keywords: Vec<&'static str> = Self::CHANGES.into_iter().chain(Question::KEYWORDS).collect();
     let statement = match cursor.one_of(&keywords)? {
+      "allow" => {
+        cursor.keyword("request")?;
+        Self::AllowRequest(
+          cursor.value("the fingerprint of a request, as `show suspects` tells it")?,
+        )
+      }
       "apply" => Self::Apply(cursor.text("a JSON document")?.parse()?),
       "create" => Self::Create(Draft::read(cursor)?),
       "delete" => Self::Delete(Kind::of(cursor.one_of(&Kind::DRAFTED)?).name(cursor)?),
@@ -58,13 +66,17 @@
 
   /// Whether the statement changes the configuration.
   pub fn is_change(&self) -> bool {
-    !matches!(self, Self::Ask(_) | Self::RestoreStore | Self::SetLogLevel(_))
+    !matches!(
+      self,
+      Self::AllowRequest(_) | Self::Ask(_) | Self::RestoreStore | Self::SetLogLevel(_)
+    )
   }
 }
 
 impl Display for Statement {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
+      Self::AllowRequest(fingerprint) => write!(f, "allow request {fingerprint}"),
       Self::Apply(document) => write!(f, "apply {document}"),
       Self::Ask(question) => question.fmt(f),
       Self::Create(draft) => write!(f, "create {draft}"),
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -29,6 +29,14 @@
     }
   }
 
+  /// An operator lets a request run again that is held back.
+  pub fn allow_request(&self, fingerprint: Fingerprint) {
+    info!(
+      self.log.logger, "an operator allows a request"; "fingerprint" => %fingerprint
+    );
+    self.note_survivor(fingerprint);
+  }
+
   /// A request ran to its end under which a process had ended. Those of one moment are told together.
   fn note_survivor(&self, fingerprint: Fingerprint) {
     let mut outcomes = self.run_outcomes.borrow_mut();
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -237,10 +237,7 @@
     let mut quarantine = self.quarantine.borrow_mut();
     quarantine.retain(is_known);
     let changes = quarantine.hear(self.now().time, by_service.values().flatten());
-    self
-      .metrics
-      .fingerprints_held
-      .set(i64::try_from(quarantine.held().count()).unwrap_or(i64::MAX));
+    self.metrics.fingerprints_held.set(i64::try_from(quarantine.held()).unwrap_or(i64::MAX));
     for change in changes {
       match change {
         QuarantineChange::Cleared(fingerprint) => info!(
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -35,7 +35,7 @@
   dispatch_step::{DispatchStep, TryOrder},
   limiter::Limiter,
   link_budget::LinkBudget,
-  quarantine::{Quarantine, QuarantineChange},
+  quarantine::{Quarantine, QuarantineChange, Suspect},
   record_book::RecordBook,
   request_key::RequestKey,
   request_record::RequestRecord,
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -18,11 +18,15 @@
   trial: Option<Fingerprint>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Suspect {
+/// A request under which processes of backend servers ended.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+  /// The boxes of the last crashes, oldest first.
+  pub boxes: Vec<BoxId>,
   /// Processes that ended while they ran it, since it last ran to its end.
-  crashes: u32,
-  last_crash_at: Time,
+  pub crashes: u32,
+  /// When the last one was heard of.
+  pub last_crash_at: Time,
   /// When the round began that is on.
   round_at: Time,
   /// Rounds of crashes from the third one on, each but the first one begun by a trial.
@@ -39,6 +43,8 @@
 }
 
 impl Quarantine {
+  /// Boxes of crashes that are remembered for operators: enough to find the log lines of the first ones.
+  const BOXES_MAX: usize = 4;
   /// Crashes from which a request is held back. With six backend servers one innocent request in five is in both of
   /// two crashes, for it was tried again where the guilty one was.
   const HELD_CRASHES: u32 = 2;
@@ -68,15 +74,15 @@
     endpoints: impl Iterator<Item = &'a Endpoint>,
   ) -> Vec<QuarantineChange> {
     self.sweep(now);
-    let fresh: Vec<&RunFinding> = endpoints.flat_map(|one| self.unheard(one)).collect();
+    let fresh: Vec<(&BoxId, &RunFinding)> = endpoints.flat_map(|one| self.unheard(one)).collect();
     let mut changes = Vec::new();
     // A daemon that starts hears all at once, in no order: what ran to its end anywhere is cleared.
-    for finding in &fresh {
+    for (box_id, finding) in &fresh {
       if let RunOutcome::Crashed(suspects) = &finding.what {
-        changes.extend(suspects.iter().filter_map(|suspect| self.accuse(now, *suspect)));
+        changes.extend(suspects.iter().filter_map(|suspect| self.accuse(now, box_id, *suspect)));
       }
     }
-    for finding in &fresh {
+    for (_, finding) in &fresh {
       if let RunOutcome::Survived(survivors) = &finding.what {
         changes.extend(survivors.iter().filter_map(|survivor| self.clear(*survivor)));
       }
@@ -85,14 +91,15 @@
   }
 
   /// The findings of a box that it did not tell before.
-  fn unheard<'a>(&mut self, endpoint: &'a Endpoint) -> Vec<&'a RunFinding> {
+  fn unheard<'a>(&mut self, endpoint: &'a Endpoint) -> Vec<(&'a BoxId, &'a RunFinding)> {
     let box_id = &endpoint.peer.box_id;
     if endpoint.findings.is_empty() && !self.heard.contains_key(box_id) {
       return Vec::new();
     }
     let ids: Vec<u64> = endpoint.findings.iter().map(|finding| finding.id).collect();
     let heard = self.heard.insert(box_id.clone(), ids).unwrap_or_default();
-    endpoint.findings.iter().filter(|finding| !heard.contains(&finding.id)).collect()
+    let fresh = endpoint.findings.iter().filter(|finding| !heard.contains(&finding.id));
+    fresh.map(|finding| (box_id, finding)).collect()
   }
 
   /// Forgets what was heard of boxes that nobody knows any more.
@@ -100,11 +107,21 @@
     self.heard.retain(|box_id, _| is_known(box_id));
   }
 
-  fn accuse(&mut self, now: Time, fingerprint: Fingerprint) -> Option<QuarantineChange> {
-    let fresh = Suspect { crashes: 0, last_crash_at: now, round_at: now, rounds: 0 };
+  fn accuse(
+    &mut self,
+    now: Time,
+    box_id: &BoxId,
+    fingerprint: Fingerprint,
+  ) -> Option<QuarantineChange> {
+    let fresh =
+      Suspect { boxes: Vec::new(), crashes: 0, last_crash_at: now, round_at: now, rounds: 0 };
     let suspect = self.suspects.entry(fingerprint).or_insert(fresh);
     suspect.crashes = suspect.crashes.saturating_add(1);
     suspect.last_crash_at = now;
+    if suspect.boxes.len() == Self::BOXES_MAX {
+      suspect.boxes.remove(0);
+    }
+    suspect.boxes.push(box_id.clone());
     let is_in_round = suspect.rounds > 0 && now.since_ms(suspect.round_at) < Self::ROUND_MS;
     if suspect.crashes > Self::HELD_CRASHES && !is_in_round {
       suspect.round_at = now;
@@ -189,11 +206,14 @@
     }
   }
 
-  /// Requests that are held back or on trial, with how many processes ended while they ran them.
-  pub fn held(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
-    let is_held = |suspect: &Suspect| suspect.crashes >= Self::HELD_CRASHES;
-    let held = self.suspects.iter().filter(move |(_, suspect)| is_held(suspect));
-    held.map(|(fingerprint, suspect)| (*fingerprint, suspect.crashes))
+  /// How many requests are held back or on trial.
+  pub fn held(&self) -> usize {
+    self.suspects.values().filter(|suspect| suspect.crashes >= Self::HELD_CRASHES).count()
+  }
+
+  /// All requests under which processes ended.
+  pub fn suspects(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+    self.suspects.iter().map(|(fingerprint, suspect)| (*fingerprint, suspect))
   }
 
   /// Requests that are remembered.
--- a/src/requests/standing.rs
+++ b/src/requests/standing.rs
@@ -1,3 +1,5 @@
+use super::*;
+
 /// Whether a request may be sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Standing {
@@ -13,3 +15,13 @@
   /// It may be tried at one box, alone among its like.
   OnTrial,
 }
+
+impl Display for Standing {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Free => f.pad("free"),
+      Self::Held { retry_after_ms, .. } => write!(f, "held back for {retry_after_ms} ms"),
+      Self::OnTrial => f.pad("tried at one box"),
+    }
+  }
+}
--- a/tests/language.rs
+++ b/tests/language.rs
@@ -9,7 +9,7 @@
 };
 
 /// Scripts of every kind, as they are printed.
-const SCRIPTS: [&str; 30] = [
+const SCRIPTS: [&str; 32] = [
   "create route minutes path /minutes service archive",
   "create route minutes path /minutes service archive host minutes.example method GET repeatable no",
   "create route minutes path /minutes service archive header x-team \"the clerks\"",
@@ -20,7 +20,9 @@
   "drain archive-1",
   "undrain archive-1",
   "rollback to 17",
+  "allow request 00f1a2b3c4d5e6f7",
   "restore store",
+  "show suspects",
   "set log level debug",
   "dry run if version 4 reason \"a \\\"quoted\\\" reason\" delete route minutes",
   "apply {\"drains\":{},\"policies\":{},\"routes\":{},\"services\":{}}",
