Let the soak send requests that end servers, and suspend every second box

A caller sends such a request, of any kind, at all boxes in turn, while all other faults go on; a standstill of every second box is a suspension of its machine. Checked: what ended three processes reaches three more at most, through boxes in touch. Drawn from a generator of its own, so the other faults of a seed stay what they were.

--- a/crates/ferryyoke-soak/src/caller.rs
+++ b/crates/ferryyoke-soak/src/caller.rs
@@ -20,7 +20,8 @@
 }
 
 /// A kind of request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Kind {
   /// May run again.
   Read,
--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -29,6 +29,10 @@
         self.boxes[index].backend_server.replace(keeps_id);
         Ok(())
       }
+      Fault::EndsServers { crash_ms, for_ms, kind, pause_ms } => {
+        self.end_servers(crash_ms, for_ms, kind, pause_ms).await;
+        Ok(())
+      }
       Fault::Foreign(foreign) => self.write_foreign(foreign).await,
       Fault::Freeze { index, for_ms } => {
         self.boxes[index].signal("STOP")?;
@@ -230,3 +234,41 @@
 async fn pause(for_ms: Ms) {
   monoio::time::sleep(Duration::from_millis(for_ms)).await;
 }
+
+impl Run {
+  /// A caller sends a request that ends whoever runs it, at one box after the other, whatever it gets.
+  async fn end_servers(&self, crash_ms: Ms, for_ms: Ms, kind: Kind, pause_ms: Ms) {
+    let number = {
+      let mut record = self.record.borrow_mut();
+      record.endings += 1;
+      record.endings
+    };
+    let (method, body) = kind.request(&mut ChaCha8Rng::seed_from_u64(number as u64));
+    let path = format!("{}ends-{number}", kind.path());
+    let (pool, crash_ms) = (Rc::new(web::Pool::new(1_000)), crash_ms.to_string());
+    let until = self.now() + for_ms;
+    for attempt in 0.. {
+      if self.now() >= until {
+        return;
+      }
+      let index = attempt % self.boxes.len();
+      let request = Request::builder()
+        .method(method.clone())
+        .uri(&path)
+        .header(http::header::HOST, "soak.example")
+        .header(platform::REQUEST_ID, Ending::id(number, index, attempt))
+        .header(platform::TIME_LEFT_MS, Self::ENDING_TIME_MS)
+        .header(platform::CRASH_MS, &crash_ms)
+        .body(web::full(body.clone()))
+        .expect("a fixed head");
+      let sending = pool.exchange(self.boxes[index].callers, request, 1 << 20);
+      let limit = Duration::from_millis(Self::ENDING_TIME_MS);
+      // What comes of it is seen at the backend servers.
+      monoio::time::timeout(limit, sending).await.ok();
+      monoio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+  }
+
+  /// Milliseconds that a caller waits whose request ends backend servers.
+  const ENDING_TIME_MS: Ms = 1_000;
+}
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -45,10 +45,13 @@
   soak_box::SoakBox,
 };
 
-use self::{fault_proxy::FaultProxy, stopped_clocks::StoppedClocks, trouble::Trouble};
+use self::{
+  ending::Ending, fault_proxy::FaultProxy, stopped_clocks::StoppedClocks, trouble::Trouble,
+};
 
 mod caller;
 mod commands;
+mod ending;
 mod fault_proxy;
 mod foreign;
 mod harm;
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -32,6 +32,8 @@
   Delay { index: usize, for_ms: Ms, delay_ms: Ms },
   /// A backend server drains and another process takes its place, under its id or another one.
   Drain { index: usize, keeps_id: bool },
+  /// A request that ends the process which runs it, so many milliseconds after it began, is sent anew at all boxes.
+  EndsServers { crash_ms: Ms, for_ms: Ms, kind: Kind, pause_ms: Ms },
   /// Another writer puts something into the store, or reports in the name of a backend server.
   Foreign(Foreign),
   /// A daemon stands still.
@@ -67,6 +69,8 @@
   const GAP_MAX_MS: Ms = 1_600;
   /// Milliseconds between two starts of processes under their id or words of other writers, at most.
   const REBIRTH_GAP_MAX_MS: Ms = 3_000;
+  /// Milliseconds between two requests that end backend servers, at most.
+  const ENDING_GAP_MAX_MS: Ms = 9_000;
   /// Milliseconds between two times at which connections go silent, at most.
   const SEVERANCE_GAP_MAX_MS: Ms = 6_000;
   /// Milliseconds without new faults at the start, in which the fleet finds itself.
@@ -85,6 +89,7 @@
     }
     steps.extend(Self::severances(seed, boxes, length_ms));
     steps.extend(Self::rebirths(seed, boxes, length_ms));
+    steps.extend(Self::endings(seed, length_ms));
     steps.sort_by_key(|step| step.at_ms);
     Self { length_ms, steps }
   }
@@ -107,6 +112,26 @@
     }
   }
 
+  /// Requests that end backend servers, several of them at once at times. Drawn apart as well.
+  fn endings(seed: u64, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(1_000..Self::ENDING_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let fault = Fault::EndsServers {
+        crash_ms: rng.random_range(0..150),
+        for_ms: rng.random_range(1_000..10_000).min(length_ms - Self::QUIET_END_MS - at_ms),
+        kind: *Kind::ALL.choose(&mut rng).expect("there are kinds"),
+        pause_ms: rng.random_range(20..200),
+      };
+      steps.push(Step { at_ms, fault });
+    }
+  }
+
   /// Backend servers that start again under their id, also while their daemon stands still, is restarted or cut
   /// off, and other writers. Drawn apart as well.
   fn rebirths(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
--- a/crates/ferryyoke-soak/src/record.rs
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -7,6 +7,8 @@
   pub attempts: Vec<Attempt>,
   /// When each added route was accepted, by its number.
   pub changes: Vec<Ms>,
+  /// How many requests were sent that end backend servers.
+  pub endings: usize,
   /// When an instance's leaving was acknowledged.
   pub left: BTreeMap<String, Ms>,
   /// What probes for added routes saw: box, life of its daemon, when sent, and whether the route with
@@ -76,6 +78,10 @@
   const DRAIN_MS: Ms = 2_000;
   /// Milliseconds beyond its time within which a request must have come to an end.
   const HANG_MS: Ms = 1_500;
+  /// Processes that a request ends until it counts as one that does.
+  const ENDED_MAX: usize = 3;
+  /// How often such a request may still reach a backend server.
+  const RETRIES_MAX: usize = 3;
   /// Milliseconds that the soak's own clock and scheduling may be off, on a busy machine.
   pub(super) const SLACK_MS: Ms = 500;
 
@@ -86,6 +92,7 @@
     self.check_drains(&mut found);
     self.check_configuration(&mut found);
     self.check_answers(&mut found);
+    self.check_endings(&mut found);
     found.sort();
     found.dedup();
     found
@@ -123,6 +130,29 @@
     }
   }
 
+  /// A request that ended three processes reaches three more at most, through boxes in touch.
+  fn check_endings(&self, found: &mut Vec<Violation>) {
+    let runs: Vec<Ending> = self.runs.iter().filter_map(Ending::of).collect();
+    for number in 1..=self.endings {
+      let own: Vec<&Ending> = runs.iter().filter(|run| run.number == number).collect();
+      let Some(third) = own.get(Self::ENDED_MAX - 1) else {
+        continue;
+      };
+      let known_ms = third.at_ms + Self::CONTACT_MS + Self::SLACK_MS;
+      let late = own
+        .iter()
+        .filter(|run| run.at_ms > known_ms && self.in_touch(run.index, run.at_ms, run.at_ms));
+      let late = late.count();
+      if late > Self::RETRIES_MAX {
+        let seen = format!(
+          "request {number} reached backend servers {late} times more, {} in all",
+          own.len()
+        );
+        found.push(Violation { promise: "a request that ends servers is held back", seen });
+      }
+    }
+  }
+
   fn check_drains(&self, found: &mut Vec<Violation>) {
     for run in &self.runs {
       let Some(left_ms) = self.left.get(&run.instance) else {
--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -50,6 +50,8 @@
   record.borrow_mut().changes.push(0);
   let run = Rc::new(Run { boxes, is_over: Cell::default(), record, started, store });
   for one in &run.boxes {
+    // For every second box, standing still is a suspension of its machine.
+    one.is_suspended_when_stopped.set(one.index % 2 == 1);
     one.start()?;
   }
   run.wait_until_ready().await?;
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -21,7 +21,7 @@
       kinds.insert(text.split([' ', '{', '(']).next().unwrap_or_default().to_string());
     }
   }
-  assert_eq!(kinds.len(), 18, "{kinds:?}");
+  assert_eq!(kinds.len(), 19, "{kinds:?}");
   assert!(kinds.contains(format!("{:?}", Fault::Change).as_str()));
 }
 
@@ -62,6 +62,21 @@
   assert_eq!(promises(&mut record), ["no work after a drain"]);
 }
 
+#[test]
+fn a_request_that_goes_on_ending_servers_is_found_where_boxes_were_in_touch() {
+  let ending = |at_ms: u64| Run { request_id: format!("ends-1-0-{at_ms}"), ..run(at_ms) };
+  let with = |late: u64| {
+    let early = [1_000, 1_100, 1_200].map(ending);
+    let runs = early.into_iter().chain((0..late).map(|number| ending(6_000 + number))).collect();
+    Record { endings: 1, runs, ..Record::default() }
+  };
+  assert_eq!(promises(&mut with(3)), [""; 0]);
+  assert_eq!(promises(&mut with(4)), ["a request that ends servers is held back"]);
+  let mut troubled = with(4);
+  troubled.box_trouble.entry(0).or_default().touch(5_000);
+  assert_eq!(promises(&mut troubled), [""; 0]);
+}
+
 fn probe(sent_ms: u64, route: usize, known: bool) -> Probe {
   Probe { index: 0, known, life: 1, route, sent_ms }
 }
