Try a request that is held back at its trial box only, also where its sender knows nothing of it

Cause (by reading): a daemon that has not heard of the crashes sends the request to any box, and each of them would have tried it once its hold was over. Change: the daemon beside a backend server runs a request on trial only where it takes itself for the trial box. Also: the bounds on a request's time and body are functions of their own in proxy::carry.

--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -56,11 +56,7 @@
   recorder.record.route = Some((matched.route.clone(), service.clone()));
   let policy = shared.policy(&service);
   let handling = &matched.handling;
-  let policy_ms = policy.as_ref().map_or(DEADLINE_DEFAULT_MS, |policy| policy.deadline_ms);
-  let held_max_ms = handling.timeout_ms.unwrap_or(policy_ms);
-  let caller_ms =
-    incoming.time_left_ms.map_or(held_max_ms, |left_ms| left_ms - left_ms.min(WAY_BACK_MS));
-  let time_left_ms = caller_ms.min(held_max_ms);
+  let time_left_ms = time_left_ms(&incoming, handling, policy.as_ref());
   let method = head.method.clone();
   let is_claimed = !matched.repeatable && !handling.sent_once && !method.is_safe();
   let policy_attempts = policy.map_or(1, |policy| policy.attempts);
@@ -70,12 +66,7 @@
     .time_left_ms
     .map_or(0, |left_ms| shared.caller_times.borrow_mut().note(&matched.route, left_ms));
   let is_call = shared.at_work.borrow().is_call(&incoming.id);
-  let body = if is_claimed {
-    RequestBody::hold(body, CLAIMED_BODY_BYTES_MAX).await
-  } else {
-    RequestBody::take(body).await
-  };
-  let body = body.map_err(|err| broken_body(&err))?;
+  let body = take_body(body, is_claimed).await?;
   let head = pass_on(head, &incoming);
   let fingerprint = head.fingerprint(&incoming.class, &body);
   let only_box = check_standing(shared, fingerprint, &service)?;
@@ -106,6 +97,25 @@
   answer.map_err(Refusal::from)
 }
 
+/// Milliseconds that the request may take: as long as its caller waits and the operators hold it.
+fn time_left_ms(incoming: &IncomingRequest, handling: &Handling, policy: Option<&Policy>) -> u64 {
+  let policy_ms = policy.map_or(DEADLINE_DEFAULT_MS, |policy| policy.deadline_ms);
+  let held_max_ms = handling.timeout_ms.unwrap_or(policy_ms);
+  let caller_ms =
+    incoming.time_left_ms.map_or(held_max_ms, |left_ms| left_ms - left_ms.min(WAY_BACK_MS));
+  caller_ms.min(held_max_ms)
+}
+
+/// Holds the body where it may have to be sent again.
+async fn take_body(body: Incoming, is_claimed: bool) -> std::result::Result<RequestBody, Refusal> {
+  let taken = if is_claimed {
+    RequestBody::hold(body, CLAIMED_BODY_BYTES_MAX).await
+  } else {
+    RequestBody::take(body).await
+  };
+  taken.map_err(|err| broken_body(&err))
+}
+
 /// Remembers the size of an answer, for the choice of the next backend servers of its route.
 fn note_size(shared: &Shared, route: &RouteName, answer: &Response<AnyBody>) {
   let size = answer.body().size_hint().exact().filter(|_| answer.status().is_success());
@@ -171,11 +181,7 @@
       shared.metrics.requests_held_back.inc();
       Err(Refusal::from(held_run::held_back(fingerprint, crashes, retry_after_ms)))
     }
-    Standing::OnTrial => {
-      let endpoints = shared.endpoints_of(service);
-      let live = endpoints.iter().filter(|one| one.state == EndpointState::Live);
-      Ok(Quarantine::trial_box(fingerprint, live.map(|one| &one.peer.box_id)).cloned())
-    }
+    Standing::OnTrial => Ok(held_run::trial_box(shared, fingerprint, service)),
   }
 }
 
--- a/src/proxy/held_run.rs
+++ b/src/proxy/held_run.rs
@@ -17,7 +17,10 @@
     fingerprint: Fingerprint,
   ) -> std::result::Result<Self, AttemptOutcome> {
     let now = shared.now().time;
-    let standing = shared.quarantine.borrow_mut().begin_run(now, fingerprint);
+    let own_box = &shared.settings.box_id;
+    let is_trial_box =
+      || trial_box(shared, fingerprint, &shared.own_service()).is_some_and(|one| one == *own_box);
+    let standing = shared.quarantine.borrow_mut().begin_run(now, fingerprint, is_trial_box);
     if let Standing::Held { crashes, retry_after_ms } = standing {
       return Err(held_back(fingerprint, crashes, retry_after_ms));
     }
@@ -52,6 +55,17 @@
   }
 }
 
+/// The box at which a request of a service may be tried that is on trial; nothing where none takes work.
+pub fn trial_box(
+  shared: &Shared,
+  fingerprint: Fingerprint,
+  service: &ServiceName,
+) -> Option<BoxId> {
+  let endpoints = shared.endpoints_of(service);
+  let live = endpoints.iter().filter(|one| one.state == EndpointState::Live);
+  Quarantine::trial_box(fingerprint, live.map(|one| &one.peer.box_id)).cloned()
+}
+
 /// What is said of a request that is held back: it has not run this time.
 pub fn held_back(fingerprint: Fingerprint, crashes: u32, retry_after_ms: u64) -> AttemptOutcome {
   let reason = format!(
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 use super::*;
 
 use crate::{
+  configuration::{Handling, Policy},
   fleet::{BackendState, EndpointState, Process},
   node::Shared,
   requests::{
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -165,14 +165,20 @@
       .max_by_key(|box_id| Digest::of(format!("{fingerprint} {box_id}").as_bytes()).prefix())
   }
 
-  /// Begins a run at the backend server beside this daemon. Where the request is on trial, no other one may be, and
+  /// Begins a run at the backend server beside this daemon. A request on trial may run only where its trial box is
+  /// this one, also where whoever sent it knew nothing of it, and alone among its like;
   /// [`Quarantine::trial_ended`] follows.
-  pub fn begin_run(&mut self, now: Time, fingerprint: Fingerprint) -> Standing {
+  pub fn begin_run(
+    &mut self,
+    now: Time,
+    fingerprint: Fingerprint,
+    is_trial_box: impl FnOnce() -> bool,
+  ) -> Standing {
     let standing = self.standing(now, fingerprint);
     if standing != Standing::OnTrial {
       return standing;
     }
-    if self.trial.is_some() {
+    if self.trial.is_some() || !is_trial_box() {
       let crashes = self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.crashes);
       return Standing::Held { crashes, retry_after_ms: Self::TRIAL_RETRY_MS };
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -100,11 +100,30 @@
   }
   let now = START.after(1_000);
   let quarantine = &mut fleet.quarantine;
-  assert_eq!(quarantine.begin_run(now, fingerprint("first")), Standing::OnTrial);
-  assert!(matches!(quarantine.begin_run(now, fingerprint("second")), Standing::Held { .. }));
-  assert!(matches!(quarantine.begin_run(now, fingerprint("first")), Standing::Held { .. }));
+  assert_eq!(quarantine.begin_run(now, fingerprint("first"), || true), Standing::OnTrial);
+  assert!(matches!(
+    quarantine.begin_run(now, fingerprint("second"), || true),
+    Standing::Held { .. }
+  ));
+  assert!(matches!(
+    quarantine.begin_run(now, fingerprint("first"), || true),
+    Standing::Held { .. }
+  ));
   quarantine.trial_ended(fingerprint("first"));
-  assert_eq!(quarantine.begin_run(now, fingerprint("second")), Standing::OnTrial);
+  assert_eq!(quarantine.begin_run(now, fingerprint("second"), || true), Standing::OnTrial);
+}
+
+/// A daemon that knows nothing of the request may send it anywhere.
+#[test]
+fn a_request_on_trial_runs_at_its_trial_box_only() {
+  let mut fleet = Fleet::new();
+  for index in 0..2 {
+    fleet.crashed(START, index, &["guilty"]);
+  }
+  let now = START.after(1_000);
+  let elsewhere = fleet.quarantine.begin_run(now, fingerprint("guilty"), || false);
+  assert!(matches!(elsewhere, Standing::Held { .. }), "{elsewhere:?}");
+  assert_eq!(fleet.quarantine.begin_run(now, fingerprint("guilty"), || true), Standing::OnTrial);
 }
 
 #[test]
@@ -118,7 +137,7 @@
   // It comes every 50 ms for fifty minutes.
   for _ in 0..60_000 {
     now = now.after(50);
-    if fleet.quarantine.begin_run(now, fingerprint("guilty")) == Standing::OnTrial {
+    if fleet.quarantine.begin_run(now, fingerprint("guilty"), || true) == Standing::OnTrial {
       fleet.quarantine.trial_ended(fingerprint("guilty"));
       fleet.crashed(now.after(30), late % 6, &["guilty", &format!("beside-{late}")]);
       late += 1;
