Test random sleeps of boxes in virtual time

Forty histories of 13 boxes, of which up to five sleep for up to 20 s around each of four changes: all hold the newest version 3 s after their return, and none went back. Not seen to fail: neighbours bring a box forward that notices nothing, too.

--- a/tests/standing_still.rs
+++ b/tests/standing_still.rs
@@ -12,8 +12,10 @@
     timer::{self, Clocks, Stopwatch},
     values::Time,
   },
+  rand::{Rng, SeedableRng},
+  rand_chacha::ChaCha8Rng,
   std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
-  support::{endpoints::endpoint, plain_source::PlainSource},
+  support::{endpoints::endpoint, followers::Followers, plain_source::PlainSource},
 };
 
 /// Milliseconds for which the process stands still.
@@ -157,3 +159,38 @@
     |action: &Action| matches!(action, Action::Log(text) if text.contains("stood still"));
   assert!(actions.iter().any(is_noticed), "{actions:?}");
 }
+
+/// Boxes of the fleet in virtual time.
+const BOXES: usize = 13;
+
+/// Milliseconds after its return within which a box holds the newest version: the bound on whoever is in touch.
+const CAUGHT_UP_MS: u64 = 3_000;
+
+/// Any boxes sleep at any moment of changes, also several and again. What came for them meanwhile waits, and is heard
+/// first as they return.
+#[test]
+fn boxes_that_slept_hold_the_newest_version_soon_and_never_an_older_one() {
+  for seed in 0..40 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = Followers::at_rest(BOXES);
+    let mut held = vec![0; BOXES];
+    let mut version = (0..BOXES).filter_map(|index| fleet.version(index)).max().unwrap_or(0);
+    for _ in 0..4 {
+      let sleepers = rng.random_range(1..6);
+      let asleep = (0..sleepers).map(|_| Followers::box_id(rng.random_range(0..BOXES)));
+      fleet.frozen.extend(asleep.collect::<Vec<_>>());
+      fleet.run(rng.random_range(0..2_000));
+      version += rng.random_range(1..4);
+      fleet.write_version(version);
+      fleet.run(rng.random_range(200..20_000));
+      fleet.frozen.clear();
+      fleet.run(CAUGHT_UP_MS);
+      for (index, held) in held.iter_mut().enumerate() {
+        let now = fleet.version(index).unwrap_or(0);
+        assert_eq!(now, version, "seed {seed}, box {index}");
+        assert!(now >= *held, "seed {seed}, box {index} went back from {held} to {now}");
+        *held = now;
+      }
+    }
+  }
+}
