--- a/tests/standing_still.rs
+++ b/tests/standing_still.rs
@@ -173,7 +173,7 @@
   for seed in 0..40 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut fleet = Followers::at_rest(BOXES);
-    let mut held = vec![0; BOXES];
+    let mut held = [0; BOXES];
     let mut version = (0..BOXES).filter_map(|index| fleet.version(index)).max().unwrap_or(0);
     for _ in 0..4 {
       let sleepers = rng.random_range(1..6);
