--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -64,7 +64,7 @@
   const TRIAL_RETRY_MS: u64 = 300;
   /// Milliseconds between two sweeps.
   const SWEEP_MS: u64 = 5_000;
-  /// Suspects that are remembered, at about 100 bytes each. Beyond that those of the fewest crashes go first.
+  /// Suspects that are remembered, at 200 bytes each by their fields. Beyond that those of the fewest crashes go first.
   const SUSPECTS_MAX: usize = 4_096;
 
   /// Takes in what boxes found that was not heard before. Returns what changed by it.
