--- a/crates/ferryyoke-soak/tests/crashing_requests.rs
+++ b/crates/ferryyoke-soak/tests/crashing_requests.rs
@@ -42,9 +42,9 @@
   fleet
 }
 
-/// The caller sends its request at one box after the other, whatever it gets.
-async fn press(fleet: &Fleet, crash_ms: &str) {
-  let until = Instant::now() + Duration::from_millis(SPELL_MS);
+/// The caller sends its request at one box after the other for so long, whatever it gets.
+async fn press(fleet: &Fleet, crash_ms: &str, for_ms: u64) {
+  let until = Instant::now() + Duration::from_millis(for_ms);
   let mut number = 0;
   while Instant::now() < until {
     let id = format!("{ATTEMPT}{number}");
@@ -93,22 +93,41 @@
 fn a_request_that_ended_three_backend_servers_reaches_three_more_at_most() {
   run(async {
     let fleet = fleet().await;
-    press(&fleet, "20").await;
-    let runs = runs_ms(&fleet);
-    let third_ms = runs.get(CRASHES_MAX - 1).copied().unwrap_or(u64::MAX);
-    let is_late = |at_ms: &&u64| **at_ms > third_ms.saturating_add(CONTACT_MS);
-    let late = runs.iter().filter(is_late).count();
-    println!("{} runs, {late} late: {runs:?}", runs.len());
-    assert!(late <= RETRIES_MAX, "{late} runs after the third and {CONTACT_MS} ms: {runs:?}");
+    press(&fleet, "20", SPELL_MS).await;
+    check_late_runs(&fleet);
   });
 }
 
+/// Daemons are killed at once, with all that they know, and start again.
+#[test]
+fn a_fleet_that_starts_anew_remembers_it() {
+  run(async {
+    let fleet = fleet().await;
+    press(&fleet, "20", SPELL_MS / 4).await;
+    let before = runs_ms(&fleet).len();
+    assert!(before >= CRASHES_MAX - 1, "{before} runs");
+    (0..BOXES).for_each(|index| fleet.restart(index));
+    press(&fleet, "20", SPELL_MS * 3 / 4).await;
+    check_late_runs(&fleet);
+  });
+}
+
+/// The request reached backend servers three times more at most, once all boxes knew of it.
+fn check_late_runs(fleet: &Fleet) {
+  let runs = runs_ms(fleet);
+  let third_ms = runs.get(CRASHES_MAX - 1).copied().unwrap_or(u64::MAX);
+  let is_late = |at_ms: &&u64| **at_ms > third_ms.saturating_add(CONTACT_MS);
+  let late = runs.iter().filter(is_late).count();
+  println!("{} runs, {late} late: {runs:?}", runs.len());
+  assert!(late <= RETRIES_MAX, "{late} runs after the third and {CONTACT_MS} ms: {runs:?}");
+}
+
 /// Seen before: 2 of 8 such requests were served, for the servers of all the others ended too.
 #[test]
 fn requests_beside_it_are_served() {
   run(async {
     let fleet = fleet().await;
-    let pressing = press(&fleet, "20");
+    let pressing = press(&fleet, "20", SPELL_MS);
     let asking = ask_beside(&fleet, 2 * CONTACT_MS, SPELL_MS);
     let ((), others) = futures_util::future::join(pressing, asking).await;
     println!("{others:?}");
