Tell which answers break off, and what the deadline of a planned stop cuts

A stop said how many connections its deadline cut, and nothing of what they waited for; an answer that broke off on its way to a caller or another box left no line at all. Now each request is known from its arrival to the last byte of its answer, and both have a line with the request's id, the bytes given of how many, and its age.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -16,6 +16,8 @@
   const ANNOUNCE_MAX_MS: u64 = 2_000;
   /// Milliseconds before its deadline at which a stop ends, so that the process exits by itself.
   const EXIT_MS: u64 = 300;
+  /// Lines about single requests that a stop cuts: what they wait for shows in a few.
+  const CUT_LINES_MAX: usize = 32;
   /// Milliseconds between two looks at what is still under way.
   const LOOK_MS: u64 = 20;
 
@@ -97,9 +99,7 @@
     self.forward.stop();
     while self.open() > 0 {
       if shared.now().time.since_ms(started) + Self::EXIT_MS >= deadline_ms {
-        let cut = self.open();
-        warn!(shared.log.logger, "the stop's deadline cuts connections"; "connections" => cut);
-        return cut;
+        return self.cut();
       }
       timer::sleep(Duration::from_millis(Self::LOOK_MS)).await;
     }
@@ -107,6 +107,27 @@
     0
   }
 
+  /// Says what the deadline of a stop cuts. Returns the connections.
+  fn cut(&self) -> usize {
+    let shared = &self.node.shared;
+    let now = shared.now().time;
+    warn!(
+      shared.log.logger, "the stop's deadline cuts connections";
+      "connections" => self.open(), "of_callers" => self.callers.open(),
+      "of_boxes" => self.forward.open()
+    );
+    for cut in shared.open_exchanges.borrow().iter().take(Self::CUT_LINES_MAX) {
+      warn!(
+        shared.log.logger, "the stop's deadline cuts a request";
+        "request_id" => cut.request_id.as_str(), "from" => %cut.from,
+        "age_ms" => now.since_ms(cut.began), "is_answered" => cut.answer.is_some(),
+        "given_bytes" => cut.answer.map_or(0, |answer| answer.given_bytes),
+        "whole_bytes" => cut.answer.and_then(|answer| answer.whole_bytes)
+      );
+    }
+    self.open()
+  }
+
   /// Connections of callers and daemons that are open.
   fn open(&self) -> usize {
     self.callers.open() + self.forward.open()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,8 +18,8 @@
   links::{self, Credentials, IncomingFrames, Outgoing},
   requests::{
     AnswerSizes, ArrivalBook, AtWork, BackendMonitor, Balancer, CallerTimes, Condition,
-    CrashDetector, Limiter, LinkBudget, Quarantine, QuarantineChange, RecordBook, RequestRecord,
-    RetryBudget, RetryLimits, Router, RunEnd, RunId, Splitter, Ticket,
+    CrashDetector, Limiter, LinkBudget, OpenExchanges, Quarantine, QuarantineChange, RecordBook,
+    RequestRecord, RetryBudget, RetryLimits, Router, RunEnd, RunId, Splitter, Ticket,
   },
   settings::Settings,
   store::{self, Reply, Store, StoreRequest},
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -42,6 +42,8 @@
   pub names: Names,
   /// A version that is known and not in force here yet.
   newer_version: Cell<Option<Version>>,
+  /// The requests that are not answered whole yet.
+  pub open_exchanges: RefCell<OpenExchanges>,
   /// Kept connections to other daemons.
   pub peer_pool: Rc<web::Pool>,
   /// Requests under which processes of backend servers ended, anywhere in the fleet.
@@ -119,6 +121,7 @@
       monitor: RefCell::default(),
       names,
       newer_version: Cell::default(),
+      open_exchanges: RefCell::default(),
       peer_pool: pool(),
       quarantine: RefCell::default(),
       records: RefCell::default(),
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -24,6 +24,7 @@
   let (head, body) = request.into_parts();
   let incoming = IncomingRequest::read(&shared, &head);
   let id = incoming.id.clone();
+  let exchange = HeldExchange::begin(&shared, Sender::Caller, &id);
   let mut recorder = Recorder::start(&shared, &incoming, &head);
   let outcome = carry(&shared, &mut recorder, incoming, head, body).await;
   let mut response = outcome.unwrap_or_else(|refusal| {
@@ -41,7 +42,7 @@
     shared.at_work.borrow_mut().call_failed(&id);
   }
   recorder.finish(response.status());
-  response
+  exchange.deliver(response)
 }
 
 async fn carry(
--- /dev/null
+++ b/src/proxy/delivered_body.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+/// The body of an answer on its way out. Counts what was given, and tells where it breaks off.
+pub(super) struct DeliveredBody {
+  answer: OpenAnswer,
+  exchange: HeldExchange,
+  inner: AnyBody,
+  /// Whether the first part was asked for, and the last one was not given.
+  is_under_way: bool,
+}
+
+impl DeliveredBody {
+  /// The answer of an exchange.
+  pub(super) fn new(inner: AnyBody, exchange: HeldExchange) -> Self {
+    let answer = OpenAnswer { given_bytes: 0, whole_bytes: inner.size_hint().exact() };
+    Self { answer, exchange, inner, is_under_way: false }
+  }
+}
+
+impl Body for DeliveredBody {
+  type Data = Bytes;
+  type Error = web::BodyError;
+
+  fn poll_frame(
+    mut self: Pin<&mut Self>,
+    context: &mut Context,
+  ) -> Poll<Option<std::result::Result<http_body::Frame<Bytes>, web::BodyError>>> {
+    self.is_under_way = true;
+    let polled = Pin::new(&mut self.inner).poll_frame(context);
+    match &polled {
+      Poll::Ready(None) => self.is_under_way = false,
+      Poll::Ready(Some(Ok(frame))) => {
+        self.answer.given_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+        self.exchange.note(self.answer);
+      }
+      Poll::Ready(Some(Err(err))) => {
+        self.is_under_way = false;
+        self.exchange.broke_off(self.answer, &err.to_string());
+      }
+      Poll::Pending => {}
+    }
+    polled
+  }
+
+  fn is_end_stream(&self) -> bool {
+    self.inner.is_end_stream()
+  }
+
+  fn size_hint(&self) -> http_body::SizeHint {
+    self.inner.size_hint()
+  }
+}
+
+impl Drop for DeliveredBody {
+  fn drop(&mut self) {
+    if self.is_under_way && !self.inner.is_end_stream() {
+      self.exchange.broke_off(self.answer, "its connection ended first");
+    }
+  }
+}
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -19,6 +19,7 @@
     let outcome = AttemptOutcome::not_run("its sender took this try for lost", 0);
     return Refusal::from(outcome).response(&forwarded.id, false);
   };
+  let exchange = HeldExchange::begin(&shared, Sender::Box, &forwarded.id);
   let body = RequestBody::stream(body);
   let mut response = hand_over(&shared, &forwarded, body)
     .await
@@ -26,7 +27,7 @@
   let own_headers = response.headers_mut();
   headers::set(own_headers, headers::CONDITION, shared.condition());
   headers::set(own_headers, headers::REQUEST_ID, &forwarded.id);
-  arrived.keep(&forwarded, response).await
+  exchange.deliver(arrived.keep(&forwarded, response).await)
 }
 
 /// Reads what the forwarding daemon says, once it proved the fleet key.
--- /dev/null
+++ b/src/proxy/held_exchange.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// A request that the daemon works on, until the last byte of its answer was written or it is given up.
+pub(super) struct HeldExchange {
+  id: ExchangeId,
+  shared: Rc<Shared>,
+}
+
+impl HeldExchange {
+  /// A request arrived.
+  pub(super) fn begin(shared: &Rc<Shared>, from: Sender, request_id: &RequestId) -> Self {
+    let now = shared.now().time;
+    let id = shared.open_exchanges.borrow_mut().begin(now, from, request_id.clone());
+    Self { id, shared: shared.clone() }
+  }
+
+  /// Follows the answer on its way out.
+  pub(super) fn deliver(self, response: Response<AnyBody>) -> Response<AnyBody> {
+    response.map(|body| AnyBody::streamed(DeliveredBody::new(body, self)))
+  }
+
+  /// Notes how much of the answer was given.
+  pub(super) fn note(&self, answer: OpenAnswer) {
+    self.shared.open_exchanges.borrow_mut().note(self.id, answer);
+  }
+
+  /// Logs an answer that breaks off: what its caller gets is cut.
+  pub(super) fn broke_off(&self, answer: OpenAnswer, why: &str) {
+    let exchanges = self.shared.open_exchanges.borrow();
+    let Some(exchange) = exchanges.get(self.id) else {
+      return;
+    };
+    let age_ms = self.shared.now().time.since_ms(exchange.began);
+    info!(
+      self.shared.log.logger, #Log::REQUEST, "an answer broke off";
+      "request_id" => exchange.request_id.as_str(), "to" => %exchange.from, "age_ms" => age_ms,
+      "given_bytes" => answer.given_bytes, "whole_bytes" => answer.whole_bytes, "why" => why
+    );
+  }
+}
+
+impl Drop for HeldExchange {
+  fn drop(&mut self) {
+    self.shared.open_exchanges.borrow_mut().end(self.id);
+  }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,9 +12,9 @@
   node::Shared,
   requests::{
     Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Claim, ClaimState, ClaimStep,
-    ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchEvent, DispatchStep, Quarantine,
-    RequestKey, RequestRecord, RouteMatch, RunEnd, RunId, Settlement, Standing, Surroundings,
-    Terms, Ticket, TryId, TryOrder, Urgency, Whereabouts,
+    ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchEvent, DispatchStep, ExchangeId,
+    OpenAnswer, Quarantine, RequestKey, RequestRecord, RouteMatch, RunEnd, RunId, Sender,
+    Settlement, Standing, Surroundings, Terms, Ticket, TryId, TryOrder, Urgency, Whereabouts,
   },
   store::Revision,
   telemetry::Log,
@@ -25,20 +25,23 @@
 pub use self::{carry::serve_caller, egress::serve_peer};
 
 use self::{
-  attempt_result::AttemptResult, forwarded::Forwarded, guarded_body::GuardedBody,
-  held_run::HeldRun, held_slot::HeldSlot, incoming_request::IncomingRequest, lent_body::LentBody,
-  refusal::Refusal, request_body::RequestBody, tries::Tries,
+  attempt_result::AttemptResult, delivered_body::DeliveredBody, forwarded::Forwarded,
+  guarded_body::GuardedBody, held_exchange::HeldExchange, held_run::HeldRun, held_slot::HeldSlot,
+  incoming_request::IncomingRequest, lent_body::LentBody, refusal::Refusal,
+  request_body::RequestBody, tries::Tries,
 };
 
 mod arrivals;
 mod attempt_result;
 mod carry;
+mod delivered_body;
 mod egress;
 mod forward;
 mod forwarded;
 mod guarded_body;
 pub mod headers;
 mod held_claim;
+mod held_exchange;
 mod held_run;
 mod held_slot;
 mod incoming_request;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -35,6 +35,7 @@
   dispatch_step::{DispatchStep, TryOrder},
   limiter::Limiter,
   link_budget::LinkBudget,
+  open_exchanges::{ExchangeId, OpenAnswer, OpenExchange, OpenExchanges, Sender},
   quarantine::{Quarantine, QuarantineChange, Suspect},
   record_book::RecordBook,
   request_key::RequestKey,
@@ -79,6 +80,7 @@
 mod dispatch_step;
 mod limiter;
 mod link_budget;
+mod open_exchanges;
 mod quarantine;
 mod record_book;
 mod request_key;
