--- a/crates/ferryyoke-soak/src/fault_proxy.rs
+++ b/crates/ferryyoke-soak/src/fault_proxy.rs
@@ -13,6 +13,8 @@
 struct State {
   /// Milliseconds by which every piece is late.
   delay_ms: Cell<Ms>,
+  /// How fast bytes cross, each way; nothing where that has no bound.
+  link: Cell<Option<NarrowLink>>,
   /// Whether nobody listens, as where a process has ended.
   refuses: Cell<bool>,
   /// Grows when all connections are to be reset.
@@ -23,6 +25,24 @@
   silent: Cell<(bool, bool)>,
 }
 
+/// A link that all connections of a proxy share, each way by itself.
+#[derive(Clone, Copy)]
+struct NarrowLink {
+  /// When all that was sent towards the listener will have crossed, and all that was sent back.
+  free_at: [Instant; 2],
+  kbytes_per_s: u64,
+}
+
+impl NarrowLink {
+  /// Sends so many bytes. Returns when they will have crossed.
+  fn send(&mut self, bytes: usize, towards: bool) -> Instant {
+    let free_at = &mut self.free_at[usize::from(towards)];
+    let takes_us = bytes as u64 * 1_000 / self.kbytes_per_s;
+    *free_at = (*free_at).max(Instant::now()) + Duration::from_micros(takes_us);
+    *free_at
+  }
+}
+
 impl FaultProxy {
   /// Milliseconds between two looks at what is to be harmed.
   const LOOK_MS: Ms = 20;
@@ -49,6 +69,11 @@
     self.state.delay_ms.set(delay_ms);
   }
 
+  /// Bounds how fast bytes cross from now on, each way.
+  pub fn narrow(&self, kbytes_per_s: u64) {
+    self.state.link.set(Some(NarrowLink { free_at: [Instant::now(); 2], kbytes_per_s }));
+  }
+
   /// Resets all connections.
   pub fn reset(&self) {
     self.state.resets.set(self.state.resets.get() + 1);
@@ -147,6 +172,11 @@
     if state.delay_ms.get() > 0 {
       monoio::time::sleep(Duration::from_millis(state.delay_ms.get())).await;
     }
+    if let Some(mut link) = state.link.get() {
+      let crossed_at = link.send(count, towards);
+      state.link.set(Some(link));
+      monoio::time::sleep(crossed_at.saturating_duration_since(Instant::now())).await;
+    }
     let (written, mut again) = to.write_all(read).await;
     if written.is_err() || state.resets.get() != opened.resets {
       return;
--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -213,6 +213,9 @@
 /// The header by which a request tells for how many milliseconds it is worked on.
 pub const WORK_MS: &str = "x-soak-work-ms";
 
+/// The header by which a request tells how many bytes its answer has at least.
+pub const ANSWER_BYTES: &str = "x-soak-answer-bytes";
+
 /// The header of a request that ends the process which runs it, so many milliseconds after it began.
 pub const CRASH_MS: &str = "x-soak-crash-ms";
 
@@ -266,6 +269,7 @@
     let told_ms = header(WORK_MS).and_then(|value| value.parse().ok());
     told_ms.unwrap_or_else(|| state.rng.random_range(2..60))
   };
+  let answer_bytes = header(ANSWER_BYTES).and_then(|value| value.parse().ok()).unwrap_or(0);
   let crash_ms = header(CRASH_MS).and_then(|value| value.parse().ok());
   let Ok(body) = web::collect(request.into_body(), 4 << 20).await else {
     return web::text(StatusCode::BAD_REQUEST, "the body broke off");
@@ -278,7 +282,11 @@
     return std::future::pending().await;
   }
   monoio::time::sleep(Duration::from_millis(work_ms)).await;
-  let mut response = web::text(StatusCode::OK, caller::expected_answer(&request_id, &body));
+  let mut answer = caller::expected_answer(&request_id, &body);
+  if answer.len() < answer_bytes {
+    answer.push_str(&" ".repeat(answer_bytes - answer.len()));
+  }
+  let mut response = web::text(StatusCode::OK, answer);
   let headers = response.headers_mut();
   if let Ok(value) = request_id.parse() {
     headers.insert(REQUEST_ID, value);
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -146,6 +146,11 @@
     self.backend.silence(false, false);
   }
 
+  /// Bounds how fast bytes cross between this box and other daemons, each way.
+  pub fn narrow(&self, kbytes_per_s: u64) {
+    self.forward.narrow(kbytes_per_s);
+  }
+
   /// Lets all open connections from other daemons to this box go silent for good.
   pub fn sever(&self) {
     self.forward.sever();
