--- a/crates/ferryyoke-soak/tests/narrow_stops.rs
+++ b/crates/ferryyoke-soak/tests/narrow_stops.rs
@@ -88,7 +88,8 @@
     Ok(Err(err)) => Outcome::Cut(err.to_string()),
     Ok(Ok((StatusCode::OK, body))) if body.len() == bytes => Outcome::Whole,
     Ok(Ok((status, body))) => {
-      Outcome::Refused(status.as_u16(), String::from_utf8_lossy(&body).into_owned())
+      let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+      Outcome::Refused(status.as_u16(), body["reason"].as_str().unwrap_or_default().into())
     }
   };
   Seen { index, outcome, request_id, sent_at }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
   http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
   http_body::Body,
   http_body_util::{BodyExt, Full, Limited},
-  monoio::net::{ListenerOpts, TcpListener, TcpStream},
+  monoio::net::{TcpListener, TcpStream},
   rand::{Rng, SeedableRng, seq::IndexedRandom},
   rand_chacha::ChaCha8Rng,
   serde::{Deserialize, Serialize, de::DeserializeOwned},
