Test answers that are slow to cross a link, which fails

Six answers of 60 KB over a link of 1 Mbit/s: when asked for the third time, the box says that it gave them a second ago, and their sender holds four of six for lost, closes the connections on which they are coming, and answers 502.

--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -146,9 +146,16 @@
     self.backend.silence(false, false);
   }
 
-  /// Bounds how fast bytes cross between this box and other daemons, each way.
-  pub fn narrow(&self, kbytes_per_s: u64) {
-    self.forward.narrow(kbytes_per_s);
+  /// Gives the box a link of so many megabits a second, each way, between it and other daemons. Its daemon knows
+  /// from its next start on.
+  pub fn narrow(&self, link_mbps: u64) -> Result {
+    const KBYTES_PER_S_OF_MBPS: u64 = 125;
+    self.forward.narrow(link_mbps * KBYTES_PER_S_OF_MBPS);
+    let path = Self::settings_path(&self.directory, self.index);
+    let mut settings: serde_json::Value = serde_json::from_str(&fs::read_to_string(&path)?)
+      .map_err(|err| Error::Unexpected(err.to_string()))?;
+    settings["deployment"]["link_mbps"] = link_mbps.into();
+    Ok(fs::write(path, settings.to_string())?)
   }
 
   /// Lets all open connections from other daemons to this box go silent for good.
