Test a store that comes back from a copy, which fails

Twelve real daemons, five of which joined after the store's copy was made. The store is away for 0.3 s and comes back from the copy: eight seconds later some of their entries are still not there.

--- a/crates/ferryyoke-soak/src/platform/store.rs
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -27,6 +27,10 @@
 
 struct State {
   clock: Instant,
+  /// The content that the store comes back with when it goes back.
+  copy: Option<Keyspace>,
+  /// How often it went back.
+  era: u64,
   faults: StoreFaults,
   /// What another writer left in place of an item's usual fields, by key and revision.
   foreign: BTreeMap<(Key, Revision), Fields>,
@@ -43,9 +47,10 @@
     let address = listener.address()?;
     let (clock, faults, keyspace) = (Instant::now(), StoreFaults::default(), Keyspace::default());
     let foreign = BTreeMap::new();
-    let state = Rc::new(RefCell::new(State { clock, faults, foreign, keyspace }));
+    let (copy, era) = (None, 0);
+    let state = Rc::new(RefCell::new(State { clock, copy, era, faults, foreign, keyspace }));
     let serving = state.clone();
-    web::Server::start(listener, move |request| serve(serving.clone(), request));
+    web::Server::start(listener, move |request| serve_in_era(serving.clone(), request));
     Ok(Self { address, state })
   }
 
@@ -59,6 +64,29 @@
     self.state.borrow_mut().keyspace.forget_history();
   }
 
+  /// Keeps a copy of all that it holds.
+  pub fn keep_copy(&self) {
+    let mut state = self.state.borrow_mut();
+    state.copy = Some(state.keyspace.clone());
+  }
+
+  /// Is away for a while and comes back from the copy: what was acknowledged since is gone, and revisions and
+  /// numbers of leases are given out again.
+  pub async fn go_back(&self, away_ms: Ms) {
+    self.set_faults(|faults| faults.down = true);
+    monoio::time::sleep(Duration::from_millis(away_ms)).await;
+    let mut state = self.state.borrow_mut();
+    state.keyspace = state.copy.clone().unwrap_or_default();
+    state.era += 1;
+    state.faults.down = false;
+  }
+
+  /// Whether it holds an item of that key.
+  pub fn holds(&self, key: &str) -> bool {
+    let read = self.state.borrow_mut().call(&StoreRequest::Read { key: Key::of(&[key]) });
+    matches!(read, Ok(Reply::Entry { entry: Some(_), .. }))
+  }
+
   /// Ends all leases.
   pub fn lapse(&self) {
     self.state.borrow_mut().keyspace.lapse_leases();
@@ -161,6 +189,13 @@
   }
 }
 
+/// Each answer tells in which era it was given.
+async fn serve_in_era(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
+  let mut response = serve(state.clone(), request).await;
+  response.headers_mut().insert("store-era", state.borrow().era.into());
+  response
+}
+
 async fn serve(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<AnyBody> {
   let faults = state.borrow().faults;
   monoio::time::sleep(Duration::from_millis(1 + faults.delay_ms)).await;
--- a/crates/ferryyoke-soak/tests/support/mod.rs
+++ b/crates/ferryyoke-soak/tests/support/mod.rs
@@ -54,7 +54,7 @@
   _directory: TempDir,
   /// What backend servers ran.
   pub record: Rc<RefCell<Record>>,
-  store: StoreServer,
+  pub store: StoreServer,
 }
 
 impl Fleet {
