--- a/crates/ferryyoke-soak/src/harm.rs
+++ b/crates/ferryyoke-soak/src/harm.rs
@@ -192,7 +192,7 @@
     Ok(())
   }
 
-  async fn stop(&self, index: usize) -> Result {
+  pub(super) async fn stop(&self, index: usize) -> Result {
     let (one, now) = (&self.boxes[index], self.now());
     let life = one.life.get();
     if !one.signal("TERM")? {
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -61,6 +61,7 @@
 mod run;
 mod soak_box;
 mod stopped_clocks;
+mod stops;
 mod trouble;
 
 /// Milliseconds on a clock that starts with the run.
--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -49,6 +49,7 @@
   // Route 0 is none of the added ones.
   record.borrow_mut().changes.push(0);
   let run = Rc::new(Run { boxes, is_over: Cell::default(), record, started, store });
+  run.narrow_links(seed)?;
   for one in &run.boxes {
     // For every second box, standing still is a suspension of its machine.
     one.is_suspended_when_stopped.set(one.index % 2 == 1);
@@ -80,6 +81,7 @@
   // The last requests come to their end.
   monoio::time::sleep(Duration::from_secs(3)).await;
   run.check_recovery().await?;
+  run.check_stops(seed).await?;
   run.check_exits()?;
   for one in &run.boxes {
     one.kill()?;
