Start over with the store when it comes back from a copy

Callers could see boxes taken for gone that were well: after the store came back from a copy, entries of boxes that had joined since stayed away for good. Cause: the leases were gone with the entries, and their numbers were given out again, so each renewal kept another box's lease alive and was told that all is well; nothing read that the store had gone back, though each of its answers says so.

A revision is now a count within an era of the store, one type from the adapter inwards, and of two eras the later one is later whatever the counts. The adapter reads the era of each answer: one of an earlier era is not believed, and what was under way when it rose is unknown; a watch or a condition of an earlier era is not sent. No version goes back, for what is held is only ever followed by a newer one.

--- a/crates/ferryyoke-soak/src/platform/store.rs
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -135,7 +135,7 @@
 
   fn item(&self, entry: &Entry) -> serde_json::Value {
     let mut item = serde_json::json!({
-      "Key": entry.key.to_string(), "Lease": 0, "Revision": entry.revision.0,
+      "Key": entry.key.to_string(), "Lease": 0, "Revision": entry.revision.count,
       "Value": BASE64_STANDARD.encode(entry.value.text().unwrap_or_default()),
     });
     let foreign = self.foreign.get(&(entry.key.clone(), entry.revision));
@@ -152,7 +152,7 @@
     event.entry.as_ref().map_or_else(
       || {
         let key = event.key.to_string();
-        serde_json::json!({ "Key": key, "Revision": event.revision.0, "Tombstone": true })
+        serde_json::json!({ "Key": key, "Revision": event.revision.count, "Tombstone": true })
       },
       |entry| self.item(entry),
     )
@@ -161,21 +161,21 @@
   fn answer(&self, result: std::result::Result<Reply, Refusal>) -> Response<AnyBody> {
     let body = match result {
       Ok(Reply::Changes { events, revision }) => serde_json::json!({
-        "CurrentRev": revision.0,
+        "CurrentRev": revision.count,
         "events": events.iter().map(|event| self.event(event)).collect::<Vec<_>>(),
       }),
       Ok(Reply::Done) => serde_json::json!({ "Revision": 0 }),
       Ok(Reply::Entries { entries, revision }) => serde_json::json!({
-        "CurrentRev": revision.0, "HasMore": false,
+        "CurrentRev": revision.count, "HasMore": false,
         "items": entries.iter().map(|entry| self.item(entry)).collect::<Vec<_>>(),
       }),
       Ok(Reply::Entry { entry: Some(entry), revision }) => {
         let mut value = self.item(&entry);
-        value["CurrentRev"] = revision.0.into();
+        value["CurrentRev"] = revision.count.into();
         value
       }
       Ok(Reply::Lease { lease }) => serde_json::json!({ "Lease": lease.0, "Ttl": "15s" }),
-      Ok(Reply::Written { revision }) => serde_json::json!({ "Revision": revision.0 }),
+      Ok(Reply::Written { revision }) => serde_json::json!({ "Revision": revision.count }),
       Ok(Reply::Entry { entry: None, .. }) | Err(Refusal::LeaseEnded) => {
         return web::text(StatusCode::NOT_FOUND, "no such key or lease");
       }
@@ -302,7 +302,7 @@
     "key" => StoreRequest::Read { key: query.key("Key")? },
     "range" => StoreRequest::List { prefix: prefix()? },
     "watch" => StoreRequest::Watch {
-      after: Revision(query.number("after")?),
+      after: Revision::from(query.number("after")?),
       prefix: prefix()?,
       wait_ms: query.number("WaitMs")?,
     },
@@ -329,9 +329,9 @@
   let value = String::from_utf8(BASE64_STANDARD.decode(put.value).ok()?).ok()?;
   let key = Key::of(&[&put.key]);
   let lease = (put.lease > 0).then_some(LeaseId(put.lease));
-  Some(match transaction.expected_rev.first().map(|expected| Revision(expected.revision)) {
+  Some(match transaction.expected_rev.first().map(|expected| Revision::from(expected.revision)) {
     None => StoreRequest::Put { key, lease, value },
-    Some(Revision(0)) => StoreRequest::Create { key, lease, value },
+    Some(Revision { count: 0, .. }) => StoreRequest::Create { key, lease, value },
     Some(revision) => StoreRequest::CompareAndSwap { key, revision, value },
   })
 }
--- a/crates/ferryyoke-soak/tests/store_goes_back.rs
+++ b/crates/ferryyoke-soak/tests/store_goes_back.rs
@@ -60,7 +60,7 @@
 }
 
 #[test]
-#[ignore = "entries stay away after the store went back"]
+
 fn entries_are_there_again_and_versions_do_not_go_back() {
   run(async {
     let fleet = fleet().await;
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -55,6 +55,8 @@
     /// The message.
     message: Message,
   },
+  /// The store came back from a copy: tell operators.
+  StoreWentBack(Era),
   /// The directory holds an entry that cannot be read: tell operators.
   UnreadableEntry(UnreadableEntry),
 }
--- a/src/distribution/beat.rs
+++ b/src/distribution/beat.rs
@@ -9,6 +9,9 @@
   /// The fingerprint of the sender's endpoint table.
   #[serde(rename = "e")]
   pub endpoints: u32,
+  /// The newest era of the store that the sender knows of.
+  #[serde(rename = "t", default, skip_serializing_if = "Beat::is_first")]
+  pub era: Era,
   /// Whether the sender holds a relay slot.
   #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
   pub is_relay: bool,
@@ -23,3 +26,11 @@
   #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
   pub version: Option<(Version, u32)>,
 }
+
+impl Beat {
+  /// Whether the store never went back, which beats need not tell.
+  #[allow(clippy::trivially_copy_pass_by_ref)]
+  fn is_first(era: &Era) -> bool {
+    *era == Era::default()
+  }
+}
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -129,7 +129,7 @@
       Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, &peer),
       Event::Received { link, message } => self.received(link, message),
       Event::RunsEnded(what) => self.runs_ended(what),
-      Event::StoreAnswered { call, result } => self.store_answered(call, &result),
+      Event::StoreAnswered { call, result, .. } => self.store_answered(call, &result),
       Event::Tick => self.tick(),
     }
     self.finish_inquiries();
--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -10,6 +10,7 @@
   fn beat(&self) -> Beat {
     let is_new = self.now.time.since_ms(self.switched_at) < 2 * self.identity.timing.beat_ms;
     Beat {
+      era: Era::default(),
       applied_unix_ms: is_new.then(|| self.applied_unix_ms()),
       endpoints: self.endpoints.fingerprint(),
       is_relay: self.is_relay(),
--- a/src/distribution/event.rs
+++ b/src/distribution/event.rs
@@ -65,6 +65,8 @@
   StoreAnswered {
     /// The call.
     call: u64,
+    /// The store's newest era by then.
+    era: Era,
     /// The answer.
     result: store::Result<Reply>,
   },
--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -68,7 +68,7 @@
     if let Ok(Reply::Entries { entries, revision }) = result
       && *revision >= self.directory_revision
     {
-      let is_first = self.directory_revision == Revision(0);
+      let is_first = self.directory_revision == Revision::default();
       self.directory_revision = *revision;
       self.directory_read(entries, *revision);
       self.note_fleet(is_first);
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -46,7 +46,7 @@
   }
 
   /// Whether this daemon asks the store itself, rather than its neighbours.
-  fn must_watch(&self) -> bool {
+  pub(super) fn must_watch(&self) -> bool {
     (self.is_watcher() && !self.is_forming()) || !(self.is_settling() || self.has_fresh_neighbour())
   }
 
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -9,6 +9,7 @@
 
 mod asking;
 mod directory;
+mod era;
 mod following;
 mod neighbours;
 mod returning;
@@ -45,6 +46,8 @@
   /// The store's revision at the newest read of the directory. An older one says nothing new.
   directory_revision: Revision,
   endpoints: EndpointTable,
+  /// The newest era of the store that anybody told of; nothing before its first answer.
+  era: Option<Era>,
   /// When the store stopped answering this daemon; nothing while it answers.
   failing_since: Option<Time>,
   /// When the fleet was formed, as this daemon sees it.
@@ -150,8 +153,9 @@
       contact_at: None,
       directory_at: now.time,
       directory_call: None,
-      directory_revision: Revision(0),
+      directory_revision: Revision::default(),
       endpoints,
+      era: None,
       failing_since: None,
       formed_at: None,
       identity,
@@ -341,7 +345,11 @@
       Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, &peer),
       Event::Received { link, message } => self.received(link, message),
       Event::RunsEnded(what) => self.runs_ended(what),
-      Event::StoreAnswered { call, result } => self.store_answered(call, &result),
+      Event::StoreAnswered { call, era, result } => {
+        if !self.note_era(era) {
+          self.store_answered(call, &result);
+        }
+      }
       Event::Tick => self.tick(),
     }
     self.finish_inquiries();
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -45,6 +45,7 @@
     let beat = Beat {
       applied_unix_ms: None,
       endpoints: self.endpoints.fingerprint(),
+      era: self.era.unwrap_or_default(),
       is_relay: self.is_served_watcher(),
       revision: self.watch_revision().filter(|_| self.is_served_watcher()),
       store_age_ms: self.knowledge_age_ms(),
@@ -251,6 +252,9 @@
   }
 
   fn beat_received(&mut self, link: LinkId, beat: &Beat) {
+    if beat.era > self.era.unwrap_or_default() {
+      self.note_era(beat.era);
+    }
     let now = self.now.time;
     let Some(known) = self.links.get_mut(&link) else {
       return;
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -12,7 +12,7 @@
   },
   fleet::{Endpoint, EndpointState, EndpointTable, Peer, RunFinding, RunOutcome},
   requests::RequestRecord,
-  store::{Entry, Key, LeaseId, Refusal, Reply, Revision, StoreRequest, Value},
+  store::{Entry, Era, Key, LeaseId, Refusal, Reply, Revision, StoreRequest, Value},
 };
 
 pub use self::{
--- a/src/distribution/registration.rs
+++ b/src/distribution/registration.rs
@@ -154,6 +154,12 @@
     self.written.is_some() && self.written_at < revision
   }
 
+  /// The store forgot the lease, and the entry with it: both are made anew from `at` on. What is under way says
+  /// nothing any more.
+  pub fn start_over(&mut self, at: Time) {
+    *self = Self { is_written_live: self.is_written_live, retry_at: at, ..Self::default() };
+  }
+
   /// A call that is out too long, after the process stood still, counts as failed.
   pub fn wake(&mut self) {
     self.renewed_at = Time(0);
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -125,6 +125,7 @@
         self.shared.note_refused_configuration(&reason, version);
       }
       Action::Send { link, message } => self.send(link, message),
+      Action::StoreWentBack(era) => self.shared.note_store_era(era),
       Action::UnreadableEntry(entry) => self.shared.note_unreadable_entry(&entry),
     }
   }
@@ -140,7 +141,8 @@
 
   async fn call_store(self: Rc<Self>, call: u64, request: StoreRequest) {
     let result = self.shared.call_store(request).await;
-    self.handle(Event::StoreAnswered { call, result });
+    let era = self.shared.store_era();
+    self.handle(Event::StoreAnswered { call, era, result });
   }
 
   /// A peer that is too slow to take its messages loses the link.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,7 +23,7 @@
     StopLimit, Ticket,
   },
   settings::Settings,
-  store::{self, Reply, Store, StoreRequest},
+  store::{self, Era, Reply, Store, StoreRequest},
   telemetry::{Log, Metrics},
   web::{self, Listener, ServerLimits},
 };
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -180,6 +180,20 @@
     result
   }
 
+  /// The store's newest era.
+  pub fn store_era(&self) -> Era {
+    self.store.era()
+  }
+
+  /// Logs and counts that the store came back from a copy.
+  pub fn note_store_era(&self, era: Era) {
+    self.metrics.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+    warn!(
+      self.log.logger, "the store came back from a copy: what it holds for this box is written anew";
+      "era" => era.0
+    );
+  }
+
   /// Looks whether the process stood still, and takes back what it trusted and cannot trust any more. To be called
   /// before anything is forwarded on what was known before.
   pub fn look_at_time(&self) {
@@ -342,7 +356,7 @@
     self.metrics.entries_unreadable.inc();
     warn!(
       self.log.logger, "an entry of the directory cannot be read, and names no backend server";
-      "reason" => &entry.reason, "revision" => entry.revision.0, "key" => entry.key.as_str()
+      "reason" => &entry.reason, "revision" => entry.revision.count, "key" => entry.key.as_str()
     );
   }
 
--- a/src/platform/item.rs
+++ b/src/platform/item.rs
@@ -16,7 +16,7 @@
       Ok(fields) => Self::of(&fields),
       Err(reason) => {
         let value = Value::unreadable(reason);
-        let entry = Entry { key: Key::of(&[]), revision: Revision(0), value };
+        let entry = Entry { key: Key::of(&[]), revision: Revision::default(), value };
         Self { entry, is_gone: false }
       }
     }
@@ -35,7 +35,10 @@
     };
     let is_gone = is_gone == Ok(true) && value.text().is_ok();
     let key = Key::of(&[&key.unwrap_or_default()]);
-    Self { entry: Entry { key, revision: Revision(revision.unwrap_or_default()), value }, is_gone }
+    Self {
+      entry: Entry { key, revision: Revision::from(revision.unwrap_or_default()), value },
+      is_gone,
+    }
   }
 
   /// The product's own form of the item.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,7 +13,7 @@
   fleet::{BackendReport, Heard, Process},
   node::{Dialect, Node},
   store::{
-    self, CallKind, Entry, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store,
+    self, CallKind, Entry, Era, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store,
     StoreRequest, Value, Waiting,
   },
   web::{self, AnyBody, Incoming},
--- a/src/platform/store_bodies.rs
+++ b/src/platform/store_bodies.rs
@@ -16,7 +16,7 @@
   pub(super) fn read(body: &str) -> Result<Self, String> {
     let fields = Fields::of(body)?;
     let items = fields.items("items")?;
-    let store_revision = store_revision(&fields, &items, Revision(0));
+    let store_revision = store_revision(&fields, &items, Revision::default());
     Ok(Self { has_more: fields.get("HasMore")?, items, store_revision })
   }
 }
@@ -41,7 +41,7 @@
 /// from there may be told again, but misses nothing.
 fn store_revision(fields: &Fields, items: &[Item], after: Revision) -> Revision {
   let shown = || items.iter().map(Item::revision).max().unwrap_or_default().max(after);
-  fields.get("CurrentRev").map_or_else(|_| shown(), Revision)
+  fields.get::<u64>("CurrentRev").map_or_else(|_| shown(), Revision::from)
 }
 
 /// A fresh or renewed lease.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -11,6 +11,8 @@
 
 struct Caller {
   address: SocketAddr,
+  /// The newest era that an answer told of; nothing before the first one.
+  era: Cell<Option<Era>>,
   pool: Rc<web::Pool>,
   value_bytes_max: usize,
   waiting: Rc<Waiting>,
@@ -22,14 +24,23 @@
   pub fn new(address: SocketAddr, timeout_ms: u64, value_bytes_max: usize) -> Self {
     let waiting = Waiting::new(timeout_ms);
     let pool = Rc::new(web::Pool::new(waiting.cap_ms()));
-    Self { caller: Rc::new(Caller { address, pool, value_bytes_max, waiting }) }
+    Self {
+      caller: Rc::new(Caller { address, era: Cell::default(), pool, value_bytes_max, waiting }),
+    }
   }
 }
 
 impl Store for StoreClient {
   fn call(&self, request: StoreRequest) -> LocalFuture<store::Result<Reply>> {
     let caller = self.caller.clone();
-    Box::pin(async move { caller.call(request).await })
+    Box::pin(async move {
+      let reply = caller.call(request).await?;
+      Ok(reply.of_era(caller.era()))
+    })
+  }
+
+  fn era(&self) -> Era {
+    self.caller.era()
   }
 }
 
@@ -42,12 +53,20 @@
 /// Milliseconds after which to call again where the store refuses a call for its load.
 const BUSY_RETRY_MS: u64 = 100;
 
+/// The header by which each answer tells how often the store came back from a copy.
+const ERA: &str = "store-era";
+
 impl Caller {
   async fn call(&self, request: StoreRequest) -> store::Result<Reply> {
     match request {
+      // Counts of an earlier era were given out again for other writes.
+      StoreRequest::CompareAndSwap { revision, .. } if revision.era < self.era() => {
+        Err(Refusal::RevisionMoved.into())
+      }
+      StoreRequest::Watch { after, .. } if after.era < self.era() => Err(Refusal::Compacted.into()),
       StoreRequest::CompareAndSwap { key, revision, value } => {
         let puts = vec![Write::new(&key, None, &value)];
-        self.transact(Some((&key, revision.0)), puts, Vec::new()).await
+        self.transact(Some((&key, revision.count)), puts, Vec::new()).await
       }
       StoreRequest::Create { key, lease, value } => {
         let puts = vec![Write::new(&key, lease, &value)];
@@ -99,7 +118,7 @@
     match self.exchange(CallKind::Write, Method::POST, "/ferryyoke/kv-txn", Some(&call), 0).await {
       Ok((_, body)) => {
         let done: TransactionReply = decode(&body)?;
-        Ok(Reply::Written { revision: Revision(done.revision) })
+        Ok(Reply::Written { revision: Revision::from(done.revision) })
       }
       Err(store::Error::Refused(Refusal::RevisionMoved)) if is_create => {
         Err(Refusal::Exists.into())
@@ -114,11 +133,11 @@
       Ok((_, body)) => {
         let body = String::from_utf8_lossy(&body);
         let fields = Fields::of(&body).map_err(malformed)?;
-        let revision = Revision(fields.get("CurrentRev").map_err(malformed)?);
+        let revision = Revision::from(fields.get::<u64>("CurrentRev").map_err(malformed)?);
         Ok(Reply::Entry { entry: Some(Item::of(&fields).into_entry()), revision })
       }
       Err(store::Error::Refused(Refusal::LeaseEnded)) => {
-        Ok(Reply::Entry { entry: None, revision: Revision(0) })
+        Ok(Reply::Entry { entry: None, revision: Revision::default() })
       }
       Err(err) => Err(err),
     }
@@ -150,7 +169,9 @@
   }
 
   async fn watch(&self, after: Revision, prefix: &Key, wait_ms: u64) -> store::Result<Reply> {
-    let path = format!("/ferryyoke/kv-watch?PathPrefix={prefix}&after={after}&WaitMs={wait_ms}");
+    let after_count = after.count;
+    let path =
+      format!("/ferryyoke/kv-watch?PathPrefix={prefix}&after={after_count}&WaitMs={wait_ms}");
     let (_, body) = self.exchange::<()>(CallKind::Watch, Method::GET, &path, None, wait_ms).await?;
     let seen = Changes::read(&String::from_utf8_lossy(&body), after).map_err(malformed)?;
     let events = seen.items.into_iter().map(Item::into_event).collect();
@@ -174,10 +195,12 @@
       .header(http::header::CONTENT_TYPE, "application/json")
       .body(body)
       .map_err(|err| Refusal::Invalid { reason: err.to_string() })?;
-    let (began, came) = (timer::now(), Cell::new(0));
+    let (began, came, began_in) = (timer::now(), Cell::new(0), self.era.get());
     let exchanged = self.send(kind, request, wait_ms, &came).await;
-    let (status, body) =
+    let (head, body) =
       exchanged.map_err(|err| kind.failure(err, timer::now().saturating_sub(began), came.get()))?;
+    self.note_era(&head.headers, began_in)?;
+    let status = head.status;
     match status.as_u16() {
       200..=299 => Ok((status, body)),
       404 => Err(Refusal::LeaseEnded.into()),
@@ -192,6 +215,32 @@
     }
   }
 
+  /// The newest era that an answer told of.
+  fn era(&self) -> Era {
+    self.era.get().unwrap_or_default()
+  }
+
+  /// Notes the era of an answer to a call that began in another one, perhaps. What the store did of a call that
+  /// was under way when it went back is not known; an answer of before says nothing of now.
+  fn note_era(&self, headers: &HeaderMap, began_in: Option<Era>) -> store::Result {
+    let told =
+      headers.get(ERA).and_then(|told| told.to_str().ok()).and_then(|told| told.parse().ok());
+    let Some(told) = told else {
+      return Ok(());
+    };
+    let newest = self.era();
+    if told < newest {
+      let reason = format!("an answer of era {told}, and the store is in era {newest}");
+      return Err(store::Error::Unknown { reason });
+    }
+    self.era.set(Some(told));
+    if began_in.is_some_and(|began_in| began_in < told) {
+      let reason = format!("the store came back from a copy meanwhile, in era {told}");
+      return Err(store::Error::Unknown { reason });
+    }
+    Ok(())
+  }
+
   /// Sends a request and reads its answer, whose bytes `came` counts.
   async fn send(
     &self,
@@ -199,16 +248,16 @@
     request: Request<AnyBody>,
     wait_ms: u64,
     came: &Cell<usize>,
-  ) -> web::Result<(StatusCode, Bytes)> {
+  ) -> web::Result<(http::response::Parts, Bytes)> {
     let (address, pool) = (self.address, self.pool.clone());
     let answer = async move {
       let client = pool.checkout(address).await?;
       pool.send(client, request, None).await
     };
     let answer = self.waiting.until_begun(kind, wait_ms, answer).await?;
-    let (status, body) = (answer.status(), answer.into_body());
+    let (head, body) = answer.into_parts();
     let limits = self.waiting.body_limits(self.answer_bytes_max(kind));
-    Ok((status, web::collect_while_moving(body, limits, came).await?))
+    Ok((head, web::collect_while_moving(body, limits, came).await?))
   }
 
   /// Largest answer in bytes. A watch may bring one value of any size: several large ones cost a narrow
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,13 +5,14 @@
 use super::*;
 
 pub use self::{
-  call_kind::CallKind, entry::Entry, error::Error, event::Event, http_store::HttpStore, key::Key,
-  lease_id::LeaseId, patience::Patience, refusal::Refusal, reply::Reply, revision::Revision,
-  store_request::StoreRequest, value::Value, waiting::Waiting,
+  call_kind::CallKind, entry::Entry, era::Era, error::Error, event::Event, http_store::HttpStore,
+  key::Key, lease_id::LeaseId, patience::Patience, refusal::Refusal, reply::Reply,
+  revision::Revision, store_request::StoreRequest, value::Value, waiting::Waiting,
 };
 
 mod call_kind;
 mod entry;
+mod era;
 mod error;
 mod event;
 mod http_store;
@@ -36,6 +37,12 @@
   /// Sends one request and waits for its reply. Ends soon after the request's own wait where the store
   /// is silent, and may go on while bytes of a reply keep coming.
   fn call(&self, request: StoreRequest) -> LocalFuture<Result<Reply>>;
+
+  /// The newest era that any answer has told of. An answer of an earlier one is not believed, and what was under
+  /// way when the era rose is unknown.
+  fn era(&self) -> Era {
+    Era::default()
+  }
 }
 
 /// A future of the daemon's one thread.
--- a/src/store/reply.rs
+++ b/src/store/reply.rs
@@ -38,3 +38,36 @@
     revision: Revision,
   },
 }
+
+impl Reply {
+  /// The same reply of a store in that era.
+  #[must_use]
+  pub fn of_era(mut self, era: Era) -> Self {
+    match &mut self {
+      Self::Changes { events, revision } => {
+        revision.era = era;
+        for event in events {
+          event.revision.era = era;
+          if let Some(entry) = &mut event.entry {
+            entry.revision.era = era;
+          }
+        }
+      }
+      Self::Entries { entries, revision } => {
+        revision.era = era;
+        for entry in entries {
+          entry.revision.era = era;
+        }
+      }
+      Self::Entry { entry, revision } => {
+        revision.era = era;
+        if let Some(entry) = entry {
+          entry.revision.era = era;
+        }
+      }
+      Self::Written { revision } => revision.era = era,
+      Self::Done | Self::Lease { .. } => {}
+    }
+    self
+  }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -41,6 +41,8 @@
   /// How often the process stood still.
   pub standstills: Counter,
   store_calls: Family<StoreLabels, Counter>,
+  /// How often the store came back from a copy.
+  pub store_era: Gauge,
   /// The configuration version in force.
   pub version: Gauge,
 }
@@ -105,6 +107,8 @@
       standstills.clone(),
     );
     let store_calls = Family::default();
+    let store_era: Gauge = Gauge::default();
+    registry.register("store_era", "How often the store came back from a copy", store_era.clone());
     let version: Gauge = Gauge::default();
     registry.register(
       "request_seconds",
@@ -137,6 +141,7 @@
       requests_held_back,
       standstills,
       store_calls,
+      store_era,
       version,
     }
   }
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -45,7 +45,7 @@
 }
 
 fn watch(wait_ms: u64) -> StoreRequest {
-  StoreRequest::Watch { after: Revision(0), prefix: key(), wait_ms }
+  StoreRequest::Watch { after: Revision::default(), prefix: key(), wait_ms }
 }
 
 /// Why a call came to nothing, in words.
@@ -239,13 +239,16 @@
       panic!("{listed:?}");
     };
     let read = texts(entries.into_iter().map(|entry| entry.value));
-    assert_eq!((revision, read), (Revision(9), (unreadable, vec!["vvv".to_string()])));
+    assert_eq!((revision, read), (Revision::from(9), (unreadable, vec!["vvv".to_string()])));
     let watched = client(address).call(watch(1_000)).await;
     let Ok(Reply::Changes { events, revision }) = watched else {
       panic!("{watched:?}");
     };
     let values = events.into_iter().map(|event| event.entry.expect("nothing is gone").value);
-    assert_eq!((revision, texts(values)), (Revision(9), (unreadable, vec!["vvv".to_string()])));
+    assert_eq!(
+      (revision, texts(values)),
+      (Revision::from(9), (unreadable, vec!["vvv".to_string()]))
+    );
   });
 }
 
@@ -277,12 +280,12 @@
       ("{\"events\":[]}".to_string(), 4),
     ] {
       let address = store(move |_| vec![whole(&body)]);
-      let request = StoreRequest::Watch { after: Revision(4), prefix: key(), wait_ms: 1_000 };
+      let request = StoreRequest::Watch { after: Revision::from(4), prefix: key(), wait_ms: 1_000 };
       let watched = client(address).call(request).await;
       let Ok(Reply::Changes { revision, .. }) = watched else {
         panic!("{watched:?}");
       };
-      assert_eq!(revision, Revision(passed));
+      assert_eq!(revision, Revision::from(passed));
     }
   });
 }
--- a/tests/store_fuzz.rs
+++ b/tests/store_fuzz.rs
@@ -113,13 +113,13 @@
       *body.borrow_mut() = answer.to_string();
       let key = Key::of(&["any"]);
       let listed = client.call(StoreRequest::List { prefix: key.clone() }).await;
-      let Ok(Reply::Entries { entries, revision: Revision(9) }) = listed else {
+      let Ok(Reply::Entries { entries, revision: Revision { count: 9, .. } }) = listed else {
         panic!("{listed:?}: {answer}");
       };
       check(&entries.into_iter().map(|one| (one.key, one.value)).collect::<Vec<_>>(), &written);
-      let request = StoreRequest::Watch { after: Revision(1), prefix: key, wait_ms: 100 };
+      let request = StoreRequest::Watch { after: Revision::from(1), prefix: key, wait_ms: 100 };
       let watched = client.call(request).await;
-      let Ok(Reply::Changes { events, revision: Revision(9) }) = watched else {
+      let Ok(Reply::Changes { events, revision: Revision { count: 9, .. } }) = watched else {
         panic!("{watched:?}: {answer}");
       };
       let changed = events.into_iter().map(|one| (one.key, one.entry.expect("not gone").value));
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -14,7 +14,7 @@
     },
     fleet::{Endpoint, EndpointState, Peer},
     standin::Keyspace,
-    store::{self, Key, Refusal, Reply, StoreRequest, Value},
+    store::{self, Era, Key, Refusal, Reply, StoreRequest, Value},
     values::{BoxId, Incarnation, Time, Version},
   },
   std::{
@@ -461,7 +461,7 @@
 
   fn answer(&mut self, box_id: &BoxId, call: u64, result: store::Result<Reply>) {
     let bytes = lines::answer_bytes(&result);
-    let answered = Event::StoreAnswered { call, result };
+    let answered = Event::StoreAnswered { call, era: Era::default(), result };
     self.convey(None, box_id, bytes, Coming::Event(Box::new(answered)));
   }
 
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -13,7 +13,7 @@
     },
     fleet::{Endpoint, EndpointState, Peer},
     standin::Keyspace,
-    store::{self, Refusal, Reply, StoreRequest},
+    store::{self, Era, Refusal, Reply, StoreRequest},
     values::{BoxId, Incarnation, Time, Version},
   },
   rand::{Rng, SeedableRng},
@@ -455,7 +455,7 @@
         }
       }
       Happening::Answer { caller: Caller::Distributor { call, index, life }, result } => {
-        self.handle(index, life, Event::StoreAnswered { call, result });
+        self.handle(index, life, Event::StoreAnswered { call, era: Era::default(), result });
       }
       Happening::Event { event, index, life } => self.handle(index, life, event),
       Happening::Execute { answers, caller, request } => self.execute(answers, caller, request),
@@ -505,6 +505,7 @@
       | Action::Behind(_)
       | Action::EndpointsChanged
       | Action::Refuse { .. }
+      | Action::StoreWentBack(_)
       | Action::UnreadableEntry(_) => {}
       Action::Log(text) => self.log.push(format!("{} box-{index}.{life}: {text}", self.now)),
       Action::Apply(configuration) => self.oracle.applied(index, &configuration),
