--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -41,7 +41,7 @@
   let key: TryKey = headers::parsed(&head.headers, headers::TRY).ok_or_else(malformed)?;
   let seal: Digest = headers::parsed(&head.headers, headers::SEAL).ok_or_else(malformed)?;
   let mut forwarded = Forwarded {
-    answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).ok_or_else(malformed)?,
+    answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).unwrap_or_default(),
     attempts_max: 1,
     caller_service: headers::parsed(&head.headers, headers::CALLER_SERVICE)
       .ok_or_else(malformed)?,
--- a/src/proxy/tries.rs
+++ b/src/proxy/tries.rs
@@ -77,7 +77,7 @@
       None => Ok(self.happened().await),
     };
     match happened {
-      Ok(Happened::Asked(id, found)) => self.asked(shared, id, found, body, attempts),
+      Ok(Happened::Asked(id, found)) => self.asked(id, found, body, attempts),
       Ok(Happened::Ended(ended)) => self.ended(ended, body, attempts),
       // A decision to wait is made only while a try is under way.
       Ok(Happened::Nothing) | Err(_) => DispatchEvent::Woken,
@@ -111,65 +111,72 @@
     DispatchEvent::Ended { body_left: body.is_left(), id, outcome }
   }
 
-  /// Takes what a box said of a try, where that one is still under way. One that never arrived, or whose answer
-  /// came here instead, is given up on its own connection.
+  /// Takes what a box said of a try, where that one is still under way.
   fn asked(
     &mut self,
-    shared: &Shared,
     id: TryId,
     found: Found,
     body: &RequestBody,
     attempts: &mut Vec<Attempt>,
   ) -> DispatchEvent {
-    let still_out = DispatchEvent::StillOut { id };
     match found {
-      Found::Ended => return self.overdue(shared, id),
-      Found::StillOut => return still_out,
-      Found::Answered(_) | Found::NeverArrived => {}
+      Found::Answered(result) => self.answered_again(id, result, body, attempts),
+      Found::Ended => self.overdue(id),
+      Found::NeverArrived => self.never_arrived(id, body, attempts),
+      Found::StillOut => DispatchEvent::StillOut { id },
     }
-    let (asked, others): (Vec<Try>, Vec<Try>) =
-      std::mem::take(&mut self.running).into_iter().partition(|one| one.order.id == id);
-    self.running = others.into_iter().collect();
-    let Some(asked) = asked.into_iter().next() else {
-      return still_out;
+  }
+
+  /// The answer of a try came with that to the question. On its own connection it is given up.
+  fn answered_again(
+    &mut self,
+    id: TryId,
+    result: AttemptResult,
+    body: &RequestBody,
+    attempts: &mut Vec<Attempt>,
+  ) -> DispatchEvent {
+    let Some(asked) = self.take(id) else {
+      return DispatchEvent::StillOut { id };
     };
-    let age_ms = (shared.elapsed_us() - asked.started_us) / 1_000;
-    let box_id = asked.order.endpoint.peer.box_id.as_str();
-    match found {
-      Found::Answered(result) => {
-        info!(
-          shared.log.logger, #Log::REQUEST, "the answer of a try is not here, and was asked for again";
-          "try" => asked.key.0, "box" => box_id, "age_ms" => age_ms
-        );
-        let ended = asked.ending_with(result);
-        self.ended(ended, body, attempts)
-      }
-      Found::Ended | Found::NeverArrived | Found::StillOut => {
-        info!(
-          shared.log.logger, #Log::REQUEST, "a try never arrived: its connection is dead";
-          "try" => asked.key.0, "box" => box_id, "age_ms" => age_ms
-        );
-        let reason = "it never arrived: the connection to the box was dead";
-        attempts.push(asked.attempt(AttemptOutcome::not_run(reason, 0)));
-        // What the try held of the body goes back before anybody looks for it.
-        drop(asked);
-        DispatchEvent::NeverArrived { body_left: body.is_left(), id }
-      }
-    }
+    asked.log("the answer of a try is not here, and was asked for again");
+    let ended = asked.ending_with(result);
+    self.ended(ended, body, attempts)
   }
 
-  /// Tells of an answer that its box gave a while ago, and that is not here.
-  fn overdue(&self, shared: &Shared, id: TryId) -> DispatchEvent {
+  /// A try is barred at its box: it has not run, and never will.
+  fn never_arrived(
+    &mut self,
+    id: TryId,
+    body: &RequestBody,
+    attempts: &mut Vec<Attempt>,
+  ) -> DispatchEvent {
+    let Some(asked) = self.take(id) else {
+      return DispatchEvent::StillOut { id };
+    };
+    asked.log("a try never arrived: its connection is dead");
+    let reason = "it never arrived: the connection to the box was dead";
+    attempts.push(asked.attempt(AttemptOutcome::not_run(reason, 0)));
+    // What the try held of the body goes back before anybody looks for it.
+    drop(asked);
+    DispatchEvent::NeverArrived { body_left: body.is_left(), id }
+  }
+
+  /// A box gave the answer of a try a while ago, and it is not here.
+  fn overdue(&self, id: TryId) -> DispatchEvent {
     if let Some(overdue) = self.running.iter().find(|one| one.order.id == id) {
-      info!(
-        shared.log.logger, #Log::REQUEST, "the answer of a try was given a while ago, and is not here";
-        "try" => overdue.key.0, "box" => overdue.order.endpoint.peer.box_id.as_str(),
-        "age_ms" => (shared.elapsed_us() - overdue.started_us) / 1_000
-      );
+      overdue.log("the answer of a try was given a while ago, and is not here");
     }
     DispatchEvent::Overdue { id }
   }
 
+  /// Takes a try out of those under way.
+  fn take(&mut self, id: TryId) -> Option<Try> {
+    let (taken, others): (Vec<Try>, Vec<Try>) =
+      std::mem::take(&mut self.running).into_iter().partition(|one| one.order.id == id);
+    self.running = others.into_iter().collect();
+    taken.into_iter().next()
+  }
+
   /// The answer of a try. Notes those that are given up for it.
   pub fn finish(mut self, id: TryId, attempts: &mut Vec<Attempt>) -> AttemptResult {
     attempts.extend(self.running.iter().map(Try::given_up));
@@ -196,6 +203,15 @@
 }
 
 impl Try {
+  /// Tells the log what became known of the try by asking for it.
+  fn log(&self, what: &'static str) {
+    info!(
+      self.shared.log.logger, #Log::REQUEST, "{}", what;
+      "try" => self.key.0, "box" => self.order.endpoint.peer.box_id.as_str(),
+      "age_ms" => (self.shared.elapsed_us() - self.started_us) / 1_000
+    );
+  }
+
   /// What is known of a try that is given up, for another one answered first.
   fn given_up(&self) -> Attempt {
     let reason = "another try answered first".into();
