Write the entry of a box that leaves at once after the store went back, and drill fleets of 195 in virtual time

By the drill in virtual time: a box that was leaving when the store went back wrote its entry only 4 s later, as one does that has not found its backend server yet, since the registration had forgotten that there ever was an entry. An entry that was there is written at once now (seen to fail: no entry after 5 s).

--- a/src/distribution/registration.rs
+++ b/src/distribution/registration.rs
@@ -157,7 +157,9 @@
   /// The store forgot the lease, and the entry with it: both are made anew from `at` on. What is under way says
   /// nothing any more.
   pub fn start_over(&mut self, at: Time) {
-    *self = Self { is_written_live: self.is_written_live, retry_at: at, ..Self::default() };
+    // An entry that was there is written at once, also where it says that the box takes no work.
+    let is_written_live = self.is_written_live || self.written.is_some();
+    *self = Self { is_written_live, retry_at: at, ..Self::default() };
   }
 
   /// A call that is out too long, after the process stood still, counts as failed.
--- /dev/null
+++ b/tests/store_eras.rs
@@ -0,0 +1,130 @@
+//! A store that comes back from a copy some seconds old, in virtual time, with fleets of any size.
+//!
+//! Seen on ten real daemons: entries of boxes that had joined since the copy stayed away for more than twenty seconds,
+//! for renewals kept alive the leases of others that had their numbers. The same on real processes is played by the
+//! soak's tests.
+
+mod support;
+
+use support::followers::Followers;
+
+/// Milliseconds after the store's return within which every entry is there again.
+const ENTRIES_MS: u64 = 2_000;
+
+/// Milliseconds after its acceptance within which a version is in force.
+const APPLY_MS: u64 = 2_000;
+
+/// Calls a second that the store takes for each box of a fleet of 195: the fleets' stores have such rates.
+const CALLS_PER_BOX: u64 = 16;
+
+/// A fleet at rest, a third of whose boxes joined after the copy was made, with a version that the copy lacks.
+fn fleet(boxes: usize) -> Followers {
+  let before = boxes - boxes / 3;
+  let mut fleet = Followers::at_rest(before);
+  fleet.keep_copy();
+  (before..boxes).for_each(|index| fleet.start(index, 9_000));
+  fleet.write_version(2);
+  fleet.run(6_000);
+  assert!(fleet.late(boxes, 2).is_empty(), "{:?}", fleet.late(boxes, 2));
+  assert!(missing(&mut fleet, boxes).is_empty());
+  fleet
+}
+
+/// Boxes whose entry the store lacks.
+fn missing(fleet: &mut Followers, boxes: usize) -> Vec<usize> {
+  (0..boxes).filter(|index| fleet.entry_of(*index).is_none()).collect()
+}
+
+/// Boxes that some box does not hold for live; each is asked of a few.
+fn not_live(fleet: &Followers, boxes: usize) -> Vec<usize> {
+  let asked = [0, boxes / 2, boxes - 1];
+  (0..boxes).filter(|to| !asked.iter().all(|from| fleet.sees_live(*from, *to))).collect()
+}
+
+/// Lets time pass until all entries are there. Returns after how many milliseconds.
+fn until_whole(fleet: &mut Followers, boxes: usize) -> u64 {
+  let began = fleet.now;
+  while !missing(fleet, boxes).is_empty() {
+    fleet.run(50);
+    let waited_ms = fleet.now - began;
+    assert!(waited_ms <= ENTRIES_MS, "entries stay away: {:?}", missing(fleet, boxes));
+  }
+  fleet.now - began
+}
+
+/// Two drills in a row, each followed by a version whose revision was given out before.
+fn drill(boxes: usize) {
+  let mut fleet = fleet(boxes);
+  for round in 0..2 {
+    fleet.go_back();
+    let (before, began) = (fleet.store_tenths, fleet.now);
+    let back_ms = until_whole(&mut fleet, boxes);
+    fleet.run(ENTRIES_MS - back_ms);
+    let calls = (fleet.store_tenths - before) / 10;
+    assert!(calls <= CALLS_PER_BOX * boxes as u64, "{calls} calls in the first two seconds");
+    // Whoever reads the directory in the meantime takes nobody for gone, and no version goes back.
+    fleet.run(6_000);
+    assert!(not_live(&fleet, boxes).is_empty(), "{:?}", not_live(&fleet, boxes));
+    let newest = 2 + round;
+    assert!(fleet.late(boxes, newest).is_empty(), "a version went back");
+    fleet.write_version(newest + 1);
+    let accepted = fleet.now;
+    while !fleet.late(boxes, newest + 1).is_empty() {
+      fleet.run(20);
+      assert!(fleet.now - accepted <= APPLY_MS, "{:?}", fleet.late(boxes, newest + 1));
+    }
+    let applied_ms = fleet.now - accepted;
+    println!(
+      "{boxes} boxes, drill {round} at {began}: entries back after {back_ms} ms, {calls} calls in two seconds, \
+       the next version in force after {applied_ms} ms"
+    );
+  }
+}
+
+#[test]
+fn ten_boxes_are_whole_again_in_time() {
+  drill(10);
+}
+
+#[test]
+fn sixty_one_boxes_are_whole_again_in_time() {
+  drill(61);
+}
+
+/// Every box of a large fleet writes a lease and an entry.
+#[test]
+fn a_large_fleet_is_whole_again_in_time() {
+  drill(195);
+}
+
+/// A box that the store does not serve meanwhile hears of it from its neighbours, which keep its entry.
+#[test]
+fn a_box_without_a_path_to_the_store_stays_known() {
+  const BOXES: usize = 10;
+  let mut fleet = fleet(BOXES);
+  fleet.unserved.insert(Followers::box_id(BOXES - 1));
+  fleet.run(4_000);
+  fleet.go_back();
+  fleet.run(8_000);
+  assert!(not_live(&fleet, BOXES).is_empty(), "{:?}", not_live(&fleet, BOXES));
+  fleet.write_version(3);
+  fleet.run(APPLY_MS);
+  assert!(fleet.late(BOXES, 3).is_empty(), "{:?}", fleet.late(BOXES, 3));
+}
+
+/// What a box that leaves said last is there again, and it is not taken back.
+#[test]
+fn a_box_that_leaves_stays_leaving() {
+  const BOXES: usize = 10;
+  let mut fleet = fleet(BOXES);
+  fleet.change_state(3, ferryyoke::fleet::EndpointState::Leaving);
+  fleet.run(1_000);
+  fleet.go_back();
+  for _ in 0..100 {
+    fleet.run(50);
+    let taken_back = (0..BOXES).filter(|from| fleet.sees_live(*from, 3)).collect::<Vec<_>>();
+    assert!(taken_back.is_empty(), "{taken_back:?}");
+  }
+  let entry = fleet.entry_of(3).expect("its entry");
+  assert!(entry.text().is_ok_and(|text| text.contains("leaving")), "{entry:?}");
+}
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -60,6 +60,10 @@
   boxes: BTreeMap<BoxId, Follower>,
   /// By microsecond, and in order of sending.
   coming: BTreeMap<(u64, u64), (BoxId, Coming)>,
+  /// The content that the store comes back with when it goes back.
+  copy: Keyspace,
+  /// How often the store went back.
+  era: Era,
   /// Boxes whose process stands still.
   pub frozen: BTreeSet<BoxId>,
   keyspace: Keyspace,
@@ -111,6 +115,8 @@
       behind: Vec::new(),
       boxes: BTreeMap::new(),
       coming: BTreeMap::new(),
+      copy: Keyspace::default(),
+      era: Era(0),
       frozen: BTreeSet::new(),
       keyspace: Keyspace::default(),
       last: 0,
@@ -274,6 +280,21 @@
     }
   }
 
+  /// The store keeps a copy of all that it holds.
+  pub fn keep_copy(&mut self) {
+    self.copy = self.keyspace.clone();
+  }
+
+  /// The store comes back from the copy: what it acknowledged since is gone, and revisions and numbers of leases are
+  /// given out again. Watches that wait are cut.
+  pub fn go_back(&mut self) {
+    self.keyspace = self.copy.clone();
+    self.era = self.era.next();
+    for (box_id, call, ..) in std::mem::take(&mut self.watches) {
+      self.answer(&box_id, call, Err(store::Error::Unknown { reason: "cut".into() }));
+    }
+  }
+
   /// All leases end at once.
   pub fn lapse_leases(&mut self) {
     self.keyspace.lapse_leases();
@@ -423,6 +444,9 @@
       self.answer(box_id, call, Err(turned_away));
       return;
     }
+    let Some(request) = self.in_this_era(request) else {
+      return self.answer(box_id, call, Err(Refusal::Compacted.into()));
+    };
     if let StoreRequest::Watch { wait_ms, .. } = &request {
       self.watches_begun += 1;
       let until = self.now + wait_ms;
@@ -434,6 +458,17 @@
     self.answer(box_id, call, result.map_err(store::Error::from));
   }
 
+  /// A call by the store's own counts; nothing for a watch from an earlier era, which clients do not send.
+  fn in_this_era(&self, mut request: StoreRequest) -> Option<StoreRequest> {
+    if let StoreRequest::Watch { after, .. } = &mut request {
+      if after.era < self.era {
+        return None;
+      }
+      after.era = Era(0);
+    }
+    Some(request)
+  }
+
   /// Answers a read that may be old as the store was, with the revision at which it is now.
   fn read_old(&mut self, request: &StoreRequest) -> Option<Result<Reply, Refusal>> {
     let old = self.old.as_mut().filter(|_| matches!(request, StoreRequest::ListStale { .. }))?;
@@ -461,7 +496,8 @@
 
   fn answer(&mut self, box_id: &BoxId, call: u64, result: store::Result<Reply>) {
     let bytes = lines::answer_bytes(&result);
-    let answered = Event::StoreAnswered { call, era: Era::default(), result };
+    let result = result.map(|reply| reply.of_era(self.era));
+    let answered = Event::StoreAnswered { call, era: self.era, result };
     self.convey(None, box_id, bytes, Coming::Event(Box::new(answered)));
   }
 
