--- a/src/distribution/distributor/pushing.rs
+++ b/src/distribution/distributor/pushing.rs
@@ -10,9 +10,9 @@
   fn beat(&self) -> Beat {
     let is_new = self.now.time.since_ms(self.switched_at) < 2 * self.identity.timing.beat_ms;
     Beat {
-      era: Era::default(),
       applied_unix_ms: is_new.then(|| self.applied_unix_ms()),
       endpoints: self.endpoints.fingerprint(),
+      era: Era::default(),
       is_relay: self.is_relay(),
       revision: None,
       store_age_ms: self.store_age_ms(),
