--- a/crates/ferryyoke-soak/src/stops.rs
+++ b/crates/ferryyoke-soak/src/stops.rs
@@ -10,27 +10,24 @@
 }
 
 impl Run {
-  /// Megabits a second of links that are narrow.
-  const NARROW_MBPS: std::ops::Range<u64> = 8..30;
+  /// Megabits a second of the boxes' links.
+  const NARROW_MBPS: std::ops::Range<u64> = 8..20;
   /// Bytes of the answers.
   const DOWNLOAD_BYTES: std::ops::Range<usize> = 30_000..400_000;
   /// Milliseconds that callers wait for one: as long as a stop may take.
   const DOWNLOAD_MS: Ms = SoakBox::STOP_MS;
-  /// Milliseconds between two downloads at each box: together several times what narrow links carry.
-  const DOWNLOAD_PAUSE_MS: Ms = 90;
+  /// Milliseconds between two downloads at each box: together several times what the links carry.
+  const DOWNLOAD_PAUSE_MS: Ms = 70;
   /// Milliseconds for which downloads are sent, with the stops in their midst.
   const DOWNLOADS_MS: Ms = 9_000;
   /// Milliseconds between two stops, at most.
   const STOP_GAP_MAX_MS: Ms = 2_000;
 
-  /// Gives about half of the boxes narrow links, by the seed.
+  /// Gives all boxes narrow links, by the seed. With wide ones among them, most answers would come from these.
   pub(super) fn narrow_links(&self, seed: u64) -> Result {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
     for one in &self.boxes {
-      let link_mbps = rng.random_range(Self::NARROW_MBPS);
-      if rng.random() {
-        one.narrow(link_mbps)?;
-      }
+      one.narrow(rng.random_range(Self::NARROW_MBPS))?;
     }
     Ok(())
   }
