--- a/crates/ferryyoke-bench/src/commands/balance.rs
+++ b/crates/ferryyoke-bench/src/commands/balance.rs
@@ -245,6 +245,7 @@
     sequence: 1,
     service: "service".parse().expect("a name"),
     slots: 12,
+    software: None,
     state: EndpointState::Live,
   }
 }
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -5,6 +5,8 @@
 
 use super::*;
 
+use crate::rollout::Order;
+
 pub use self::{
   accepted_change::AcceptedChange, caller_limits::CallerLimits, change::Change,
   configuration::Configuration, drain::Drain, error::Error, handling::Handling, head::Head,
--- a/src/configuration/source.rs
+++ b/src/configuration/source.rs
@@ -7,6 +7,21 @@
   /// The key that holds the newest configuration.
   fn key(&self) -> store::Key;
 
+  /// The prefix of all keys that the operators write: the configuration and their orders.
+  fn prefix(&self) -> store::Key {
+    self.key()
+  }
+
+  /// The service that a key's order is about; nothing where the key is none of an order.
+  fn ordered_service(&self, _key: &store::Key) -> Option<ServiceName> {
+    None
+  }
+
+  /// The order in a value of such a key, or what is wrong with it.
+  fn read_order(&self, _value: &str) -> std::result::Result<Order, String> {
+    Err("no orders are known".into())
+  }
+
   /// The configuration in a value of that key, or what is wrong with it.
   fn read(&self, value: &str) -> std::result::Result<Configuration, Unreadable>;
 }
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -187,6 +187,7 @@
     sequence: 0,
     service: settings.service.clone(),
     slots: settings.backend_server.slots,
+    software: None,
     state: EndpointState::Draining,
   };
   let timing = settings.profile.timing();
@@ -197,5 +198,7 @@
   // Requests find out by themselves where a box is gone, so its entry may stay for a while.
   let lease_ttl_ms = gathering.map_or(timing.lease_ttl_ms, |_| FOLLOWER_LEASE_MS);
   let timing = Timing { lease_ttl_ms, ..timing };
-  Identity { endpoint, seeds: settings.peers.clone(), timing }
+  let share_limits = settings.deployment.as_ref().map(|deployment| deployment.share_limits);
+  let share_limits = share_limits.unwrap_or_default();
+  Identity { endpoint, seeds: settings.peers.clone(), share_limits, timing }
 }
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -48,6 +48,8 @@
     /// Its version, where that much could be read.
     version: Option<Version>,
   },
+  /// Which versions of services get which requests changed.
+  RolloutsChanged(BTreeMap<ServiceName, Traffic>),
   /// Send a message.
   Send {
     /// The link.
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -118,7 +118,7 @@
       Event::Accepted { version } => self.accepted(version, None),
       Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
-      Event::EndpointServes { service, slots, starts } => {
+      Event::EndpointServes { service, slots, starts, .. } => {
         self.own.backend_starts = starts;
         self.own.service = service;
         self.own.slots = slots;
@@ -128,6 +128,8 @@
       Event::LinkFailed { box_id } => self.link_failed(&box_id),
       Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, &peer),
       Event::Received { link, message } => self.received(link, message),
+      // Nobody orders roll-outs of software where configurations are accepted here.
+      Event::RolloutObserved(_) => {}
       Event::RunsEnded(what) => self.runs_ended(what),
       Event::StoreAnswered { call, result, .. } => self.store_answered(call, &result),
       Event::Tick => self.tick(),
@@ -164,6 +166,8 @@
       Message::Answer { id, reports } => self.inquiry_answered(link, id, reports),
       Message::Ask { hops, id, question } => self.neighbour_asked(link, hops, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
+      // Roll-outs of software are ordered on platforms only.
+      Message::Evidence(_) | Message::Rollout(_) => {}
       Message::News(endpoints) => self.news_received(link, endpoints),
       Message::Redirect { floor, relays } => self.redirected(link, floor, relays),
       Message::Refused { reason } => self.update_refused(link, reason),
--- a/src/distribution/event.rs
+++ b/src/distribution/event.rs
@@ -28,6 +28,8 @@
     service: ServiceName,
     /// Requests that it runs at once.
     slots: u32,
+    /// The version of its software, where it told one.
+    software: Option<SoftwareVersion>,
     /// How many of its processes followed the first one.
     starts: u32,
   },
@@ -59,6 +61,8 @@
     /// The message.
     message: Message,
   },
+  /// The daemon tells of the answers of its own backend server, while a roll-out goes on.
+  RolloutObserved(Evidence),
   /// The daemon found out how requests ended at its own backend server.
   RunsEnded(RunOutcome),
   /// The store answered a call.
--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -34,7 +34,7 @@
     if is_waiting || self.failing_since.is_some() {
       return;
     }
-    let prefix = keys::endpoints();
+    let prefix = keys::directory();
     self.directory_call = Some(self.call_store(StoreRequest::ListStale { prefix }));
   }
 
@@ -89,6 +89,11 @@
     let mut fresh = Vec::new();
     let known = std::mem::take(&mut self.unreadable);
     for entry in entries {
+      if let Some(service) = rollout::keys::service_of(&entry.key) {
+        self.note_rollout(&service, entry);
+      }
+    }
+    for entry in entries.iter().filter(|entry| entry.key.is_under(&keys::endpoints())) {
       let box_id = keys::endpoint_of(&entry.key);
       if let Some(box_id) = &box_id {
         self.listed.insert(box_id.clone());
--- a/src/distribution/follower/era.rs
+++ b/src/distribution/follower/era.rs
@@ -36,6 +36,8 @@
     self.kept_entries.clear();
     self.neighbours_revision = None;
     self.failing_since = None;
+    self.rollout_calls.clear();
+    self.rollouts.store_went_back();
     self.announce();
     if self.must_watch() {
       self.read_configuration(false);
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -115,7 +115,7 @@
 
   /// Reads the configuration. An old one will do where a watch follows, which brings what is newer.
   pub(super) fn read_configuration(&mut self, may_be_old: bool) {
-    let prefix = self.source.key();
+    let prefix = self.source.prefix();
     let request =
       if may_be_old { StoreRequest::ListStale { prefix } } else { StoreRequest::List { prefix } };
     let call = self.call_store(request);
@@ -150,6 +150,9 @@
 
   pub(super) fn store_answered(&mut self, call: u64, result: &store::Result<Reply>) {
     self.note_contact(call, result);
+    if self.rollout_answered(call, result) {
+      return;
+    }
     let now = self.now.time;
     match self.registration.answered(now, call, result, &mut self.rng) {
       Some(Registered::Lapsed) => {
@@ -184,8 +187,11 @@
         self.configuration_read(entries, *revision, may_be_old);
       }
       Ok(Reply::Changes { events, revision }) => {
-        for entry in events.iter().filter_map(|event| event.entry.as_ref()) {
-          self.note_entry(entry);
+        for event in events {
+          match &event.entry {
+            Some(entry) => self.note_entry(entry),
+            None => self.note_withdrawal(&event.key),
+          }
         }
         self.gather(*revision);
       }
@@ -273,7 +279,7 @@
 
   pub(super) fn wait_for_changes(&mut self, after: Revision) {
     self.outrun_since = None;
-    let prefix = self.source.key();
+    let prefix = self.source.prefix();
     // A daemon that starts does not know yet whether it stays a watcher.
     let is_lasting = self.is_watcher() && !self.is_settling();
     let wait_ms = if is_lasting { self.watch_ms() } else { Self::PASSING_WATCH_MS };
@@ -283,7 +289,7 @@
 
   fn note_entry(&mut self, entry: &Entry) {
     if entry.key != self.source.key() {
-      return;
+      return self.note_order(entry);
     }
     match entry.value.text() {
       Ok(text) => self.take_configuration(text),
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -13,6 +13,7 @@
 mod following;
 mod neighbours;
 mod returning;
+mod rollouts;
 mod silence;
 mod updates;
 
@@ -48,6 +49,8 @@
   endpoints: EndpointTable,
   /// The newest era of the store that anybody told of; nothing before its first answer.
   era: Option<Era>,
+  /// What boxes saw of their backend servers' answers and was not told on yet, with the link that it came by.
+  evidence: Vec<(Option<LinkId>, Evidence)>,
   /// When the store stopped answering this daemon; nothing while it answers.
   failing_since: Option<Time>,
   /// When the fleet was formed, as this daemon sees it.
@@ -79,12 +82,17 @@
   /// Boxes whose links ended without a word.
   returning: BTreeMap<BoxId, Returning>,
   rng: ChaCha8Rng,
+  /// Calls to the store for roll-outs, by service.
+  rollout_calls: BTreeMap<u64, ServiceName>,
+  rollouts: Rollouts,
   source: Arc<dyn Source>,
   /// Boxes whose entry this daemon keeps in the store for them.
   kept_entries: BTreeSet<BoxId>,
   started_at: Time,
   /// When time passed last. Other events may come before a tick after the process stood still.
   ticked_at: Time,
+  /// What the proxies of this box were told last of versions and their shares; nothing before the fleet is known.
+  traffic: Option<BTreeMap<ServiceName, Traffic>>,
   /// Entries that the last read of the directory found unreadable.
   unreadable: BTreeMap<Key, UnreadableEntry>,
   watch: WatchPhase,
@@ -156,6 +164,7 @@
       directory_revision: Revision::default(),
       endpoints,
       era: None,
+      evidence: Vec::new(),
       failing_since: None,
       formed_at: None,
       identity,
@@ -175,10 +184,13 @@
       registration: Registration::default(),
       returning: BTreeMap::new(),
       rng: ChaCha8Rng::seed_from_u64(seed),
+      rollout_calls: BTreeMap::new(),
+      rollouts: Rollouts::default(),
       source,
       kept_entries: BTreeSet::new(),
       started_at: now.time,
       ticked_at: now.time,
+      traffic: None,
       unreadable: BTreeMap::new(),
       watch: WatchPhase::Backoff { after: None, until: now.time },
       watch_failures: 0,
@@ -206,6 +218,7 @@
     self.tick_refused();
     self.tick_neighbours();
     self.tick_returning();
+    self.tick_rollouts();
   }
 
   fn act(&mut self, action: Action) {
@@ -247,6 +260,7 @@
   fn endpoints_changed(&mut self) {
     self.act(Action::EndpointsChanged);
     self.watchers = Watchers::among(self.endpoints.present(), &self.own.peer.data_hall);
+    self.note_versions();
   }
 
   /// Announces the box's own news with the next sequence.
@@ -259,12 +273,20 @@
     self.tick_registration();
   }
 
-  fn change_service(&mut self, service: ServiceName, slots: u32, starts: u32) {
+  fn change_service(
+    &mut self,
+    service: ServiceName,
+    software: Option<SoftwareVersion>,
+    slots: u32,
+    starts: u32,
+  ) {
     let own = &mut self.own;
-    if own.service != service || own.slots != slots || own.backend_starts != starts {
+    let is_same = own.service == service && own.software == software;
+    if !is_same || own.slots != slots || own.backend_starts != starts {
       own.backend_starts = starts;
       own.service = service;
       own.slots = slots;
+      own.software = software;
       self.announce();
     }
   }
@@ -336,14 +358,15 @@
       Event::Accepted { .. } => {}
       Event::Asked { question, token } => self.asked(&question, token),
       Event::Consulted { id, reports } => self.inquiries.consulted(id, reports),
-      Event::EndpointServes { service, slots, starts } => {
-        self.change_service(service, slots, starts);
+      Event::EndpointServes { service, slots, software, starts } => {
+        self.change_service(service, software, slots, starts);
       }
       Event::EndpointState(state) => self.change_state(state),
       Event::LinkClosed { link } => self.link_lost(link),
       Event::LinkFailed { box_id } => self.link_failed(&box_id),
       Event::LinkOpened { link, outbound, peer } => self.link_opened(link, outbound, &peer),
       Event::Received { link, message } => self.received(link, message),
+      Event::RolloutObserved(evidence) => self.evidence_told(None, vec![evidence]),
       Event::RunsEnded(what) => self.runs_ended(what),
       Event::StoreAnswered { call, era, result } => {
         if !self.note_era(era) {
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -187,6 +187,7 @@
       version: self.catalog.held(),
     };
     self.send(link, Message::Subscribe(Box::new(subscribe)));
+    self.tell_rollouts_to(link);
   }
 
   pub(super) fn link_failed(&mut self, box_id: &BoxId) {
@@ -224,8 +225,10 @@
       Message::Answer { id, reports } => self.inquiries.answered(id, link, reports),
       Message::Ask { hops: _, id, question } => self.neighbour_asked(link, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
+      Message::Evidence(told) => self.evidence_told(Some(link), told),
       Message::News(endpoints) => self.news_received(link, &endpoints),
       Message::Refused { reason } => self.update_refused(link, &reason),
+      Message::Rollout(word) => self.rollout_told(link, &word),
       Message::Subscribe(subscribe) => self.subscription_asked(link, &subscribe),
       Message::Update(update) => self.update_received(link, &update),
       Message::Accepted { version } => self.version_told(link, version),
@@ -245,6 +248,7 @@
     self.news_received(link, std::slice::from_ref(&subscribe.endpoint));
     self.push_update(link);
     self.tell_refused_to(link);
+    self.tell_rollouts_to(link);
     self.send_beat(link);
     if self.lapsed.contains_key(&subscribe.endpoint.peer.box_id) {
       self.keep_entry_of(&subscribe.endpoint.peer.box_id);
--- a/src/distribution/keys.rs
+++ b/src/distribution/keys.rs
@@ -17,6 +17,11 @@
   key.as_str().strip_prefix("mesh/boxes/")?.parse().ok()
 }
 
+/// The entries of all daemons, and the records of roll-outs: what a directory read brings.
+pub fn directory() -> Key {
+  Key::of(&["mesh", ""])
+}
+
 /// The key of the newest version.
 pub fn head() -> Key {
   Key::of(&["mesh", "head"])
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -28,6 +28,8 @@
   /// The regular word.
   #[serde(rename = "b")]
   Beat(Beat),
+  /// What boxes saw of the answers of their backend servers, for those who may decide a roll-out.
+  Evidence(Vec<Evidence>),
   /// News about endpoints.
   News(Vec<Endpoint>),
   /// The sender does not serve the receiver: go elsewhere.
@@ -44,6 +46,8 @@
   },
   /// The relays changed.
   Relays(Relays),
+  /// Where a roll-out stands.
+  Rollout(Box<rollout::Word>),
   /// Asks for configuration and news.
   Subscribe(Box<Subscribe>),
   /// A newer version.
--- a/src/distribution/watchers.rs
+++ b/src/distribution/watchers.rs
@@ -65,6 +65,23 @@
     turn_ms * self.ring.len() as u64
   }
 
+  /// Whether a box is one of all watchers.
+  pub(super) fn is_one(&self, box_id: &BoxId) -> bool {
+    self.position(box_id).is_some()
+  }
+
+  /// How many watchers there are.
+  pub(super) fn count(&self) -> u64 {
+    self.ring.len() as u64
+  }
+
+  /// How many watchers come before a box when it is about a service. Each service begins at another one.
+  pub(super) fn rank(&self, box_id: &BoxId, service: &ServiceName) -> Option<u64> {
+    let position = self.position(box_id)? as u64;
+    let first = u64::from(Digest::of(service.as_str().as_bytes()).prefix()) % self.count();
+    Some((position + self.count() - first) % self.count())
+  }
+
   fn position(&self, box_id: &BoxId) -> Option<usize> {
     self.ring.iter().position(|peer| peer.box_id == *box_id)
   }
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -24,6 +24,8 @@
   service: Option<ServiceName>,
   /// Requests that it runs at once, as reported.
   slots: Option<u32>,
+  /// The version of its software, as reported.
+  software: Option<SoftwareVersion>,
   /// How many processes were taken for the running one, after the first.
   starts: u32,
   state: BackendState,
@@ -139,6 +141,7 @@
     self.cold_until = now.after(report.cold_left_ms);
     self.service = Some(report.service.clone());
     self.slots = Some(report.slots);
+    self.software.clone_from(&report.software);
     // A process that leaves does not come back, whatever a report says.
     if self.state != BackendState::Leaving {
       self.state = if report.leaving { BackendState::Leaving } else { BackendState::Ready };
@@ -211,6 +214,7 @@
     self.state = BackendState::Unknown;
     self.sequence = 0;
     self.service = None;
+    self.software = None;
   }
 
   /// Whether a process is known to have left. What is known by its id alone may be a later one.
@@ -233,6 +237,11 @@
     self.process.as_ref()
   }
 
+  /// Whether the process is still slow from its start.
+  pub fn is_cold(&self, now: Time) -> bool {
+    now < self.cold_until
+  }
+
   /// The service that the backend server reported last.
   pub fn service(&self) -> Option<&ServiceName> {
     self.service.as_ref()
@@ -243,6 +252,11 @@
     self.slots
   }
 
+  /// The version of its software, as it reported.
+  pub fn software(&self) -> Option<&SoftwareVersion> {
+    self.software.as_ref()
+  }
+
   /// How many processes followed the first one, in this life of the daemon.
   pub fn starts(&self) -> u32 {
     self.starts
--- a/src/fleet/backend_report.rs
+++ b/src/fleet/backend_report.rs
@@ -15,4 +15,6 @@
   pub service: ServiceName,
   /// Requests that it runs at once.
   pub slots: u32,
+  /// The version of its software, where it tells one.
+  pub software: Option<SoftwareVersion>,
 }
--- a/src/fleet/endpoint.rs
+++ b/src/fleet/endpoint.rs
@@ -37,6 +37,9 @@
   /// Requests that the backend server runs at once.
   #[serde(rename = "n")]
   pub slots: u32,
+  /// The version of the backend server's software; nothing where it has not told that yet.
+  #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+  pub software: Option<SoftwareVersion>,
   /// What the backend server can do.
   #[serde(rename = "t")]
   pub state: EndpointState,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,8 @@
 use {
   crate::values::{
     Born, BoxId, ChangeId, DataHall, Digest, DurationMs, Fingerprint, Incarnation, InstanceId,
-    Operator, PolicyName, Region, RequestId, RouteName, ServiceName, Team, Time, TryKey, Version,
-    text,
+    Operator, PolicyName, Region, RequestId, RouteName, ServiceName, SoftwareVersion, Team, Time,
+    TryKey, Version, text,
   },
   bytes::{Buf, Bytes, BytesMut},
   clap::{Arg, ArgAction, ArgMatches, Command},
@@ -55,6 +55,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod requests;
+pub mod rollout;
 pub mod settings;
 pub mod standin;
 pub mod store;
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -71,11 +71,20 @@
         for outcome in ticking.shared.take_run_outcomes() {
           ticking.handle(Event::RunsEnded(outcome));
         }
+        ticking.tell_evidence();
         ticking.handle(Event::Tick);
       }
     });
   }
 
+  /// Tells those who may decide a roll-out how the backend server beside the daemon answers.
+  fn tell_evidence(self: &Rc<Self>) {
+    let own = self.distributor.borrow().own_endpoint().clone();
+    if let Some(evidence) = self.shared.take_evidence(&own) {
+      self.handle(Event::RolloutObserved(evidence));
+    }
+  }
+
   /// Asks the fleet, and waits until it answered as far as it will.
   pub async fn ask(self: &Rc<Self>, question: Question) -> Inquired {
     let token = self.last_token.get() + 1;
@@ -124,6 +133,7 @@
       Action::Refuse { reason, version } => {
         self.shared.note_refused_configuration(&reason, version);
       }
+      Action::RolloutsChanged(traffic) => self.shared.set_traffic(traffic),
       Action::Send { link, message } => self.send(link, message),
       Action::StoreWentBack(era) => self.shared.note_store_era(era),
       Action::UnreadableEntry(entry) => self.shared.note_unreadable_entry(&entry),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,7 @@
     RecordBook, RequestRecord, RetryBudget, RetryLimits, Router, RunEnd, RunId, Splitter,
     StopLimit, Ticket,
   },
+  rollout::{Evidence, Observer, Traffic, TrafficTable},
   settings::Settings,
   store::{self, Era, Reply, Store, StoreRequest},
   telemetry::{Log, Metrics},
@@ -46,5 +47,6 @@
 #[allow(clippy::module_inception)]
 mod node;
 mod open_link;
+mod rollout_side;
 mod shared;
 mod system_clock;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -87,6 +87,7 @@
   fn forget_former_process(&self) {
     let shared = &self.shared;
     shared.monitor.borrow_mut().forget();
+    shared.observer.borrow_mut().forget();
     shared.backend_pool.forget_idle();
     let running = shared.backend.borrow().process().map(ToString::to_string);
     info!(
@@ -100,16 +101,17 @@
     let shared = &self.shared;
     let reported = {
       let record = shared.backend.borrow();
-      record.slots().zip(record.service().cloned()).zip(Some(record.starts()))
+      let software = record.software().cloned();
+      record.slots().zip(record.service().cloned()).zip(Some((record.starts(), software)))
     };
-    let Some(((slots, service), starts)) = reported else {
+    let Some(((slots, service), (starts, software))) = reported else {
       return;
     };
     let admitted = shared.limiter.borrow_mut().set_slots(shared.now().time, slots as usize);
     for ticket in admitted {
       shared.admit(ticket);
     }
-    self.distribution.handle(Event::EndpointServes { service, slots, starts });
+    self.distribution.handle(Event::EndpointServes { service, slots, software, starts });
   }
 
   /// Tells the fleet, and the log, what the backend server can do from now on.
@@ -120,7 +122,8 @@
       info!(
         shared.log.logger, "the backend server changed its state";
         "instance" => %process, "sequence" => sequence,
-        "before" => ?before, "state" => ?state
+        "before" => ?before, "state" => ?state,
+        "software" => shared.backend.borrow().software().map_or("none".into(), ToString::to_string)
       );
     }
     if shared.is_stopping() {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -30,12 +30,16 @@
   /// The header names of callers and backend servers.
   pub dialect: Dialect,
   endpoints: RefCell<BTreeMap<ServiceName, Rc<Vec<Endpoint>>>>,
+  /// When the backend server's answers were last told of.
+  pub(super) evidence_at: Cell<Time>,
   /// Bounds what the backend server runs.
   pub limiter: RefCell<Limiter>,
   /// Bounds the bodies that come over the box's network link; nothing where its speed is not known.
   pub link_budget: RefCell<Option<LinkBudget>>,
   /// The log.
   pub log: Log,
+  /// When all requests began to go to another version than that of the backend server beside the daemon.
+  pub(super) leaving_since: Cell<Option<Time>>,
   /// The metrics.
   pub metrics: Metrics,
   /// How the backend server does lately.
@@ -44,6 +48,8 @@
   pub names: Names,
   /// A version that is known and not in force here yet.
   newer_version: Cell<Option<Version>>,
+  /// Counts the backend server's answers while a roll-out goes on.
+  pub observer: RefCell<Observer>,
   /// The requests that are not answered whole yet.
   pub open_exchanges: RefCell<OpenExchanges>,
   /// Kept connections to other daemons.
@@ -71,6 +77,8 @@
   /// The limit of a planned stop that is under way.
   stopping: Cell<Option<StopLimit>>,
   store: Rc<dyn Store>,
+  /// Which versions of services get which requests.
+  pub traffic: RefCell<TrafficTable>,
   /// Requests that wait for a slot.
   pub waiting: RefCell<BTreeMap<Ticket, futures_channel::oneshot::Sender<()>>>,
 }
@@ -119,13 +127,16 @@
       clock,
       crash_detector: RefCell::default(),
       dialect,
+      evidence_at: Cell::default(),
       limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
       link_budget: RefCell::new(link_budget),
+      leaving_since: Cell::default(),
       log,
       metrics: Metrics::new(),
       monitor: RefCell::default(),
       names,
       newer_version: Cell::default(),
+      observer: RefCell::default(),
       open_exchanges: RefCell::default(),
       peer_pool: pool(),
       quarantine: RefCell::default(),
@@ -141,6 +152,7 @@
       statements_at_work: Cell::default(),
       stopping: Cell::default(),
       store,
+      traffic: RefCell::default(),
       waiting: RefCell::default(),
     }
   }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -12,6 +12,9 @@
 struct Info {
   service: ServiceName,
   slots: NonZeroU32,
+  /// The version of its software.
+  #[serde(default)]
+  version: Option<SoftwareVersion>,
 }
 
 #[derive(Deserialize)]
@@ -79,6 +82,7 @@
     sequence: status.call_seq,
     service: info.service,
     slots: info.slots.get(),
+    software: info.version,
   });
   match heard {
     Heard::Foreign(reason) => Err(reason.into()),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
   },
   fleet::{BackendReport, Heard, Process},
   node::{Dialect, Node},
+  rollout::{self, Order, Record, Stage},
   store::{
     self, CallKind, Entry, Era, Event, Key, LeaseId, LocalFuture, Refusal, Reply, Revision, Store,
     StoreRequest, Value, Waiting,
@@ -33,6 +34,7 @@
 mod fields;
 mod item;
 mod operator_source;
+mod rollout_status;
 mod store_bodies;
 mod store_client;
 
--- a/src/platform/operator_source.rs
+++ b/src/platform/operator_source.rs
@@ -64,6 +64,18 @@
   name: ServiceName,
 }
 
+/// The operators' orders to move a service to another version lie under this prefix, by service.
+const ORDERS: &str = "op/rollout/";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RolloutOrder {
+  #[serde(deserialize_with = "duration_ms")]
+  duration: u64,
+  service: ServiceName,
+  target_version: SoftwareVersion,
+}
+
 fn optional_duration_ms<'de, D: serde::Deserializer<'de>>(
   deserializer: D,
 ) -> Result<Option<u64>, D::Error> {
@@ -75,6 +87,20 @@
     Key::of(&["op", "config"])
   }
 
+  fn ordered_service(&self, key: &Key) -> Option<ServiceName> {
+    key.as_str().strip_prefix(ORDERS)?.parse().ok()
+  }
+
+  fn prefix(&self) -> Key {
+    Key::of(&["op", ""])
+  }
+
+  fn read_order(&self, value: &str) -> Result<Order, String> {
+    let read: RolloutOrder = serde_json::from_str(value).map_err(|err| err.to_string())?;
+    let RolloutOrder { duration: duration_ms, service, target_version: target } = read;
+    Ok(Order { duration_ms, service, target })
+  }
+
   fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
     let read = serde_json::from_str(value).map_err(|err| err.to_string());
     read.and_then(translate).map_err(|reason| Unreadable { reason, version: version_of(value) })
--- /dev/null
+++ b/src/platform/rollout_status.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+use super::store_bodies::Write;
+
+/// What the platform's operators read of a roll-out.
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct RolloutStatus<'a> {
+  state: &'static str,
+  target_version: &'a SoftwareVersion,
+}
+
+/// What is written for the operators together with an item, where that is the record of a roll-out.
+pub(super) fn status_beside(key: &Key, value: &str) -> Option<Write> {
+  let service = rollout::keys::service_of(key)?;
+  let record: Record = serde_json::from_str(value).ok()?;
+  let state = match record.stage {
+    Stage::Completed => "completed",
+    Stage::RolledBack { .. } => "rolled_back",
+    Stage::Canary(_) | Stage::Full | Stage::Halted { .. } | Stage::Waiting => "running",
+  };
+  let status = RolloutStatus { state, target_version: &record.order.target };
+  let key = Key::of(&["status", "rollout", service.as_str()]);
+  Some(Write::new(&key, None, &to_json(&status)))
+}
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+use std::iter;
+
 use super::store_bodies::{
   Changes, Expected, LeaseCall, LeaseReply, Page, Transaction, TransactionReply, Write,
 };
@@ -65,11 +67,11 @@
       }
       StoreRequest::Watch { after, .. } if after.era < self.era() => Err(Refusal::Compacted.into()),
       StoreRequest::CompareAndSwap { key, revision, value } => {
-        let puts = vec![Write::new(&key, None, &value)];
+        let puts = writes(&key, None, &value);
         self.transact(Some((&key, revision.count)), puts, Vec::new()).await
       }
       StoreRequest::Create { key, lease, value } => {
-        let puts = vec![Write::new(&key, lease, &value)];
+        let puts = writes(&key, lease, &value);
         self.transact(Some((&key, 0)), puts, Vec::new()).await
       }
       StoreRequest::Delete { key } => {
@@ -271,6 +273,12 @@
   }
 }
 
+/// What is written for an item, all or nothing.
+fn writes(key: &Key, lease: Option<LeaseId>, value: &str) -> Vec<Write> {
+  let beside = rollout_status::status_beside(key, value);
+  iter::once(Write::new(key, lease, value)).chain(beside).collect()
+}
+
 /// A key as a part of a query. Another writer's may hold any character.
 fn in_query(key: &str) -> String {
   let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte);
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -75,6 +75,8 @@
   let head = pass_on(head, &incoming);
   let fingerprint = head.fingerprint(&incoming.class, &body);
   let only_box = check_standing(shared, fingerprint, &service)?;
+  let lane = shared.traffic.borrow_mut().deal(&service, &mut shared.rng.borrow_mut());
+  let is_watched = shared.traffic.borrow().of(&service).ordered_at.is_some();
   let forwarded = Forwarded {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
@@ -85,8 +87,10 @@
     head,
     id: incoming.id.clone(),
     insists: true,
+    lane,
     only_box,
     repeatable: matched.repeatable && method.is_idempotent(),
+    route: is_watched.then(|| matched.route.clone()),
     service,
     retry_failures: handling.retry_failures,
     urgency: Urgency::of(now, deadline, handling, is_call, elapsed_ms),
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -50,9 +50,11 @@
     fingerprint: headers::parsed(&head.headers, headers::FINGERPRINT).ok_or_else(malformed)?,
     id: headers::parsed(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
     insists: headers::parsed(&head.headers, headers::INSISTS).ok_or_else(malformed)?,
+    lane: Lane::InForce,
     only_box: None,
     repeatable: headers::parsed(&head.headers, headers::REPEATABLE).ok_or_else(malformed)?,
     retry_failures: false,
+    route: headers::parsed(&head.headers, headers::ROUTE),
     service: headers::parsed(&head.headers, headers::SERVICE).ok_or_else(malformed)?,
     urgency: urgency(&head.headers, shared.now().time).ok_or_else(malformed)?,
     version: headers::parsed(&head.headers, headers::VERSION).ok_or_else(malformed)?,
@@ -72,6 +74,7 @@
     headers::PATIENCE_MS,
     headers::PRIORITY,
     headers::REPEATABLE,
+    headers::ROUTE,
     headers::SEAL,
     headers::SERVICE,
     headers::TRY,
@@ -224,6 +227,9 @@
   if shared.takes_no_work() {
     return Some("this box takes no new work".into());
   }
+  if let Some(reason) = shared.why_out_of_force() {
+    return Some(reason.into());
+  }
   match shared.backend_state() {
     BackendState::Ready => None,
     BackendState::Leaving => Some("the backend server of this box is on its way out".into()),
@@ -258,6 +264,7 @@
   let value = request.headers().get(name).cloned();
   let mark = value.map(|value| Mark { name: name.clone(), value });
   let mark = mark.filter(|_| shared.settings.deployment.is_some());
+  let observed = ObservedRun::begin(shared, forwarded.route.as_ref());
   let response = shared.backend_pool.send(client, request, mark).await;
   let failed_itself = match &response {
     Ok(response) => response.status().is_server_error() && !has_failed_call(shared, forwarded),
@@ -269,15 +276,24 @@
   let (mut head, body) = match response {
     Ok(response) => response.into_parts(),
     Err(err) => {
-      if !err.is_unsent() {
+      if err.is_unsent() {
+        observed.pass_over();
+      } else {
+        observed.end(true);
         run.end(RunEnd::Broken);
       }
       return Err(failed("the backend server", &err));
     }
   };
   if let Some(outcome) = rejected(shared, &head) {
+    observed.pass_over();
     return Err(outcome);
   }
+  if failed_itself || head.status.is_success() {
+    observed.end(failed_itself);
+  } else {
+    observed.pass_over();
+  }
   headers::remove_connection_headers(&mut head.headers);
   headers::remove_mesh_headers(&mut head.headers);
   let guarded = GuardedBody::new(body, move |end| {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -57,6 +57,7 @@
     now: shared.now().time,
     own_box: &shared.settings.box_id,
     rng: &mut shared.rng.borrow_mut(),
+    traffic: &shared.traffic.borrow().of(service),
   };
   dispatch.handle(event, &mut around)
 }
@@ -135,6 +136,9 @@
   headers::set(request_headers, headers::PATIENCE_MS, urgency.patience.since_ms(now));
   headers::set(request_headers, headers::PRIORITY, urgency.priority);
   headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
+  if let Some(route) = &forwarded.route {
+    headers::set(request_headers, headers::ROUTE, route);
+  }
   headers::set(request_headers, headers::SEAL, seal);
   headers::set(request_headers, headers::SERVICE, &forwarded.service);
   headers::set(request_headers, headers::TRY, key);
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -22,10 +22,14 @@
   /// Whether it waits for a slot. Otherwise it is for a box that can run it at once, and others are
   /// asked where this one cannot.
   pub insists: bool,
+  /// Which of its service's versions it is meant for.
+  pub lane: Lane,
   /// The one box to which it may be sent, where it is on trial.
   pub only_box: Option<BoxId>,
   /// Whether it may run more than once.
   pub repeatable: bool,
+  /// The route that it takes, where that is told.
+  pub route: Option<RouteName>,
   /// The service that receives it.
   pub service: ServiceName,
   /// Whether an answer that tells of a failure is asked for elsewhere.
@@ -84,6 +88,7 @@
       attempts_max: self.attempts_max,
       body_bytes: body.known_bytes(),
       deadline: self.deadline,
+      lane: self.lane,
       only_box: self.only_box.clone(),
       repeatable: self.repeatable,
       retry_failures: self.retry_failures,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -40,6 +40,8 @@
 pub const REPLAYED: &str = "x-ferryyoke-replayed";
 /// Between daemons: whether the request may run more than once.
 pub const REPEATABLE: &str = "x-ferryyoke-repeatable";
+/// Between daemons: the route of the request, while a roll-out of its service goes on.
+pub const ROUTE: &str = "x-ferryyoke-route";
 /// On a refusal: milliseconds after which to come back.
 pub const RETRY_AFTER_MS: &str = "x-ferryyoke-retry-after-ms";
 /// Between daemons: proves that a daemon of the fleet forwarded the request.
--- a/src/proxy/held_run.rs
+++ b/src/proxy/held_run.rs
@@ -62,7 +62,10 @@
   service: &ServiceName,
 ) -> Option<BoxId> {
   let endpoints = shared.endpoints_of(service);
-  let live = endpoints.iter().filter(|one| one.state == EndpointState::Live);
+  let traffic = shared.traffic.borrow().of(service);
+  let lane = traffic.main_lane();
+  let live =
+    endpoints.iter().filter(|one| one.state == EndpointState::Live && traffic.admits(one, lane));
   Quarantine::trial_box(fingerprint, live.map(|one| &one.peer.box_id)).cloned()
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
     OpenAnswer, Quarantine, RequestKey, RequestRecord, RouteMatch, RunEnd, RunId, Sender,
     Settlement, Standing, Surroundings, Terms, Ticket, TryId, TryOrder, Urgency, Whereabouts,
   },
+  rollout::Lane,
   store::Revision,
   telemetry::Log,
   timer::Stopwatch,
@@ -27,8 +28,8 @@
 use self::{
   attempt_result::AttemptResult, delivered_body::DeliveredBody, forwarded::Forwarded,
   guarded_body::GuardedBody, held_exchange::HeldExchange, held_run::HeldRun, held_slot::HeldSlot,
-  incoming_request::IncomingRequest, lent_body::LentBody, refusal::Refusal,
-  request_body::RequestBody, reserved_answer::ReservedAnswer, tries::Tries,
+  incoming_request::IncomingRequest, lent_body::LentBody, observed_run::ObservedRun,
+  refusal::Refusal, request_body::RequestBody, reserved_answer::ReservedAnswer, tries::Tries,
 };
 
 mod arrivals;
@@ -46,6 +47,7 @@
 mod held_slot;
 mod incoming_request;
 mod lent_body;
+mod observed_run;
 mod refusal;
 mod request_body;
 mod reserved_answer;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -266,8 +266,22 @@
     (true, self.choose_but(&tried, around))
   }
 
+  /// Chooses among all boxes but some. A request of the new version's share goes to the version in force where
+  /// nobody of the new one can run it at once: the share is there to learn, not to make callers wait.
   fn choose_but(&self, tried: &[&BoxId], around: &mut Surroundings) -> Choice {
-    let is_drained = around.is_drained;
+    let main_lane = around.traffic.main_lane();
+    let is_first = self.ended.is_empty() && self.running.is_empty() && self.lost == 0;
+    if self.terms.lane == Lane::Target && main_lane == Lane::InForce && is_first {
+      let choice = self.choose_of(tried, Lane::Target, around);
+      if choice.chosen.is_some() && !choice.is_full {
+        return choice;
+      }
+    }
+    self.choose_of(tried, main_lane, around)
+  }
+
+  fn choose_of(&self, tried: &[&BoxId], lane: Lane, around: &mut Surroundings) -> Choice {
+    let (is_drained, traffic) = (around.is_drained, around.traffic);
     let unusable = |endpoint: &Endpoint| {
       let box_id = &endpoint.peer.box_id;
       if tried.contains(&box_id) {
@@ -279,6 +293,9 @@
       if self.terms.only_box.as_ref().is_some_and(|only_box| only_box != box_id) {
         return Some(Verdict::HeldBack);
       }
+      if !traffic.admits(endpoint, lane) {
+        return Some(Verdict::OtherVersion);
+      }
       let is_draining = is_drained(box_id) || endpoint.state == EndpointState::Draining;
       is_draining.then_some(Verdict::Draining)
     };
--- a/src/requests/surroundings.rs
+++ b/src/requests/surroundings.rs
@@ -18,4 +18,6 @@
   pub own_box: &'a BoxId,
   /// Randomness.
   pub rng: &'a mut ChaCha8Rng,
+  /// Which versions of the service get which requests.
+  pub traffic: &'a Traffic,
 }
--- a/src/requests/terms.rs
+++ b/src/requests/terms.rs
@@ -11,6 +11,8 @@
   pub body_bytes: u64,
   /// When its final answer is due.
   pub deadline: Time,
+  /// Which of its service's versions it is meant for.
+  pub lane: Lane,
   /// The one box to which it may be sent; any where there is none.
   pub only_box: Option<BoxId>,
   /// Whether it may run more than once.
--- a/src/requests/verdict.rs
+++ b/src/requests/verdict.rs
@@ -18,6 +18,8 @@
   Loaded,
   /// It was not among those compared.
   NotCompared,
+  /// Its version is not in force, or gets other requests.
+  OtherVersion,
   /// It was tried for this request already.
   Tried,
 }
@@ -39,6 +41,7 @@
       Self::HeldBack => "not where the request is tried",
       Self::Loaded => "expected to do worse than the chosen one",
       Self::NotCompared => "not among those compared",
+      Self::OtherVersion => "of a version that gets other requests",
       Self::Tried => "tried already",
     })
   }
--- /dev/null
+++ b/src/rollout/evidence_book.rs
@@ -0,0 +1,104 @@
+use super::*;
+
+/// What is known of the answers of each backend server of a service, over the last seconds and since the roll-out
+/// began.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EvidenceBook {
+  boxes: BTreeMap<BoxId, Known>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+  heard_at: Time,
+  /// What was known before, oldest first.
+  former: VecDeque<(Time, Rc<BTreeMap<RouteName, Tally>>)>,
+  newest: Evidence,
+}
+
+impl EvidenceBook {
+  /// Milliseconds between two of the words that are kept of a box.
+  const KEPT_EACH_MS: u64 = 250;
+  /// Milliseconds for which former words are kept.
+  const KEPT_MS: u64 = 3_000;
+
+  /// Takes in what a box says. Returns whether it was new.
+  pub(super) fn hear(&mut self, now: Time, evidence: &Evidence) -> bool {
+    let Some(known) = self.boxes.get_mut(&evidence.box_id) else {
+      let known = Known { heard_at: now, former: VecDeque::new(), newest: evidence.clone() };
+      self.boxes.insert(evidence.box_id.clone(), known);
+      return true;
+    };
+    if !evidence.is_newer_than(&known.newest) {
+      return false;
+    }
+    known.take(now, evidence);
+    true
+  }
+
+  /// What each box that runs a version saw over the last `window_ms`; since the beginning where none is given.
+  pub(super) fn tallies(
+    &self,
+    now: Time,
+    software: &SoftwareVersion,
+    window_ms: Option<u64>,
+  ) -> Vec<BTreeMap<RouteName, Tally>> {
+    let of_version = self.boxes.values().filter(|known| known.newest.software == *software);
+    of_version.map(|known| known.over(now, window_ms)).collect()
+  }
+
+  /// Whether a box was heard of within the last `age_ms`.
+  pub(super) fn is_fresh(&self, now: Time, box_id: &BoxId, age_ms: u64) -> bool {
+    self.boxes.get(box_id).is_some_and(|known| now.since_ms(known.heard_at) <= age_ms)
+  }
+
+  /// Whether a box said a moment ago that nothing runs at its backend server, and nothing will.
+  pub(super) fn is_closed(&self, now: Time, box_id: &BoxId, age_ms: u64) -> bool {
+    self.is_fresh(now, box_id, age_ms) && self.boxes[box_id].newest.closed
+  }
+
+  /// Boxes that run a version and were heard of within the last `age_ms`.
+  pub(super) fn fresh_of(&self, now: Time, software: &SoftwareVersion, age_ms: u64) -> Vec<&BoxId> {
+    let is_of =
+      |known: &&Known| known.newest.software == *software && now.since_ms(known.heard_at) <= age_ms;
+    self.boxes.values().filter(is_of).map(|known| &known.newest.box_id).collect()
+  }
+}
+
+impl Known {
+  fn take(&mut self, now: Time, evidence: &Evidence) {
+    let before = &self.newest;
+    let is_another = before.incarnation != evidence.incarnation
+      || before.software != evidence.software
+      || before.ordered_at != evidence.ordered_at;
+    if is_another {
+      self.former.clear();
+    } else if self
+      .former
+      .back()
+      .is_none_or(|(at, _)| self.heard_at.since_ms(*at) >= EvidenceBook::KEPT_EACH_MS)
+    {
+      self.former.push_back((self.heard_at, Rc::new(before.tallies.clone())));
+    }
+    while self.former.front().is_some_and(|(at, _)| now.since_ms(*at) > EvidenceBook::KEPT_MS) {
+      self.former.pop_front();
+    }
+    self.heard_at = now;
+    self.newest = evidence.clone();
+  }
+
+  fn over(&self, now: Time, window_ms: Option<u64>) -> BTreeMap<RouteName, Tally> {
+    let Some(window_ms) = window_ms else {
+      return self.newest.tallies.clone();
+    };
+    let is_before =
+      |(at, _): &&(Time, Rc<BTreeMap<RouteName, Tally>>)| now.since_ms(*at) >= window_ms;
+    let Some((_, before)) = self.former.iter().rev().find(is_before) else {
+      return self.newest.tallies.clone();
+    };
+    let since = |(route, tally): (&RouteName, &Tally)| {
+      let earlier = before.get(route).copied().unwrap_or_default();
+      (route.clone(), tally.since(&earlier))
+    };
+    self.newest.tallies.iter().map(since).collect()
+  }
+}
--- /dev/null
+++ b/src/rollout/lane.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+/// Which of a service's versions a request is meant for while a roll-out goes on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Lane {
+  /// The version in force.
+  #[default]
+  InForce,
+  /// The new version.
+  Target,
+}
+
+impl Display for Lane {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    f.pad(match self {
+      Self::InForce => "in force",
+      Self::Target => "new",
+    })
+  }
+}
--- a/src/settings/deployment.rs
+++ b/src/settings/deployment.rs
@@ -20,10 +20,12 @@
   pub retry_ratio: f64,
   /// Milliseconds of the window over which second tries are counted.
   pub retry_window_ms: u64,
+  /// What a new version of a service's software may receive that turns out bad.
+  pub share_limits: ShareLimits,
 }
 
 impl Deployment {
-  const KEYS: [&str; 8] = [
+  const KEYS: [&str; 10] = [
     "apply",
     "control",
     "link_mbps",
@@ -32,6 +34,8 @@
     "retry_extra",
     "retry_ratio",
     "retry_window",
+    "rollout_extra",
+    "rollout_share",
   ];
 
   /// The link's speed in whole megabits a second, at least 1.
@@ -51,6 +55,10 @@
     let retry_extra = node.field("retry_extra").number(0, 1_000_000);
     let retry_ratio = node.field("retry_ratio").ratio();
     let retry_window_ms = duration(node, "retry_window");
+    let usual = ShareLimits::default();
+    let extra = node.field("rollout_extra").number_or(usual.extra, 0, 1_000_000);
+    let share_field = node.field("rollout_share");
+    let share = if share_field.is_present() { share_field.ratio() } else { Some(usual.share) };
     Some(Self {
       apply_ms: apply_ms?,
       control: control?,
@@ -60,6 +68,7 @@
       retry_extra: retry_extra?,
       retry_ratio: retry_ratio?,
       retry_window_ms: retry_window_ms?,
+      share_limits: ShareLimits { extra: extra?, share: share? },
     })
   }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 use crate::{
   distribution::Profile,
   fleet::Peer,
+  rollout::ShareLimits,
   store::VALUE_BYTES_MAX,
   telemetry::{LogFormat, LogLevel},
 };
--- a/src/values/mod.rs
+++ b/src/values/mod.rs
@@ -6,8 +6,8 @@
   born::Born, box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest,
   duration_ms::DurationMs, error::Error, fingerprint::Fingerprint, incarnation::Incarnation,
   instance_id::InstanceId, operator::Operator, policy_name::PolicyName, region::Region,
-  request_id::RequestId, route_name::RouteName, service_name::ServiceName, team::Team, time::Time,
-  try_key::TryKey, version::Version,
+  request_id::RequestId, route_name::RouteName, service_name::ServiceName,
+  software_version::SoftwareVersion, team::Team, time::Time, try_key::TryKey, version::Version,
 };
 
 mod born;
@@ -26,6 +26,7 @@
 mod request_id;
 mod route_name;
 mod service_name;
+mod software_version;
 mod team;
 pub(crate) mod text;
 mod time;
--- a/tests/backend_record.rs
+++ b/tests/backend_record.rs
@@ -14,7 +14,7 @@
 
 fn report_of(process: Process, sequence: u64, leaving: bool) -> BackendReport {
   let service = "archive".parse().expect("a name");
-  BackendReport { cold_left_ms: 0, leaving, process, sequence, service, slots: 12 }
+  BackendReport { cold_left_ms: 0, leaving, process, sequence, service, slots: 12, software: None }
 }
 
 fn process(id: &str, born: Option<u64>) -> Process {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -11,6 +11,7 @@
       AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchEvent, DispatchStep,
       RetryBudget, RetryLimits, Surroundings, Terms, TryId, TryOrder, Urgency,
     },
+    rollout::{Lane, Traffic},
     values::{BoxId, Time},
   },
   rand::SeedableRng,
@@ -30,6 +31,7 @@
   endpoints: Vec<Endpoint>,
   now: Time,
   rng: ChaCha8Rng,
+  traffic: Traffic,
 }
 
 impl Daemon {
@@ -44,6 +46,7 @@
         .collect(),
       now: START,
       rng: ChaCha8Rng::seed_from_u64(7),
+      traffic: Traffic::default(),
     }
   }
 
@@ -58,6 +61,7 @@
       now: self.now,
       own_box: &"own-box".parse().expect("a name"),
       rng: &mut self.rng,
+      traffic: &self.traffic,
     };
     dispatch.handle(event, &mut around)
   }
@@ -100,6 +104,7 @@
     attempts_max: 2,
     body_bytes: 0,
     deadline: START.after(1_200),
+    lane: Lane::InForce,
     only_box: None,
     repeatable,
     retry_failures: repeatable,
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -183,6 +183,7 @@
     sequence: 1,
     service: "service".parse().expect("a name"),
     slots: 12,
+    software: None,
     state: EndpointState::Live,
   }
 }
--- a/tests/standing_still.rs
+++ b/tests/standing_still.rs
@@ -9,6 +9,7 @@
   ferryyoke::{
     distribution::{Action, Distribution, Event, Follower, Identity, LinkId, Moment, Timing},
     requests::{Arrival, Demand, Limiter, Ticket},
+    rollout::ShareLimits,
     timer::{self, Clocks, Stopwatch},
     values::Time,
   },
@@ -147,7 +148,12 @@
 fn a_follower_notices_it_whatever_it_hears_first() {
   let moment = |ms: u64| Moment { time: Time(ms), unix_ms: ms };
   let timing = Timing { beat_ms: 1_000, lease_ttl_ms: 4_000, news_delay_ms: 100, push_delay_ms: 0 };
-  let identity = Identity { endpoint: endpoint("box", "hall", 8), seeds: Vec::new(), timing };
+  let identity = Identity {
+    endpoint: endpoint("box", "hall", 8),
+    seeds: Vec::new(),
+    share_limits: ShareLimits::default(),
+    timing,
+  };
   let mut follower = Follower::new(moment(0), 7, identity, Arc::new(PlainSource));
   for ms in (0..3_000).step_by(50) {
     follower.handle(moment(ms), Event::Tick);
--- a/tests/support/endpoints.rs
+++ b/tests/support/endpoints.rs
@@ -24,6 +24,7 @@
     sequence: 1,
     service: "service".parse().expect("a name"),
     slots,
+    software: None,
     state: EndpointState::Live,
   }
 }
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -12,7 +12,8 @@
       Action, Distribution, Event, Follower, Identity, LinkId, Message, Moment, PackedUpdate,
       Timing, UnreadableEntry, Update,
     },
-    fleet::{Endpoint, EndpointState, Peer},
+    fleet::{Endpoint, EndpointState, EndpointTable, Peer},
+    rollout::{ShareLimits, TrafficTable},
     standin::Keyspace,
     store::{self, Era, Key, Refusal, Reply, StoreRequest, Value},
     values::{BoxId, Incarnation, Time, Version},
@@ -92,6 +93,8 @@
   pub store_tenths: u64,
   /// Entries that boxes could not read.
   pub unreadable: Vec<(BoxId, UnreadableEntry)>,
+  /// Which versions get which requests, as each box's proxies know it.
+  pub traffic: BTreeMap<BoxId, TrafficTable>,
   /// The last update that was unpacked to count its objects.
   unpacked: Option<(PackedUpdate, usize)>,
   /// Ends of links from which nothing arrives any more, though both stay open.
@@ -134,6 +137,7 @@
       source: Arc::new(PlainSource),
       store_tenths: 0,
       unreadable: Vec::new(),
+      traffic: BTreeMap::new(),
       unpacked: None,
       unserved: BTreeSet::new(),
       watched_configurations: 0,
@@ -193,11 +197,13 @@
       sequence: 0,
       service: "service".parse().expect("a name"),
       slots: 8,
+      software: None,
       state: EndpointState::Draining,
     };
     let timing =
       Timing { beat_ms: 1_000, lease_ttl_ms: 4_000, news_delay_ms: 100, push_delay_ms: 0 };
-    let identity = Identity { endpoint, seeds: Vec::new(), timing };
+    let identity =
+      Identity { endpoint, seeds: Vec::new(), share_limits: ShareLimits::default(), timing };
     let seed = index as u64 + self.now;
     let follower = Follower::new(self.moment(), seed, identity, self.source.clone());
     self.boxes.insert(box_id.clone(), follower);
@@ -208,6 +214,7 @@
   pub fn stop(&mut self, index: usize) {
     let box_id = Self::box_id(index);
     self.boxes.remove(&box_id);
+    self.traffic.remove(&box_id);
     self.lines.clear(&box_id);
     self.watches.retain(|(owner, ..)| *owner != box_id);
     let now_us = self.now * 1_000;
@@ -271,6 +278,43 @@
     self.keyspace.write_foreign(&Key::of(&[key]), value);
   }
 
+  /// Writes an item of the operators, or of the fleet.
+  pub fn write_item(&mut self, key: &[&str], value: String) {
+    let request = StoreRequest::Put { key: Key::of(key), lease: None, value };
+    self.keyspace.call(Time(self.now), &request).expect("written");
+  }
+
+  /// Takes an item out of the store.
+  pub fn remove_item(&mut self, key: &[&str]) {
+    let request = StoreRequest::Delete { key: Key::of(key) };
+    self.keyspace.call(Time(self.now), &request).expect("removed");
+  }
+
+  /// The text of an item in the store.
+  pub fn item(&mut self, key: &[&str]) -> Option<String> {
+    match self.keyspace.call(Time(self.now), &StoreRequest::Read { key: Key::of(key) }) {
+      Ok(Reply::Entry { entry, .. }) => {
+        entry.and_then(|entry| entry.value.text().ok().map(Into::into))
+      }
+      other => panic!("{other:?}"),
+    }
+  }
+
+  /// Whether a box runs.
+  pub fn runs(&self, index: usize) -> bool {
+    self.boxes.contains_key(&Self::box_id(index))
+  }
+
+  /// What a box knows of the fleet.
+  pub fn endpoints(&self, index: usize) -> &EndpointTable {
+    self.boxes[&Self::box_id(index)].endpoints()
+  }
+
+  /// Something happens to a box.
+  pub fn tell(&mut self, index: usize, event: Event) {
+    self.handle(&Self::box_id(index), event);
+  }
+
   /// What the store holds for a box.
   pub fn entry_of(&mut self, index: usize) -> Option<Value> {
     let key = Key::of(&["mesh", "boxes", Self::box_id(index).as_str()]);
@@ -366,6 +410,9 @@
       Action::Refuse { reason, .. } => self.refused.push((box_id.clone(), reason)),
       Action::Log(text) => self.logged.push(format!("{} {box_id}: {text}", self.now)),
       Action::OpenLink(peer) => self.open(box_id, &peer.box_id),
+      Action::RolloutsChanged(traffic) => {
+        self.traffic.entry(box_id.clone()).or_default().set(traffic);
+      }
       Action::Send { link, message } => self.send(box_id, link, message),
       Action::UnreadableEntry(entry) => self.unreadable.push((box_id.clone(), entry)),
       _ => {}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod oracle;
 pub mod plain_source;
 pub mod read_once;
+pub mod rollout_world;
 pub mod world;
 
 use arbtest::{arbitrary::Unstructured, arbtest};
--- a/tests/support/plain_source.rs
+++ b/tests/support/plain_source.rs
@@ -2,8 +2,9 @@
 
 use ferryyoke::{
   configuration::{Configuration, Patch, Policy, Revised, Service, Source, Unreadable},
+  rollout::Order,
   store::Key,
-  values::{Digest, PolicyName, Team, Version},
+  values::{Digest, PolicyName, ServiceName, Team, Version},
 };
 
 /// Reads the product's own form of a configuration.
@@ -15,6 +16,18 @@
     Key::of(&["op", "config"])
   }
 
+  fn ordered_service(&self, key: &Key) -> Option<ServiceName> {
+    key.as_str().strip_prefix("op/orders/")?.parse().ok()
+  }
+
+  fn prefix(&self) -> Key {
+    Key::of(&["op", ""])
+  }
+
+  fn read_order(&self, value: &str) -> Result<Order, String> {
+    serde_json::from_str(value).map_err(|err| err.to_string())
+  }
+
   fn read(&self, value: &str) -> Result<Configuration, Unreadable> {
     // `unreadable 7` stands for a version 7 of which nothing else can be read.
     if let Some(version) = value.strip_prefix("unreadable ") {
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -12,6 +12,7 @@
       Outcome, Profile, Update, keys,
     },
     fleet::{Endpoint, EndpointState, Peer},
+    rollout::ShareLimits,
     standin::Keyspace,
     store::{self, Era, Refusal, Reply, StoreRequest},
     values::{BoxId, Incarnation, Time, Version},
@@ -190,9 +191,15 @@
       sequence: 0,
       service: "service-0".parse().expect("a name"),
       slots: 12,
+      software: None,
       state: one.state,
     };
-    let identity = Identity { endpoint, seeds, timing: Profile::Prompt.timing() };
+    let identity = Identity {
+      endpoint,
+      seeds,
+      share_limits: ShareLimits::default(),
+      timing: Profile::Prompt.timing(),
+    };
     one.distributor = Some(Distributor::new(now, seed, identity));
     let life = one.life;
     self.later(1, Happening::Tick { index, life });
@@ -505,6 +512,7 @@
       | Action::Behind(_)
       | Action::EndpointsChanged
       | Action::Refuse { .. }
+      | Action::RolloutsChanged(_)
       | Action::StoreWentBack(_)
       | Action::UnreadableEntry(_) => {}
       Action::Log(text) => self.log.push(format!("{} box-{index}.{life}: {text}", self.now)),
