--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -24,6 +24,7 @@
     Question::Fleet => Ok(fleet(node).await),
     Question::History(count) => Ok(history(node, *count)),
     Question::Rollout(version) => rollout(node, *version).await,
+    Question::RolloutOf(service) => rollout_of(node, service),
     Question::Show(kind, filters) => show(node, *kind, filters),
     Question::ShowOne(name) => show_one(node, name),
     Question::Status => Ok(status(node)),
@@ -33,6 +34,37 @@
   }
 }
 
+/// How far a service's move to another version has come, and what its answers came to.
+fn rollout_of(node: &Node, service: &ServiceName) -> Result<Answer> {
+  let now = node.shared.now().time;
+  let distributor = node.distribution.distributor();
+  let known = distributor.rollout(service).and_then(|known| known.record().zip(Some(known)));
+  let Some((record, rollout)) = known else {
+    return Err(Error::Unknown { what: format!("no roll-out of service {service} is known") });
+  };
+  let mut table = Table::new(&["version", "route", "answers", "failed", "mean_power_of_2_ms"]);
+  for version in record.base.iter().chain([&record.order.target]) {
+    for (route, seen) in rollout.seen(now, version) {
+      let mean = format!("{:.1}", seen.mean_power());
+      let (answers, failed) = (json!(seen.answers), json!(seen.failures));
+      table.add([json!(version.as_str()), json!(route.as_str()), answers, failed, json!(mean)]);
+    }
+  }
+  let base = record.base.as_ref().map_or("no version", SoftwareVersion::as_str);
+  let held_up_by =
+    rollout.held_up_by().map_or(String::new(), |why| format!("; not further: {why}"));
+  let message = format!(
+    "{base} to {}, step {} by {}, {} of {} ms after its order: {}{held_up_by}",
+    record.order.target,
+    record.step,
+    record.decider,
+    rollout.age_ms(now),
+    record.order.duration_ms,
+    record.stage
+  );
+  Ok(Answer::table(message, table))
+}
+
 /// What became of a change: the store knows best, and the held history serves while it is silent.
 async fn change(node: &Node, id: &ChangeId) -> Result<Answer> {
   let asked = recall::head(&node.shared).await;
--- a/src/distribution/distribution.rs
+++ b/src/distribution/distribution.rs
@@ -16,6 +16,11 @@
   /// The daemon's own endpoint.
   fn own_endpoint(&self) -> &Endpoint;
 
+  /// What is known of the roll-out of a service's software.
+  fn rollout(&self, _service: &ServiceName) -> Option<&Rollout> {
+    None
+  }
+
   /// What this daemon knows about its own part.
   fn status(&self) -> Status;
 
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -383,6 +383,10 @@
     &self.own
   }
 
+  fn rollout(&self, service: &ServiceName) -> Option<&Rollout> {
+    self.rollouts.get(service)
+  }
+
   fn status(&self) -> Status {
     let upstream = self.links.values().find(|link| link.role == LinkRole::Upstream);
     let downstream = self.links.values().filter(|link| link.role == LinkRole::Downstream);
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -12,7 +12,7 @@
   },
   fleet::{Endpoint, EndpointState, EndpointTable, Peer, RunFinding, RunOutcome},
   requests::RequestRecord,
-  rollout::{self, Evidence, FleetView, RolloutAction, Rollouts, ShareLimits, Traffic},
+  rollout::{self, Evidence, FleetView, Rollout, RolloutAction, Rollouts, ShareLimits, Traffic},
   store::{Entry, Era, Key, LeaseId, Refusal, Reply, Revision, StoreRequest, Value},
 };
 
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -26,6 +26,8 @@
   History(u32),
   /// Who applies a version; the newest one where none is given.
   Rollout(Option<Version>),
+  /// How far a service's move to another version of its software has come.
+  RolloutOf(ServiceName),
   /// The objects of a kind that have so many fields of certain values.
   Show(Kind, Vec<(String, String)>),
   /// One object.
@@ -57,6 +59,9 @@
       "history" if cursor.is_finished() => Self::History(Self::HISTORY_DEFAULT),
       "history" => Self::History(cursor.value("a number of changes")?),
       "rollout" if cursor.is_finished() => Self::Rollout(None),
+      "rollout" if cursor.skip("service") => {
+        Self::RolloutOf(cursor.value("the name of a service")?)
+      }
       "rollout" => Self::Rollout(Some(cursor.value(version)?)),
       "show" => Self::read_show(cursor)?,
       "status" => Self::Status,
@@ -132,6 +137,7 @@
       Self::History(count) => write!(f, "history {count}"),
       Self::Rollout(None) => write!(f, "rollout"),
       Self::Rollout(Some(version)) => write!(f, "rollout {version}"),
+      Self::RolloutOf(service) => write!(f, "rollout service {service}"),
       Self::Show(kind, filters) => {
         write!(f, "show {}", kind.plural())?;
         filters.iter().try_for_each(|(field, value)| {
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -9,6 +9,8 @@
 const BAD_MIN: u32 = 5;
 /// The share of failures that is assumed of the version in force where it got no requests of a route.
 const FAILURES_ASSUMED: f64 = 0.05;
+/// Failures on a route that the version in force got too few requests of before any conclusion.
+const FAILURES_MIN_ALONE: u32 = 12;
 /// Answers of the version in force from which its own share is believed.
 const ANSWERS_MIN: u32 = 10;
 /// The share of the answers of the version in force that may be slower than what counts as slow.
@@ -59,6 +61,9 @@
 fn fails_more(old: &Tally, new: &[Tally]) -> Option<String> {
   let new = sum(&without_worst(new, Tally::failure_share));
   let usual = if old.answers < ANSWERS_MIN {
+    if new.failures < FAILURES_MIN_ALONE {
+      return None;
+    }
     Share::assumed(FAILURES_ASSUMED)
   } else {
     Share { bad: old.failures, of: old.answers }
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -21,6 +21,8 @@
     Self { permille: Some(250), until_part: 0.58 },
     Self { permille: Some(500), until_part: 0.64 },
   ];
+  /// The first rung on which most of the new backend servers get many requests.
+  pub(super) const FIRST_LARGE: usize = 2;
   /// The share that a few boxes get, at most, in requests in a thousand. In a small fleet one box alone would take
   /// more than a bad version may receive.
   const LOADED_PERMILLE_MAX: u32 = 150;
--- a/src/rollout/rollout.rs
+++ b/src/rollout/rollout.rs
@@ -17,6 +17,8 @@
   /// When the decider, or the store, was last heard of.
   decider_heard_at: Time,
   evidence: EvidenceBook,
+  /// Why the next step was not taken when this box, which decides, last looked.
+  held_up_by: Option<&'static str>,
   /// Whether what the store holds has to be looked at: it came back from a copy.
   is_to_check: bool,
   /// The newest order, with its revision.
@@ -64,6 +66,7 @@
       call: None,
       decider_heard_at: now,
       evidence: EvidenceBook::default(),
+      held_up_by: None,
       is_to_check: false,
       order: None,
       ordered_at: now,
@@ -80,6 +83,25 @@
     self.record.as_ref()
   }
 
+  /// Milliseconds since the order.
+  pub fn age_ms(&self, now: Time) -> u64 {
+    now.since_ms(self.ordered_at)
+  }
+
+  /// Why the next step is not taken yet, where this box decides.
+  pub fn held_up_by(&self) -> Option<&'static str> {
+    self.held_up_by
+  }
+
+  /// What the answers of a version came to since the order, by route, as far as this box heard of it.
+  pub fn seen(&self, now: Time, software: &SoftwareVersion) -> BTreeMap<RouteName, Tally> {
+    let mut seen: BTreeMap<RouteName, Tally> = BTreeMap::new();
+    for (route, tally) in self.evidence.tallies(now, software, None).into_iter().flatten() {
+      *seen.entry(route).or_default() += tally;
+    }
+    seen
+  }
+
   /// An operator's order was found in the store.
   pub(super) fn ordered(&mut self, now: Time, order: &Order, revision: Revision) {
     let is_known = self.order.as_ref().is_some_and(|(_, known)| *known >= revision)
@@ -154,6 +176,7 @@
     };
     self.order.take_if(|order| is_done(order));
     self.decider_heard_at = now;
+    self.held_up_by = None;
     self.stage_since = now;
     let text = format!(
       "roll-out of {} to {}, step {} by {}, {} ms after its order: {}",
@@ -278,8 +301,10 @@
       return actions;
     }
     if is_own {
-      let next = self.next_stage(view, record);
-      actions.extend(next.and_then(|stage| self.propose(record.next(stage))));
+      match self.next_stage(view, record) {
+        Ok(stage) => actions.extend(self.propose(record.next(stage))),
+        Err(reason) => self.held_up_by = Some(reason),
+      }
     } else if let Some(rank) = view.rank
       && now.since_ms(self.decider_heard_at) >= Self::SILENCE_MS + rank * Self::TURN_MS
     {
@@ -315,26 +340,34 @@
     })
   }
 
-  /// The next stage, where it is due and what is known allows it.
-  fn next_stage(&self, view: &FleetView, record: &Record) -> Option<Stage> {
+  /// The next stage, or what holds the roll-out up.
+  fn next_stage(&self, view: &FleetView, record: &Record) -> Result<Stage, &'static str> {
     let target = view.live(&record.order.target);
     match &record.stage {
       Stage::Canary(canary) => self.after_rung(view, record, canary, &target),
-      Stage::Full => self.is_old_version_idle(view, record).then_some(Stage::Completed),
-      Stage::Halted { reason } => Some(Stage::RolledBack { reason: reason.clone() }),
+      Stage::Full if self.is_old_version_idle(view, record) => Ok(Stage::Completed),
+      Stage::Full => Err("requests still run at the old version"),
+      Stage::Halted { reason } => Ok(Stage::RolledBack { reason: reason.clone() }),
       Stage::Waiting => self.first_rung(view, record, &target),
-      Stage::Completed | Stage::RolledBack { .. } => None,
+      Stage::Completed | Stage::RolledBack { .. } => Err("it is over"),
     }
   }
 
-  fn first_rung(&self, view: &FleetView, record: &Record, target: &[&Endpoint]) -> Option<Stage> {
-    if !target.is_empty() && has_room(view, record, target, Self::SLOTS_FIRST) {
-      return Some(Stage::Canary(Rung::canary(0, target)));
+  fn first_rung(
+    &self,
+    view: &FleetView,
+    record: &Record,
+    target: &[&Endpoint],
+  ) -> Result<Stage, &'static str> {
+    if has_room(view, record, target, Self::SLOTS_FIRST) {
+      return Ok(Stage::Canary(Rung::canary(0, target)));
     }
     let is_over = view.now.since_ms(self.ordered_at) >= record.order.duration_ms;
-    (is_over && target.is_empty()).then(|| Stage::RolledBack {
-      reason: "no backend server of that version took work in time".into(),
-    })
+    if is_over && target.is_empty() {
+      let reason = "no backend server of that version took work in time".into();
+      return Ok(Stage::RolledBack { reason });
+    }
+    Err("too few backend servers of the new version take work")
   }
 
   fn after_rung(
@@ -343,18 +376,25 @@
     record: &Record,
     canary: &Canary,
     target: &[&Endpoint],
-  ) -> Option<Stage> {
-    let is_last = canary.rung + 1 >= Rung::ALL.len();
-    let is_done = self.is_rung_over(view.now, record, canary) && self.is_seen(view.now, target);
+  ) -> Result<Stage, &'static str> {
     // The first rungs need few of the new backend servers, the others as many as all requests need.
     let needs_room = canary.rung > 0;
-    let may_grow = !needs_room
-      || has_room(view, record, target, Self::SLOTS_MOST) && self.may_be_exposed(view, record);
-    if !is_done || !may_grow {
-      return None;
+    if !self.is_rung_over(view.now, record, canary) {
+      return Err("this share has not lasted its time");
+    }
+    if !self.is_seen(view.now, target) {
+      return Err("too few boxes of the new version tell of its answers");
+    }
+    if needs_room && !has_room(view, record, target, Self::SLOTS_MOST) {
+      return Err("the new version has too few slots for most requests");
     }
+    // Beyond the rungs that show a bad version, to wait would only expose it more.
+    if canary.rung + 1 == Rung::FIRST_LARGE && !self.may_be_exposed(view, record) {
+      return Err("the new version has received as much as a bad one may");
+    }
+    let is_last = canary.rung + 1 >= Rung::ALL.len();
     let next = || Stage::Canary(Rung::canary(canary.rung + 1, target));
-    Some(if is_last { Stage::Full } else { next() })
+    Ok(if is_last { Stage::Full } else { next() })
   }
 
   fn is_rung_over(&self, now: Time, record: &Record, canary: &Canary) -> bool {
