--- a/src/rollout/rollout.rs
+++ b/src/rollout/rollout.rs
@@ -303,7 +303,7 @@
     if is_own {
       match self.next_stage(view, record) {
         Ok(stage) => actions.extend(self.propose(record.next(stage))),
-        Err(reason) => self.held_up_by = Some(reason),
+        Err(reason) => actions.extend(self.note_held_up(now, reason)),
       }
     } else if let Some(rank) = view.rank
       && now.since_ms(self.decider_heard_at) >= Self::SILENCE_MS + rank * Self::TURN_MS
@@ -318,6 +318,17 @@
     actions
   }
 
+  /// Tells the log why the next step is not taken, where that is another reason than before.
+  fn note_held_up(&mut self, now: Time, reason: &'static str) -> Option<RolloutAction> {
+    if self.held_up_by.replace(reason) == Some(reason) {
+      return None;
+    }
+    let (service, age_ms) = (&self.service, self.age_ms(now));
+    let text =
+      format!("roll-out of {service} goes no further yet, {age_ms} ms after its order: {reason}");
+    Some(RolloutAction::Log(text))
+  }
+
   /// Nothing goes to the new version from now on, wherever this is heard.
   fn halt(&mut self, now: Time, record: &Record, reason: String) -> Vec<RolloutAction> {
     let halted = record.next(Stage::Halted { reason });
@@ -336,7 +347,7 @@
       let base_window_ms = window_ms.filter(|_| record.stage != Stage::Full);
       let base = self.evidence.tallies(now, base, base_window_ms);
       let target = self.evidence.tallies(now, &record.order.target, window_ms);
-      judge(&base, &target)
+      judge(&base, &target, base_window_ms.is_some())
     })
   }
 
@@ -385,7 +396,7 @@
     if !self.is_seen(view.now, target) {
       return Err("too few boxes of the new version tell of its answers");
     }
-    if needs_room && !has_room(view, record, target, Self::SLOTS_MOST) {
+    if needs_room && !self.has_most_slots(view, record, target) {
       return Err("the new version has too few slots for most requests");
     }
     // Beyond the rungs that show a bad version, to wait would only expose it more.
@@ -413,6 +424,17 @@
     !target.is_empty() && fresh * 4 >= target.len() * 3
   }
 
+  /// Whether the new version can take most requests. Boxes of the old one that are gone without a word stay in the
+  /// directory for a while; those that live tell of their answers.
+  fn has_most_slots(&self, view: &FleetView, record: &Record, target: &[&Endpoint]) -> bool {
+    let old = record.base.as_ref().map_or_else(Vec::new, |base| view.live(base));
+    let lives = |endpoint: &&&Endpoint| {
+      self.evidence.is_fresh(view.now, &endpoint.peer.box_id, Self::EVIDENCE_MS)
+    };
+    let living: Vec<&Endpoint> = old.iter().filter(lives).copied().collect();
+    f64::from(slots(target)) >= f64::from(slots(&living)) * Self::SLOTS_MOST
+  }
+
   /// Whether the new version has received so little that it may be given more, should it turn out bad then.
   #[allow(clippy::cast_precision_loss)]
   fn may_be_exposed(&self, view: &FleetView, record: &Record) -> bool {
