--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -117,6 +117,7 @@
 fn fields(object: &Object) -> serde_json::Map<String, Value> {
   let value = match object {
     Object::Drain(_, drain) => serde_json::to_value(drain),
+    Object::Organisation(_, organisation) => serde_json::to_value(organisation),
     Object::Policy(_, policy) => serde_json::to_value(policy),
     Object::Route(_, route) => serde_json::to_value(route),
     Object::Service(_, service) => serde_json::to_value(service),
--- a/src/configuration/configuration.rs
+++ b/src/configuration/configuration.rs
@@ -8,6 +8,9 @@
   /// What callers may send.
   #[serde(default, skip_serializing_if = "Option::is_none")]
   pub limits: Option<CallerLimits>,
+  /// Organisations. Where there are any, each request carries a key of one, but on public routes.
+  #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+  pub organisations: BTreeMap<OrganisationName, Revised<Organisation>>,
   /// Backend server policies.
   pub policies: BTreeMap<PolicyName, Revised<Policy>>,
   /// Routes. Every route's service is in `services`.
@@ -86,6 +89,10 @@
       ObjectName::Drain(name) => {
         self.drains.get(name).map(|drain| Object::Drain(name.clone(), drain.value.clone()))
       }
+      ObjectName::Organisation(name) => self
+        .organisations
+        .get(name)
+        .map(|organisation| Object::Organisation(name.clone(), organisation.value.clone())),
       ObjectName::Policy(name) => {
         self.policies.get(name).map(|policy| Object::Policy(name.clone(), policy.value.clone()))
       }
@@ -101,15 +108,21 @@
   /// The names of all objects.
   pub fn object_names(&self) -> Vec<ObjectName> {
     let drains = self.drains.keys().cloned().map(ObjectName::Drain);
+    let organisations = self.organisations.keys().cloned().map(ObjectName::Organisation);
     let policies = self.policies.keys().cloned().map(ObjectName::Policy);
     let routes = self.routes.keys().cloned().map(ObjectName::Route);
     let services = self.services.keys().cloned().map(ObjectName::Service);
-    drains.chain(policies).chain(routes).chain(services).collect()
+    drains.chain(organisations).chain(policies).chain(routes).chain(services).collect()
   }
 
   /// How many objects there are.
   pub fn object_count(&self) -> usize {
-    self.drains.len() + self.policies.len() + self.routes.len() + self.services.len()
+    let organisations = self.organisations.len();
+    self.drains.len()
+      + organisations
+      + self.policies.len()
+      + self.routes.len()
+      + self.services.len()
   }
 
   /// The policy of a service.
@@ -122,6 +135,7 @@
   pub fn revision(&self, name: &ObjectName) -> Option<Version> {
     match name {
       ObjectName::Drain(name) => self.drains.get(name).map(|object| object.revision),
+      ObjectName::Organisation(name) => self.organisations.get(name).map(|object| object.revision),
       ObjectName::Policy(name) => self.policies.get(name).map(|object| object.revision),
       ObjectName::Route(name) => self.routes.get(name).map(|object| object.revision),
       ObjectName::Service(name) => self.services.get(name).map(|object| object.revision),
@@ -144,6 +158,9 @@
       Object::Drain(name, value) => {
         self.drains.insert(name, Revised { revision, value });
       }
+      Object::Organisation(name, value) => {
+        self.organisations.insert(name, Revised { revision, value });
+      }
       Object::Policy(name, value) => {
         self.policies.insert(name, Revised { revision, value });
       }
@@ -159,6 +176,7 @@
   fn remove(&mut self, name: &ObjectName) -> Result {
     let removed = match name {
       ObjectName::Drain(name) => self.drains.remove(name).is_some(),
+      ObjectName::Organisation(name) => self.organisations.remove(name).is_some(),
       ObjectName::Policy(name) => self.policies.remove(name).is_some(),
       ObjectName::Route(name) => self.routes.remove(name).is_some(),
       ObjectName::Service(name) => self.services.remove(name).is_some(),
--- a/src/configuration/handling.rs
+++ b/src/configuration/handling.rs
@@ -10,6 +10,12 @@
   /// Rank among the routes of a service, 0 first.
   #[serde(skip_serializing_if = "is_zero")]
   pub priority: u32,
+  /// Whether callers need no key of an organisation.
+  #[serde(skip_serializing_if = "std::ops::Not::not")]
+  pub public: bool,
+  /// The regions in which requests may be served; any where empty.
+  #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+  pub regions: BTreeSet<Region>,
   /// Whether a backend server's answer of 500 to a request that may run again is asked for elsewhere.
   #[serde(skip_serializing_if = "std::ops::Not::not")]
   pub retry_failures: bool,
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -1,4 +1,4 @@
-//! The configuration: routes, services, backend server policies and drains, as one numbered whole.
+//! The configuration: routes, services, organisations, backend server policies and drains, as one numbered whole.
 //!
 //! Everything here is pure. A [`Change`] turns one [`Configuration`] into the next; the store's
 //! [`Head`] records which changes were accepted, in order.
@@ -9,8 +9,9 @@
 
 pub use self::{
   accepted_change::AcceptedChange, caller_limits::CallerLimits, change::Change,
-  configuration::Configuration, drain::Drain, error::Error, handling::Handling, head::Head,
-  object::Object, object_name::ObjectName, operation::Operation, patch::Patch, policy::Policy,
+  cold_start::ColdStart, configuration::Configuration, drain::Drain, error::Error,
+  handling::Handling, head::Head, object::Object, object_name::ObjectName, operation::Operation,
+  organisation::Organisation, patch::Patch, policy::Policy, rate_limit::RateLimit,
   revised::Revised, route::Route, service::Service, source::Source, summary::Summary,
   unreadable::Unreadable, weighted_service::WeightedService,
 };
@@ -18,6 +19,7 @@
 mod accepted_change;
 mod caller_limits;
 mod change;
+mod cold_start;
 #[allow(clippy::module_inception)]
 mod configuration;
 mod drain;
@@ -27,8 +29,10 @@
 mod object;
 mod object_name;
 mod operation;
+mod organisation;
 mod patch;
 mod policy;
+mod rate_limit;
 mod revised;
 mod route;
 mod service;
--- a/src/configuration/operation.rs
+++ b/src/configuration/operation.rs
@@ -1,6 +1,8 @@
 use super::*;
 
 /// One step of a change.
+// Most steps put something, and lists of them are short.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Operation {
--- a/src/configuration/service.rs
+++ b/src/configuration/service.rs
@@ -4,6 +4,9 @@
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+  /// What a cold backend server takes; as much as any other where absent.
+  #[serde(default, skip_serializing_if = "Option::is_none")]
+  pub cold_start: Option<ColdStart>,
   /// Connections that a backend server takes; what its settings say where absent.
   #[serde(default, skip_serializing_if = "Option::is_none")]
   pub connections: Option<u32>,
--- a/src/configuration/source.rs
+++ b/src/configuration/source.rs
@@ -12,6 +12,11 @@
     self.key()
   }
 
+  /// The data hall that the operators evacuate for as long as a key is there; nothing where the key says no such thing.
+  fn evacuated_hall(&self, _key: &store::Key) -> Option<DataHall> {
+    None
+  }
+
   /// The service that a key's order is about; nothing where the key is none of an order.
   fn ordered_service(&self, _key: &store::Key) -> Option<ServiceName> {
     None
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -54,15 +54,16 @@
   let shared = &node.shared;
   loop {
     let is_in_doubt = shared.backend.borrow().is_in_doubt();
-    if is_in_doubt && let Some(instance) = ask_instance(shared).await {
-      node.backend_probed(&instance);
+    if is_in_doubt && let Some((instance, cold_ms)) = ask_instance(shared).await {
+      node.backend_probed(&instance, cold_ms);
     }
     timer::sleep(Duration::from_millis(FIND_PERIOD_MS)).await;
   }
 }
 
-/// The process that answers at the health endpoint, where it is healthy and not on its way out.
-async fn ask_instance(shared: &Shared) -> Option<InstanceId> {
+/// The process that answers at the health endpoint, where it is healthy and not on its way out, and for how many
+/// milliseconds it stays cold, where it tells.
+async fn ask_instance(shared: &Shared) -> Option<(InstanceId, Option<u64>)> {
   let configuration = shared.configuration()?;
   let service = configuration.services.get(&shared.own_service())?;
   let path = service.value.health_path.clone()?;
@@ -74,5 +75,7 @@
   let (head, _) = limited.await.ok()?.ok()?;
   let name = shared.dialect.instance.as_ref()?;
   let instance = head.headers.get(name)?.to_str().ok()?.parse().ok()?;
-  head.status.is_success().then_some(instance)
+  let cold_ms = shared.dialect.cold_ms.as_ref().and_then(|name| head.headers.get(name));
+  let cold_ms = cold_ms.and_then(|value| value.to_str().ok()?.parse().ok());
+  head.status.is_success().then_some((instance, cold_ms))
 }
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -37,6 +37,8 @@
   },
   /// The endpoint table changed.
   EndpointsChanged,
+  /// Which data halls the operators evacuate changed.
+  EvacuationsChanged(BTreeSet<DataHall>),
   /// Tell the log.
   Log(String),
   /// Open a link; [`Event::LinkOpened`] or [`Event::LinkFailed`] follows.
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -167,7 +167,7 @@
       Message::Ask { hops, id, question } => self.neighbour_asked(link, hops, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
       // Roll-outs of software are ordered on platforms only.
-      Message::Evidence(_) | Message::Rollout(_) => {}
+      Message::Evacuations(_) | Message::Evidence(_) | Message::Rollout(_) => {}
       Message::News(endpoints) => self.news_received(link, endpoints),
       Message::Redirect { floor, relays } => self.redirected(link, floor, relays),
       Message::Refused { reason } => self.update_refused(link, reason),
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -134,6 +134,7 @@
     }
     let shown = entries.iter().map(|entry| entry.revision).max().unwrap_or_default();
     let after = if may_be_old { shown } else { revision };
+    self.note_evacuations_over(entries, after);
     let kind = if may_be_old { "an old" } else { "the newest" };
     self.log(format!(
       "{kind} configuration was read: of revision {shown}, at {revision}, and followed from {after}"
@@ -190,7 +191,7 @@
         for event in events {
           match &event.entry {
             Some(entry) => self.note_entry(entry),
-            None => self.note_withdrawal(&event.key),
+            None => self.note_withdrawal(&event.key, event.revision),
           }
         }
         self.gather(*revision);
@@ -289,7 +290,10 @@
 
   fn note_entry(&mut self, entry: &Entry) {
     if entry.key != self.source.key() {
-      return self.note_order(entry);
+      if !self.note_evacuation(&entry.key, entry.revision, true) {
+        self.note_order(entry);
+      }
+      return;
     }
     match entry.value.text() {
       Ok(text) => self.take_configuration(text),
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -10,6 +10,7 @@
 mod asking;
 mod directory;
 mod era;
+mod evacuating;
 mod following;
 mod neighbours;
 mod returning;
@@ -49,6 +50,7 @@
   endpoints: EndpointTable,
   /// The newest era of the store that anybody told of; nothing before its first answer.
   era: Option<Era>,
+  evacuations: Evacuations,
   /// What boxes saw of their backend servers' answers and was not told on yet, with the link that it came by.
   evidence: Vec<(Option<LinkId>, Evidence)>,
   /// When the store stopped answering this daemon; nothing while it answers.
@@ -164,6 +166,7 @@
       directory_revision: Revision::default(),
       endpoints,
       era: None,
+      evacuations: Evacuations::default(),
       evidence: Vec::new(),
       failing_since: None,
       formed_at: None,
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -187,6 +187,7 @@
       version: self.catalog.held(),
     };
     self.send(link, Message::Subscribe(Box::new(subscribe)));
+    self.tell_evacuations_to(link);
     self.tell_rollouts_to(link);
   }
 
@@ -225,6 +226,7 @@
       Message::Answer { id, reports } => self.inquiries.answered(id, link, reports),
       Message::Ask { hops: _, id, question } => self.neighbour_asked(link, id, &question),
       Message::Beat(beat) => self.beat_received(link, &beat),
+      Message::Evacuations(told) => self.take_evacuations(&told, Some(link)),
       Message::Evidence(told) => self.evidence_told(Some(link), told),
       Message::News(endpoints) => self.news_received(link, &endpoints),
       Message::Refused { reason } => self.update_refused(link, &reason),
@@ -246,6 +248,7 @@
       self.send(link, Message::News(present));
     }
     self.news_received(link, std::slice::from_ref(&subscribe.endpoint));
+    self.tell_evacuations_to(link);
     self.push_update(link);
     self.tell_refused_to(link);
     self.tell_rollouts_to(link);
--- a/src/distribution/follower/rollouts.rs
+++ b/src/distribution/follower/rollouts.rs
@@ -22,7 +22,10 @@
   }
 
   /// An entry of the operators is gone.
-  pub(super) fn note_withdrawal(&mut self, key: &Key) {
+  pub(super) fn note_withdrawal(&mut self, key: &Key, revision: Revision) {
+    if self.note_evacuation(key, revision, false) {
+      return;
+    }
     if let Some(service) = self.source.ordered_service(key) {
       self.log(format!("the operators took back their order for {service}"));
       let actions = self.rollouts.withdrawn(self.now.time, &service);
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -28,6 +28,8 @@
   /// The regular word.
   #[serde(rename = "b")]
   Beat(Beat),
+  /// Which data halls the operators evacuate, or take back.
+  Evacuations(Vec<Evacuation>),
   /// What boxes saw of the answers of their backend servers, for those who may decide a roll-out.
   Evidence(Vec<Evidence>),
   /// News about endpoints.
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -27,6 +27,8 @@
   distributor::{Distributor, Status},
   election::Election,
   error::Error,
+  evacuation::Evacuation,
+  evacuations::Evacuations,
   event::Event,
   follower::Follower,
   identity::Identity,
@@ -65,6 +67,8 @@
 mod distributor;
 mod election;
 mod error;
+mod evacuation;
+mod evacuations;
 mod event;
 mod follower;
 mod identity;
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -11,6 +11,8 @@
 pub struct BackendRecord {
   /// A process that reported and is not believed yet. Never the running one.
   candidate: Option<Candidate>,
+  /// Whether the process may have turned cold without a word, so that the health endpoint should be asked.
+  cold_in_doubt: bool,
   /// Until when the process is slow, for it started a moment ago.
   cold_until: Time,
   /// Whether any process said when it started. All of a fleet do, or none does.
@@ -139,6 +141,7 @@
     self.process = Some(report.process.clone());
     self.sequence = report.sequence;
     self.cold_until = now.after(report.cold_left_ms);
+    self.cold_in_doubt = false;
     self.service = Some(report.service.clone());
     self.slots = Some(report.slots);
     self.software.clone_from(&report.software);
@@ -159,8 +162,23 @@
     self.remember_left(Process { born, id: running.id });
   }
 
-  /// The health endpoint answered that a process with this id is well.
-  pub fn probed(&mut self, now: Time, id: &InstanceId) {
+  /// The process may be cold for so long, and has not told.
+  pub fn may_be_cold(&mut self, now: Time, cold_ms: u64) {
+    self.cold_until = self.cold_until.max(now.after(cold_ms));
+    self.cold_in_doubt = cold_ms > 0;
+  }
+
+  /// The health endpoint answered that a process with this id is well, and how long it stays cold where it told.
+  pub fn probed(&mut self, now: Time, id: &InstanceId, cold_ms: Option<u64>) {
+    self.take_probe(now, id);
+    let is_running = self.process.as_ref().is_some_and(|running| running.id == *id);
+    if is_running && (cold_ms.is_some() || self.cold_in_doubt) {
+      self.cold_until = now.after(cold_ms.unwrap_or_default());
+      self.cold_in_doubt = false;
+    }
+  }
+
+  fn take_probe(&mut self, now: Time, id: &InstanceId) {
     let is_former = self.candidate.as_ref().is_some_and(|one| self.is_former(&one.report.process));
     let named = |candidate: &mut Candidate| candidate.report.process.id == *id && !is_former;
     if let Some(candidate) = self.candidate.take_if(named) {
@@ -189,7 +207,7 @@
 
   /// Whether the health endpoint should be asked which process runs.
   pub fn is_in_doubt(&self) -> bool {
-    self.candidate.is_some() || self.state == BackendState::Unknown
+    self.candidate.is_some() || self.cold_in_doubt || self.state == BackendState::Unknown
   }
 
   /// The address refuses connections, or another process answers there.
--- a/src/language/document.rs
+++ b/src/language/document.rs
@@ -6,6 +6,9 @@
 pub struct Document {
   /// Boxes that receive no new work.
   pub drains: BTreeMap<BoxId, Drain>,
+  /// Organisations.
+  #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+  pub organisations: BTreeMap<OrganisationName, Organisation>,
   /// Backend server policies.
   pub policies: BTreeMap<PolicyName, Policy>,
   /// Routes.
@@ -24,6 +27,7 @@
     }
     Self {
       drains: plain(&configuration.drains),
+      organisations: plain(&configuration.organisations),
       policies: plain(&configuration.policies),
       routes: plain(&configuration.routes),
       services: plain(&configuration.services),
@@ -32,12 +36,15 @@
 
   fn objects(&self) -> Vec<Object> {
     let drains = self.drains.iter().map(|(name, one)| Object::Drain(name.clone(), one.clone()));
+    let organisations = self.organisations.iter();
+    let organisations =
+      organisations.map(|(name, one)| Object::Organisation(name.clone(), one.clone()));
     let policies =
       self.policies.iter().map(|(name, one)| Object::Policy(name.clone(), one.clone()));
     let routes = self.routes.iter().map(|(name, one)| Object::Route(name.clone(), one.clone()));
     let services =
       self.services.iter().map(|(name, one)| Object::Service(name.clone(), one.clone()));
-    drains.chain(policies).chain(routes).chain(services).collect()
+    drains.chain(organisations).chain(policies).chain(routes).chain(services).collect()
   }
 
   /// The steps that make `configuration` what the document says; none where it is that already.
--- a/src/language/draft.rs
+++ b/src/language/draft.rs
@@ -20,6 +20,16 @@
   pub fn create(&self, team: &Team) -> Result<Object> {
     match &self.object {
       ObjectName::Drain(name) => Ok(Object::Drain(name.clone(), Drain { owner: team.clone() })),
+      ObjectName::Organisation(name) => {
+        let blank = Organisation {
+          keys: BTreeSet::new(),
+          owner: team.clone(),
+          priority: None,
+          rate_limit: None,
+          regions: BTreeSet::new(),
+        };
+        Ok(self.fill(Object::Organisation(name.clone(), blank)))
+      }
       ObjectName::Policy(name) => {
         let blank =
           Policy { attempts: 2, deadline_ms: 30_000, owner: team.clone(), queue_length: 24 };
@@ -34,7 +44,13 @@
         let policy = policy.ok_or_else(|| self.missing("policy"))?;
         Ok(self.fill(Object::Service(
           name.clone(),
-          Service { connections: None, health_path: None, owner: team.clone(), policy },
+          Service {
+            cold_start: None,
+            connections: None,
+            health_path: None,
+            owner: team.clone(),
+            policy,
+          },
         )))
       }
     }
@@ -71,6 +87,7 @@
     for field in self.fields.iter().cloned() {
       match &mut object {
         Object::Drain(..) => {}
+        Object::Organisation(_, organisation) => fill_organisation(organisation, field),
         Object::Policy(_, policy) => fill_policy(policy, field),
         Object::Route(_, route) => fill_route(route, field),
         Object::Service(_, service) => fill_service(service, field),
@@ -80,6 +97,35 @@
   }
 }
 
+fn fill_organisation(organisation: &mut Organisation, field: Field) {
+  let limit = organisation.rate_limit;
+  match field {
+    Field::Burst(burst) => {
+      organisation.rate_limit = limit.map(|limit| RateLimit { burst, ..limit });
+    }
+    Field::KeyDigest(digest) => {
+      organisation.keys.insert(digest);
+    }
+    Field::NoKeyDigest(digest) => {
+      organisation.keys.remove(&digest);
+    }
+    Field::NoRegion(region) => {
+      organisation.regions.remove(&region);
+    }
+    Field::Owner(team) => organisation.owner = team,
+    Field::Priority(priority) => organisation.priority = priority,
+    Field::Rate(rate) => {
+      let burst = limit.map_or(0, |limit| limit.burst);
+      let rate = rate.filter(|rate| !rate.is_zero());
+      organisation.rate_limit = rate.map(|rate| RateLimit { burst, rate });
+    }
+    Field::Region(region) => {
+      organisation.regions.insert(region);
+    }
+    _ => {}
+  }
+}
+
 fn fill_policy(policy: &mut Policy, field: Field) {
   match field {
     Field::Attempts(attempts) => policy.attempts = attempts,
--- a/src/language/field.rs
+++ b/src/language/field.rs
@@ -5,24 +5,38 @@
 pub enum Field {
   /// Tries of one request at most.
   Attempts(u32),
+  /// Requests beyond the rate that an organisation may send at once.
+  Burst(u64),
   /// Milliseconds that a request may take.
   DeadlineMs(u64),
   /// A header that a request must carry.
   Header(String, String),
   /// The host that a request must name, or none.
   Host(Option<String>),
+  /// The digest of a key that proves an organisation.
+  KeyDigest(KeyDigest),
   /// The method that a request must use, or any.
   Method(Option<String>),
   /// A header that a request need not carry any more.
   NoHeader(String),
+  /// A key that proves an organisation no more.
+  NoKeyDigest(KeyDigest),
+  /// A region in which an organisation's requests are not served any more.
+  NoRegion(Region),
   /// The team that may change the object.
   Owner(Team),
   /// The path that a request must start with.
   PathPrefix(String),
   /// The policy of a service.
   Policy(PolicyName),
+  /// The rank of an organisation's requests, or that of their route.
+  Priority(Option<u32>),
   /// Requests that may wait for a slot.
   QueueLength(u32),
+  /// Requests a second that an organisation may send, or any number.
+  Rate(Option<Rate>),
+  /// A region in which an organisation's requests may be served.
+  Region(Region),
   /// Whether a request may run more than once.
   Repeatable(bool),
   /// The service of a route.
@@ -42,18 +56,24 @@
   fn one(kind: Kind, cursor: &mut Cursor) -> Result<Self> {
     Ok(match cursor.one_of(kind.fields())? {
       "attempts" => Self::Attempts(cursor.value("a number of tries")?),
+      "burst" => Self::Burst(cursor.value("a number of requests")?),
       "deadline_ms" => Self::DeadlineMs(cursor.value("a number of milliseconds")?),
       "header" => {
         let name = header_name(cursor)?;
         Self::Header(name, cursor.text("the value of the header")?.into())
       }
       "host" => Self::Host(Some(cursor.text("a host")?.into())),
+      "key_digest" => Self::KeyDigest(cursor.value("the digest of a key")?),
       "method" => Self::Method(Some(method(cursor)?)),
+      "no" if kind == Kind::Organisation => Self::none_of_organisation(cursor)?,
       "no" => Self::none(cursor)?,
       "owner" => Self::Owner(cursor.value("the name of a team")?),
       "path" => Self::PathPrefix(cursor.text("a path that starts with `/`")?.into()),
       "policy" => Self::Policy(cursor.value("the name of a policy")?),
+      "priority" => Self::Priority(Some(cursor.value("a rank, 0 first")?)),
       "queue_length" => Self::QueueLength(cursor.value("a number of requests")?),
+      "rate" => Self::Rate(Some(cursor.value("requests a second")?)),
+      "region" => Self::Region(cursor.value("the name of a region")?),
       "repeatable" => Self::Repeatable(cursor.one_of(&["no", "yes"])? == "yes"),
       _ => Self::Service(cursor.value("the name of a service")?),
     })
@@ -66,6 +86,15 @@
       _ => Self::Method(None),
     })
   }
+
+  fn none_of_organisation(cursor: &mut Cursor) -> Result<Self> {
+    Ok(match cursor.one_of(&["key_digest", "priority", "rate", "region"])? {
+      "key_digest" => Self::NoKeyDigest(cursor.value("the digest of a key")?),
+      "priority" => Self::Priority(None),
+      "rate" => Self::Rate(None),
+      _ => Self::NoRegion(cursor.value("the name of a region")?),
+    })
+  }
 }
 
 fn header_name(cursor: &mut Cursor) -> Result<String> {
@@ -82,17 +111,26 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
       Self::Attempts(attempts) => write!(f, "attempts {attempts}"),
+      Self::Burst(burst) => write!(f, "burst {burst}"),
       Self::DeadlineMs(deadline_ms) => write!(f, "deadline_ms {deadline_ms}"),
       Self::Header(name, value) => write!(f, "header {name} {}", Word::written(value)),
       Self::Host(Some(host)) => write!(f, "host {}", Word::written(host)),
       Self::Host(None) => write!(f, "no host"),
+      Self::KeyDigest(digest) => write!(f, "key_digest {digest}"),
       Self::Method(Some(method)) => write!(f, "method {method}"),
       Self::Method(None) => write!(f, "no method"),
       Self::NoHeader(name) => write!(f, "no header {name}"),
+      Self::NoKeyDigest(digest) => write!(f, "no key_digest {digest}"),
+      Self::NoRegion(region) => write!(f, "no region {region}"),
       Self::Owner(team) => write!(f, "owner {team}"),
       Self::PathPrefix(path) => write!(f, "path {}", Word::written(path)),
       Self::Policy(policy) => write!(f, "policy {policy}"),
+      Self::Priority(Some(priority)) => write!(f, "priority {priority}"),
+      Self::Priority(None) => write!(f, "no priority"),
       Self::QueueLength(length) => write!(f, "queue_length {length}"),
+      Self::Rate(Some(rate)) => write!(f, "rate {rate}"),
+      Self::Rate(None) => write!(f, "no rate"),
+      Self::Region(region) => write!(f, "region {region}"),
       Self::Repeatable(repeatable) => {
         write!(f, "repeatable {}", if *repeatable { "yes" } else { "no" })
       }
--- a/src/language/kind.rs
+++ b/src/language/kind.rs
@@ -5,6 +5,8 @@
 pub enum Kind {
   /// Drains of boxes.
   Drain,
+  /// Organisations.
+  Organisation,
   /// Backend server policies.
   Policy,
   /// Routes.
@@ -15,13 +17,15 @@
 
 impl Kind {
   /// The kinds that `create` and `set` take.
-  pub(super) const DRAFTED: [&'static str; 3] = ["policy", "route", "service"];
+  pub(super) const DRAFTED: [&'static str; 4] = ["organisation", "policy", "route", "service"];
   /// All kinds, in the plural.
-  pub(super) const PLURALS: [&'static str; 4] = ["drains", "policies", "routes", "services"];
+  pub(super) const PLURALS: [&'static str; 5] =
+    ["drains", "organisations", "policies", "routes", "services"];
 
   pub(super) fn of(keyword: &str) -> Self {
     match keyword {
       "drain" | "drains" => Self::Drain,
+      "organisation" | "organisations" => Self::Organisation,
       "policies" | "policy" => Self::Policy,
       "route" | "routes" => Self::Route,
       _ => Self::Service,
@@ -32,6 +36,7 @@
   pub fn plural(self) -> &'static str {
     match self {
       Self::Drain => "drains",
+      Self::Organisation => "organisations",
       Self::Policy => "policies",
       Self::Route => "routes",
       Self::Service => "services",
@@ -42,6 +47,7 @@
   pub fn of_object(name: &ObjectName) -> Self {
     match name {
       ObjectName::Drain(_) => Self::Drain,
+      ObjectName::Organisation(_) => Self::Organisation,
       ObjectName::Policy(_) => Self::Policy,
       ObjectName::Route(_) => Self::Route,
       ObjectName::Service(_) => Self::Service,
@@ -52,6 +58,7 @@
   pub(super) fn name(self, cursor: &mut Cursor) -> Result<ObjectName> {
     Ok(match self {
       Self::Drain => ObjectName::Drain(cursor.value("the name of a box")?),
+      Self::Organisation => ObjectName::Organisation(cursor.value("the name of an organisation")?),
       Self::Policy => ObjectName::Policy(cursor.value("the name of a policy")?),
       Self::Route => ObjectName::Route(cursor.value("the name of a route")?),
       Self::Service => ObjectName::Service(cursor.value("the name of a service")?),
@@ -62,6 +69,7 @@
   pub(super) fn fields(self) -> &'static [&'static str] {
     match self {
       Self::Drain => &[],
+      Self::Organisation => &["burst", "key_digest", "no", "owner", "priority", "rate", "region"],
       Self::Policy => &["attempts", "deadline_ms", "owner", "queue_length"],
       Self::Route => &["header", "host", "method", "no", "owner", "path", "repeatable", "service"],
       Self::Service => &["owner", "policy"],
--- a/src/language/mod.rs
+++ b/src/language/mod.rs
@@ -6,7 +6,8 @@
 
 use crate::{
   configuration::{
-    Configuration, Drain, Handling, Object, ObjectName, Operation, Policy, Route, Service,
+    Configuration, Drain, Handling, Object, ObjectName, Operation, Organisation, Policy, RateLimit,
+    Route, Service,
   },
   telemetry::LogLevel,
 };
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -85,8 +85,18 @@
   }
 
   fn read_show(cursor: &mut Cursor) -> Result<Self> {
-    const KEYWORDS: [&str; 10] = [
-      "change", "drain", "drains", "policies", "policy", "route", "routes", "service", "services",
+    const KEYWORDS: [&str; 12] = [
+      "change",
+      "drain",
+      "drains",
+      "organisation",
+      "organisations",
+      "policies",
+      "policy",
+      "route",
+      "routes",
+      "service",
+      "services",
       "suspects",
     ];
     let keyword = cursor.one_of(&KEYWORDS)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,8 @@
 use {
   crate::values::{
     Born, BoxId, ChangeId, DataHall, Digest, DurationMs, Fingerprint, Incarnation, InstanceId,
-    Operator, PolicyName, Region, RequestId, RouteName, ServiceName, SoftwareVersion, Team, Time,
-    TryKey, Version, text,
+    KeyDigest, Operator, OrganisationName, PolicyName, Rate, Region, RequestId, RouteName,
+    ServiceName, SoftwareVersion, Team, Time, TryKey, Version, text,
   },
   bytes::{Buf, Bytes, BytesMut},
   clap::{Arg, ArgAction, ArgMatches, Command},
@@ -52,6 +52,7 @@
 pub mod language;
 pub mod links;
 pub mod node;
+pub mod organisations;
 pub mod platform;
 pub mod proxy;
 pub mod requests;
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -30,7 +30,7 @@
 mod seal;
 
 /// The version of the protocol on links. Others are refused.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
 
 /// Largest message in bytes: a snapshot of the largest configuration, with room.
 pub const MESSAGE_BYTES_MAX: usize = 4 << 20;
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -109,7 +109,12 @@
 
   /// How the backend server does, for the daemon beside it: what goes there crosses no link.
   pub fn own_condition(&self) -> Condition {
-    Condition { load_percent: self.limiter.borrow().load_percent(), ..self.condition() }
+    Condition { load_percent: self.backend_load_percent(), ..self.condition() }
+  }
+
+  /// How much the backend server has to do, in percent of its slots, or of what it takes while it is cold.
+  fn backend_load_percent(&self) -> u32 {
+    self.limiter.borrow().load_percent().max(self.cold_load_percent())
   }
 
   /// Bytes came over the box's network link that are no large body.
@@ -125,7 +130,8 @@
     let (link, answers) = (self.link_budget.borrow(), self.answer_budget.borrow());
     let in_percent = link.as_ref().map_or(0, |link| link.load_percent(now));
     let out_percent = answers.as_ref().map_or(0, |answers| answers.load_percent(now));
-    self.limiter.borrow().load_percent().max(in_percent).max(out_percent)
+    let own_percent = self.backend_load_percent();
+    own_percent.max(in_percent).max(out_percent)
   }
 
   /// Whether the daemon hands nothing new to its backend server.
--- a/src/node/dialect.rs
+++ b/src/node/dialect.rs
@@ -4,6 +4,8 @@
 
 /// The id of a request.
 pub const REQUEST_ID: &str = "x-ferryyoke-request-id";
+/// The organisation of the caller.
+pub const ORGANISATION: &str = "x-ferryyoke-organisation";
 /// Milliseconds left until the answer is due.
 pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
 
@@ -12,12 +14,16 @@
 pub struct Dialect {
   /// Tells a backend server which service the request comes from.
   pub caller_service: Option<HeaderName>,
+  /// Milliseconds for which the process that answers stays cold.
+  pub cold_ms: Option<HeaderName>,
   /// Names the one process of a backend server that may run the request.
   pub expected_instance: Option<HeaderName>,
   /// Names the process that answers.
   pub instance: Option<HeaderName>,
   /// Marks an answer of a backend server that did not run the request.
   pub not_run: Option<HeaderName>,
+  /// Tells a backend server which organisation the caller belongs to.
+  pub organisation: Option<HeaderName>,
   /// Tells how much a backend server has to do.
   pub reported_load: Option<HeaderName>,
   /// Names the request.
@@ -33,9 +39,11 @@
   fn default() -> Self {
     Self {
       caller_service: None,
+      cold_ms: None,
       expected_instance: None,
       instance: None,
       not_run: None,
+      organisation: Some(HeaderName::from_static(ORGANISATION)),
       reported_load: None,
       request_id: HeaderName::from_static(REQUEST_ID),
       retry_after_fractions: false,
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -73,6 +73,10 @@
         }
         ticking.tell_evidence();
         ticking.handle(Event::Tick);
+        if ticking.shared.must_know_revocations() {
+          let age_ms = ticking.distributor.borrow().status().store_age_ms;
+          ticking.shared.note_confirmed(age_ms);
+        }
       }
     });
   }
@@ -123,6 +127,7 @@
         let looked = self.clone();
         monoio::spawn(async move { looked.handle(Event::Consulted { id, reports }) });
       }
+      Action::EvacuationsChanged(evacuated) => self.shared.set_evacuated(evacuated),
       Action::EndpointsChanged => {
         self.shared.set_endpoints(self.distributor.borrow().endpoints().iter());
       }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,7 +6,7 @@
 use super::*;
 
 use crate::{
-  configuration::{Configuration, Policy},
+  configuration::{ColdStart, Configuration, Policy, RateLimit},
   distribution::{
     Action, Distribution, Distributor, Event, LinkId, Message, Moment, Question, Report,
     UnreadableEntry,
@@ -16,11 +16,12 @@
     RunOutcome,
   },
   links::{self, Credentials, IncomingFrames, Outgoing},
+  organisations::{Admission, KeyRing, RateLimits},
   requests::{
     AnswerBudget, AnswerSizes, ArrivalBook, AtWork, BackendMonitor, Balancer, BodyTurns,
-    CallerTimes, Condition, CrashDetector, Limiter, LinkBudget, OpenExchanges, Quarantine,
-    QuarantineChange, RecordBook, RequestRecord, RetryBudget, RetryLimits, Router, RunEnd, RunId,
-    Splitter, StopLimit, Ticket,
+    CallerTimes, ColdGate, Condition, CrashDetector, Limiter, LinkBudget, OpenExchanges,
+    Quarantine, QuarantineChange, RecordBook, RequestRecord, RetryBudget, RetryLimits, Router,
+    RunEnd, RunId, Splitter, StopLimit, Ticket,
   },
   rollout::{Evidence, Observer, Traffic, TrafficTable},
   settings::Settings,
@@ -47,6 +48,7 @@
 #[allow(clippy::module_inception)]
 mod node;
 mod open_link;
+mod places;
 mod rollout_side;
 mod shared;
 mod system_clock;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -54,10 +54,10 @@
   }
 
   /// The health endpoint answered for a process.
-  pub fn backend_probed(&self, id: &InstanceId) {
+  pub fn backend_probed(&self, id: &InstanceId, cold_ms: Option<u64>) {
     let now = self.shared.now().time;
     let process = Process { born: None, id: id.clone() };
-    self.change_backend(&process, 0, |record| record.probed(now, id));
+    self.change_backend(&process, 0, |record| record.probed(now, id, cold_ms));
   }
 
   /// Changes what is known of the backend server, and tells the fleet and the log what came of it.
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -26,14 +26,21 @@
   pub caller_limits: Rc<Cell<ServerLimits>>,
   /// Tells the time.
   pub clock: Rc<dyn Clock>,
+  /// Counts what goes to the backend server, which takes little while it is cold.
+  pub cold_gate: RefCell<ColdGate>,
   configuration: RefCell<Option<Arc<Configuration>>>,
+  /// When the store, or somebody who heard from it, last confirmed the configuration in force.
+  confirmed_at: Cell<Option<Time>>,
   /// Which requests run at the backend server, and under which its process ended.
   pub crash_detector: RefCell<CrashDetector>,
   /// The header names of callers and backend servers.
   pub dialect: Dialect,
   endpoints: RefCell<BTreeMap<ServiceName, Rc<Vec<Endpoint>>>>,
+  /// The data halls that the operators evacuate.
+  pub(super) evacuated: RefCell<Rc<BTreeSet<DataHall>>>,
   /// When the backend server's answers were last told of.
   pub(super) evidence_at: Cell<Time>,
+  key_ring: RefCell<Rc<KeyRing>>,
   /// Bounds what the backend server runs.
   pub limiter: RefCell<Limiter>,
   /// Bounds the bodies that come over the box's network link; nothing where its speed is not known.
@@ -58,6 +65,8 @@
   pub peer_pool: Rc<web::Pool>,
   /// Requests under which processes of backend servers ended, anywhere in the fleet.
   pub quarantine: RefCell<Quarantine>,
+  /// How much organisations may ask for.
+  pub rate_limits: RefCell<RateLimits<futures_channel::oneshot::Sender<Admission>>>,
   /// What became of the last requests.
   pub records: RefCell<RecordBook>,
   pub(super) refuses_work: Cell<bool>,
@@ -95,6 +104,9 @@
   pub const PEER_GRACE_MS: u64 = 50;
   /// Requests that wait for a slot where no policy says otherwise.
   const QUEUE_DEFAULT: usize = 64;
+  /// Milliseconds before a revoked key must hold no more at which a box that is cut off stops to take any: requests
+  /// that it took must have reached their backend servers by then.
+  const REVOCATION_SPARE_MS: u64 = 1_000;
   /// Milliseconds after which to come back where nothing better is known.
   pub const RETRY_AFTER_MS: u64 = 100;
 
@@ -125,12 +137,16 @@
       budget: RefCell::default(),
       caller_limits: Rc::default(),
       caller_times: RefCell::default(),
+      cold_gate: RefCell::default(),
       configuration: RefCell::default(),
+      confirmed_at: Cell::default(),
       endpoints: RefCell::default(),
       clock,
       crash_detector: RefCell::default(),
       dialect,
+      evacuated: RefCell::default(),
       evidence_at: Cell::default(),
+      key_ring: RefCell::default(),
       limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
       link_budget: RefCell::new(link_budget),
       leaving_since: Cell::default(),
@@ -143,6 +159,7 @@
       open_exchanges: RefCell::default(),
       peer_pool: pool(),
       quarantine: RefCell::default(),
+      rate_limits: RefCell::default(),
       records: RefCell::default(),
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
@@ -183,6 +200,11 @@
     self.caller_times.borrow_mut().retain(is_known);
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
+    let has_limit = |name: &OrganisationName| {
+      configuration.organisations.get(name).is_some_and(|one| one.value.rate_limit.is_some())
+    };
+    self.rate_limits.borrow_mut().retain(has_limit);
+    *self.key_ring.borrow_mut() = Rc::new(KeyRing::new(&configuration));
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
@@ -238,6 +260,44 @@
     self.clock.elapsed_us()
   }
 
+  /// The configuration in force was confirmed so many milliseconds ago; nothing where it never was.
+  pub fn note_confirmed(&self, age_ms: Option<u64>) {
+    let now = self.now().time;
+    self.confirmed_at.set(age_ms.map(|age_ms| Time(now.0.saturating_sub(age_ms))));
+  }
+
+  /// Whether keys hold only while it is known that they were not taken away.
+  pub fn must_know_revocations(&self) -> bool {
+    self.settings.deployment.as_ref().is_some_and(|one| one.revoke_ms.is_some())
+  }
+
+  /// Whether a key may have been taken away so long ago that it must not hold here any more.
+  pub fn may_miss_revocation(&self) -> bool {
+    let Some(revoke_ms) = self.settings.deployment.as_ref().and_then(|one| one.revoke_ms) else {
+      return false;
+    };
+    let latest_ms = revoke_ms.saturating_sub(Self::REVOCATION_SPARE_MS);
+    let now = self.now().time;
+    self.confirmed_at.get().is_none_or(|at| now.since_ms(at) >= latest_ms)
+  }
+
+  /// The keys of organisations in force.
+  pub fn key_ring(&self) -> Rc<KeyRing> {
+    self.key_ring.borrow().clone()
+  }
+
+  /// What an organisation may ask for; nothing where it is not known, or may ask for anything.
+  pub fn rate_limit(&self, organisation: &OrganisationName) -> Option<RateLimit> {
+    self.configuration.borrow().as_ref()?.organisations.get(organisation)?.value.rate_limit
+  }
+
+  /// Where the daemon of a box takes requests from other daemons.
+  pub fn forward_address(&self, box_id: &BoxId) -> Option<SocketAddr> {
+    let endpoints = self.endpoints.borrow();
+    let mut all = endpoints.values().flat_map(|list| list.iter());
+    all.find(|endpoint| endpoint.peer.box_id == *box_id).map(|endpoint| endpoint.forward_address)
+  }
+
   /// The backend servers of a service.
   pub fn endpoints_of(&self, service: &ServiceName) -> Rc<Vec<Endpoint>> {
     self.endpoints.borrow().get(service).cloned().unwrap_or_default()
@@ -247,13 +307,19 @@
   pub fn set_endpoints<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) {
     let mut by_service: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
     let mut known = BTreeSet::new();
-    let mut live = 0;
+    let (mut live, mut lost) = (0, 0);
+    let mut present = BTreeSet::new();
     for endpoint in endpoints {
+      lost += usize::from(endpoint.state == EndpointState::Lost);
+      if !endpoint.state.is_gone() {
+        present.insert(endpoint.peer.box_id.clone());
+      }
       live += i64::from(endpoint.state == EndpointState::Live);
       known.insert(endpoint.peer.box_id.clone());
       by_service.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
     }
     self.metrics.live_endpoints.set(live);
+    self.rate_limits.borrow_mut().set_boxes(self.now().time, present.iter(), lost);
     if let Some(deployment) = &self.settings.deployment {
       let (ratio, extra) = (deployment.retry_ratio, deployment.retry_extra);
       let limits = RetryLimits::share(ratio, extra, known.len());
--- /dev/null
+++ b/src/organisations/ledger.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// The ledger of one organisation, at the daemon that keeps it.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+  bucket: TokenBucket,
+  /// Tokens that were asked for and not there.
+  unmet: DemandMeter,
+}
+
+impl Ledger {
+  /// The part of the burst that a new ledger holds: the one before it may have given out all of it a moment ago.
+  const FIRST_PART: f64 = 0.1;
+  /// Milliseconds after which a caller without a token comes back at the earliest.
+  const RETRY_MIN_MS: f64 = 100.0;
+  /// Milliseconds after which a caller without a token comes back at the latest.
+  const RETRY_MAX_MS: f64 = 5_000.0;
+
+  /// A ledger that nobody else can have kept for `alone_ms`.
+  #[allow(clippy::cast_precision_loss)]
+  pub fn new(now: Time, limit: RateLimit, alone_ms: u64) -> Self {
+    let earned = limit.rate.requests_per_s() * alone_ms as f64 / 1_000.0;
+    let most = Self::most(limit, 1.0);
+    let tokens = (most * Self::FIRST_PART + earned).min(most);
+    Self { bucket: TokenBucket::new(now, tokens), unmet: DemandMeter::default() }
+  }
+
+  /// Gives out up to so many tokens of the `share` of the limit that this ledger may give out.
+  #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
+  pub fn draw(&mut self, now: Time, limit: RateLimit, share: f64, wanted: u64) -> Grant {
+    let per_s = limit.rate.requests_per_s() * share;
+    self.bucket.fill(now, per_s, Self::most(limit, share));
+    let tokens = self.bucket.take(wanted);
+    self.unmet.note(now, wanted - tokens);
+    let retry_after_ms = self.unmet.per_s(now) * 1_000.0 / per_s.max(f64::MIN_POSITIVE);
+    let retry_after_ms = retry_after_ms.clamp(Self::RETRY_MIN_MS, Self::RETRY_MAX_MS) as u64;
+    Grant { retry_after_ms, tokens }
+  }
+
+  /// Tokens that it holds at most. One at least, or no request would ever pass.
+  #[allow(clippy::cast_precision_loss)]
+  fn most(limit: RateLimit, share: f64) -> f64 {
+    let spent_late = limit.rate.requests_per_s() * TOKENS_KEPT_MS as f64 / 1_000.0;
+    ((limit.burst as f64 - spent_late) * share).max(1.0)
+  }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,8 +7,8 @@
 
 use crate::{
   configuration::{
-    CallerLimits, Configuration, Handling, Patch, Policy, Revised, Route, Service, Source,
-    Unreadable, WeightedService,
+    CallerLimits, ColdStart, Configuration, Handling, Organisation, Patch, Policy, RateLimit,
+    Revised, Route, Service, Source, Unreadable, WeightedService,
   },
   fleet::{BackendReport, Heard, Process},
   node::{Dialect, Node},
--- a/src/platform/operator_source.rs
+++ b/src/platform/operator_source.rs
@@ -11,6 +11,9 @@
   limits: Limits,
   routes: Vec<OperatorRoute>,
   services: Vec<OperatorService>,
+  /// Where there are any, each request carries a key of one, but on public routes.
+  #[serde(default)]
+  tenants: Vec<Tenant>,
   version: u64,
 }
 
@@ -28,6 +31,9 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct OperatorRoute {
+  /// Regions in which requests may be served; any where empty.
+  #[serde(default)]
+  allowed_regions: BTreeSet<Region>,
   host: String,
   /// `safe` and `download` may run more than once; `unsafe` and `upload` may not.
   kind: String,
@@ -37,6 +43,9 @@
   path_prefix: String,
   #[serde(default)]
   priority: u32,
+  /// Whether callers need no key.
+  #[serde(default)]
+  public: bool,
   #[serde(default)]
   service: Option<ServiceName>,
   #[serde(default, deserialize_with = "optional_duration_ms")]
@@ -59,11 +68,38 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct OperatorService {
+  /// The longest time for which its backend servers stay cold.
+  #[serde(default, deserialize_with = "optional_duration_ms")]
+  cold: Option<u64>,
+  /// Requests a second that a cold backend server takes; 0 for no bound.
+  #[serde(default)]
+  cold_per_s: f64,
   health_path: String,
   max_connections: u32,
   name: ServiceName,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Tenant {
+  /// Regions in which its requests may be served; any where empty.
+  #[serde(default)]
+  allowed_regions: BTreeSet<Region>,
+  #[serde(default)]
+  api_keys: Vec<String>,
+  #[serde(default)]
+  burst: f64,
+  name: OrganisationName,
+  #[serde(default)]
+  priority: Option<u32>,
+  /// Requests a second, of all daemons together; 0 for no limit.
+  #[serde(default)]
+  rate_per_s: f64,
+}
+
+/// While a key under this prefix is there, the operators evacuate the data hall that it names.
+const EVACUATIONS: &str = "op/evacuate/";
+
 /// The operators' orders to move a service to another version lie under this prefix, by service.
 const ORDERS: &str = "op/rollout/";
 
@@ -87,6 +123,10 @@
     Key::of(&["op", "config"])
   }
 
+  fn evacuated_hall(&self, key: &Key) -> Option<DataHall> {
+    key.as_str().strip_prefix(EVACUATIONS)?.parse().ok()
+  }
+
   fn ordered_service(&self, key: &Key) -> Option<ServiceName> {
     key.as_str().strip_prefix(ORDERS)?.parse().ok()
   }
@@ -113,6 +153,9 @@
   value["Version"].as_u64().map(Version)
 }
 
+/// Milliseconds for which a backend server stays cold where neither it nor its service tells.
+const COLD_DEFAULT_MS: u64 = 3_000;
+
 /// The team and the policy that stand for the platform's operators.
 const OPERATORS: &str = "platform";
 
@@ -134,7 +177,11 @@
   let value = Policy { attempts: 1, deadline_ms: 30_000, owner: owner.clone(), queue_length: 256 };
   next.policies.insert(policy.clone(), Revised { revision: Patch::REVISION, value });
   for service in read.services {
+    let cold_rate = Rate::per_s(service.cold_per_s).filter(|rate| !rate.is_zero());
+    let cold_start = cold_rate
+      .map(|rate| ColdStart { duration_ms: service.cold.unwrap_or(COLD_DEFAULT_MS), rate });
     let value = Service {
+      cold_start,
       connections: Some(service.max_connections),
       health_path: Some(service.health_path),
       owner: owner.clone(),
@@ -142,6 +189,11 @@
     };
     next.services.insert(service.name, Revised { revision: Patch::REVISION, value });
   }
+  for tenant in read.tenants {
+    let name = tenant.name.clone();
+    let value = translate_tenant(tenant, owner.clone());
+    next.organisations.insert(name, Revised { revision: Patch::REVISION, value });
+  }
   for route in read.routes {
     let name = route.name.clone();
     let value = translate_route(route, owner.clone())?;
@@ -150,6 +202,19 @@
   Ok(next)
 }
 
+fn translate_tenant(tenant: Tenant, owner: Team) -> Organisation {
+  let rate = Rate::per_s(tenant.rate_per_s).filter(|rate| !rate.is_zero());
+  #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  let burst = tenant.burst.max(0.0) as u64;
+  Organisation {
+    keys: tenant.api_keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect(),
+    owner,
+    priority: tenant.priority,
+    rate_limit: rate.map(|rate| RateLimit { burst, rate }),
+    regions: tenant.allowed_regions,
+  }
+}
+
 fn translate_route(route: OperatorRoute, owner: Team) -> Result<Route, String> {
   let repeatable = match route.kind.as_str() {
     "download" | "safe" => true,
@@ -164,6 +229,8 @@
     handling: Handling {
       attempts: Some(route.max_attempts),
       priority: route.priority,
+      public: route.public,
+      regions: route.allowed_regions,
       retry_failures: repeatable,
       sent_once: !repeatable,
       split,
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -10,7 +10,7 @@
 
 /// Milliseconds after which a caller comes back whose route a newer version may have: most of a fleet holds a
 /// version that soon after its first box.
-const BEHIND_RETRY_MS: u64 = 500;
+pub(super) const BEHIND_RETRY_MS: u64 = 500;
 
 /// Milliseconds that a request may take where no policy says otherwise.
 const DEADLINE_DEFAULT_MS: u64 = 30_000;
@@ -57,6 +57,12 @@
   body: Incoming,
 ) -> std::result::Result<Response<AnyBody>, Refusal> {
   let matched = find_route(shared, &incoming, &head)?;
+  let member = membership::identify(shared, &matched, &head.headers)?;
+  let member = member.as_deref();
+  let organisation = member.map(|member| member.organisation.clone());
+  if let Some(organisation) = &organisation {
+    recorder.record.class = CallerClass::of(organisation);
+  }
   let service = choose_service(shared, &matched);
   recorder.record.route = Some((matched.route.clone(), service.clone()));
   let policy = shared.policy(&service);
@@ -70,10 +76,12 @@
   let elapsed_ms = incoming
     .time_left_ms
     .map_or(0, |left_ms| shared.caller_times.borrow_mut().note(&matched.route, left_ms));
+  let rank = member.and_then(|member| member.priority).unwrap_or(handling.priority);
   let is_call = shared.at_work.borrow().is_call(&incoming.id);
   let body = take_body(body, is_claimed).await?;
-  let head = pass_on(head, &incoming);
-  let fingerprint = head.fingerprint(&incoming.class, &body);
+  let class = recorder.record.class.clone();
+  let head = pass_on(shared, head, &incoming, &class);
+  let fingerprint = head.fingerprint(&class, &body);
   let only_box = check_standing(shared, fingerprint, &service)?;
   let lane = shared.traffic.borrow_mut().deal(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).ordered_at.is_some();
@@ -81,7 +89,7 @@
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
     caller_service: shared.own_service(),
-    class: incoming.class.clone(),
+    class,
     deadline,
     fingerprint,
     head,
@@ -89,20 +97,27 @@
     insists: true,
     lane,
     only_box,
+    organisation,
+    regions: allowed_regions(handling, member),
     repeatable: matched.repeatable && method.is_idempotent(),
     route: is_watched.then(|| matched.route.clone()),
     service,
     retry_failures: handling.retry_failures,
-    urgency: Urgency::of(now, deadline, handling, is_call, elapsed_ms),
+    urgency: Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms),
     version: recorder.record.version,
   };
+  let admitted = AdmittedRequest::admit(shared, member).await?;
   if is_claimed {
+    admitted.spend();
     return carry_claimed(shared, recorder, incoming, forwarded, body).await;
   }
   let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
   if let Ok(answer) = &answer {
     note_size(shared, &matched.route, answer);
   }
+  if answer.as_ref().map_or_else(AttemptOutcome::arrived, |_| true) {
+    admitted.spend();
+  }
   answer.map_err(Refusal::from)
 }
 
@@ -208,12 +223,29 @@
   }
 }
 
+/// The regions in which both the route and the caller's organisation let a request be served; nothing where it may be
+/// anywhere.
+fn allowed_regions(handling: &Handling, member: Option<&Member>) -> Option<BTreeSet<Region>> {
+  let of_member = member.map(|member| &member.regions);
+  let bounds = [Some(&handling.regions), of_member].into_iter().flatten();
+  let bounds = bounds.filter(|regions| !regions.is_empty()).cloned();
+  bounds.reduce(|one, other| one.intersection(&other).cloned().collect())
+}
+
 /// The head as the backend server gets it.
-fn pass_on(head: http::request::Parts, incoming: &IncomingRequest) -> forwarded::ForwardedHead {
+fn pass_on(
+  shared: &Shared,
+  head: http::request::Parts,
+  incoming: &IncomingRequest,
+  class: &CallerClass,
+) -> forwarded::ForwardedHead {
   let mut passed = head.headers;
   headers::remove_connection_headers(&mut passed);
   headers::remove_mesh_headers(&mut passed);
-  headers::set(&mut passed, headers::CALLER_CLASS, &incoming.class);
+  if !shared.key_ring().is_empty() {
+    headers::remove_proof(&mut passed, shared.dialect.organisation.as_ref());
+  }
+  headers::set(&mut passed, headers::CALLER_CLASS, class);
   headers::set(&mut passed, headers::DEPTH, incoming.depth + 1);
   if let Some(host) = incoming.host.as_ref().filter(|_| !passed.contains_key("host")) {
     headers::set(&mut passed, "host", host);
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -15,6 +15,9 @@
   if head.headers.contains_key(headers::ARRIVAL) {
     return arrivals::answer(&shared, &head.headers);
   }
+  if head.headers.contains_key(headers::DRAW) {
+    return membership::answer(&shared, &head.headers);
+  }
   let (key, forwarded) = match unseal(&shared, head) {
     Ok(unsealed) => unsealed,
     Err(refusal) => return refusal.response(&shared.names.request_id(), false),
@@ -57,6 +60,8 @@
     insists: headers::parsed(&head.headers, headers::INSISTS).ok_or_else(malformed)?,
     lane: Lane::InForce,
     only_box: None,
+    organisation: headers::parsed(&head.headers, headers::ORGANISATION),
+    regions: None,
     repeatable: headers::parsed(&head.headers, headers::REPEATABLE).ok_or_else(malformed)?,
     retry_failures: false,
     route: headers::parsed(&head.headers, headers::ROUTE),
@@ -180,6 +185,10 @@
   if let Some(reason) = refuse_early(shared, forwarded) {
     return Err(AttemptOutcome::not_run(reason, Shared::RETRY_AFTER_MS));
   }
+  let cold_wait_ms = shared.cold_wait_ms();
+  if cold_wait_ms > 0 {
+    return Err(AttemptOutcome::declined("the backend server is cold", cold_wait_ms));
+  }
   let run = HeldRun::begin(shared, &forwarded.id, forwarded.fingerprint)?;
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
@@ -262,6 +271,9 @@
   if shared.takes_no_work() {
     return Some("this box takes no new work".into());
   }
+  if shared.is_evacuated() {
+    return Some("the data hall of this box is evacuated".into());
+  }
   if let Some(reason) = shared.why_out_of_force() {
     return Some(reason.into());
   }
@@ -295,6 +307,7 @@
     }
     AttemptOutcome::not_run(err.to_string(), Shared::RETRY_AFTER_MS)
   })?;
+  shared.cold_gate.borrow_mut().pass(shared.now().time);
   let body = match turn {
     Some(turn) => AnyBody::streamed(BodyInTurn::new(body.for_try(), turn)),
     None => body.for_try(),
@@ -360,9 +373,10 @@
     headers::remove_mesh_headers(headers);
   }
   let instance = shared.backend.borrow().process().map(|process| process.id.to_string());
-  let told = [
+  let told: [(&Option<HeaderName>, Option<String>); 3] = [
     (&dialect.caller_service, Some(forwarded.caller_service.to_string())),
     (&dialect.expected_instance, instance),
+    (&dialect.organisation, forwarded.organisation.as_ref().map(ToString::to_string)),
   ];
   for (name, value) in told {
     let value = value.and_then(|value| HeaderValue::from_str(&value).ok());
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -56,6 +56,7 @@
     budget: &mut shared.budget.borrow_mut(),
     candidates: &shared.endpoints_of(service),
     data_hall: &shared.settings.data_hall,
+    evacuated: &shared.evacuated(),
     is_drained: &is_drained,
     now: shared.now().time,
     own_box: &shared.settings.box_id,
@@ -136,6 +137,9 @@
   headers::set(request_headers, headers::DUE_MS, urgency.due.since_ms(now));
   headers::set(request_headers, headers::FINGERPRINT, forwarded.fingerprint);
   headers::set(request_headers, headers::INSISTS, forwarded.insists);
+  if let Some(organisation) = &forwarded.organisation {
+    headers::set(request_headers, headers::ORGANISATION, organisation);
+  }
   headers::set(request_headers, headers::PATIENCE_MS, urgency.patience.since_ms(now));
   headers::set(request_headers, headers::PRIORITY, urgency.priority);
   headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -26,6 +26,10 @@
   pub lane: Lane,
   /// The one box to which it may be sent, where it is on trial.
   pub only_box: Option<BoxId>,
+  /// The organisation of its caller, where that was proved.
+  pub organisation: Option<OrganisationName>,
+  /// The regions in which it may be served; nothing where it may be anywhere.
+  pub regions: Option<BTreeSet<Region>>,
   /// Whether it may run more than once.
   pub repeatable: bool,
   /// The route that it takes, where that is told.
@@ -90,6 +94,7 @@
       deadline: self.deadline,
       lane: self.lane,
       only_box: self.only_box.clone(),
+      regions: self.regions.clone(),
       repeatable: self.repeatable,
       retry_failures: self.retry_failures,
       service: self.service.clone(),
@@ -104,8 +109,9 @@
 
   /// What the forwarding daemon seals, so that no other process can speak for it.
   pub fn sealed_text(&self, key: TryKey, time_left_ms: u64) -> String {
+    let organisation = self.organisation.as_ref().map_or("", OrganisationName::as_str);
     format!(
-      "{key} {} {} {} {} {} {} {time_left_ms} {} {} {} {}",
+      "{key} {} {} {} {} {} {} {time_left_ms} {} {} {} {} {organisation}",
       self.head.method,
       self.head.target,
       self.id,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-pub use crate::node::dialect::{REQUEST_ID, TIME_LEFT_MS};
+pub use crate::node::dialect::{ORGANISATION, REQUEST_ID, TIME_LEFT_MS};
 
 /// Between daemons: bytes that the answer is expected to have.
 pub const ANSWER_BYTES: &str = "x-ferryyoke-answer-bytes";
@@ -53,6 +53,9 @@
 /// The configuration version that routed the request.
 pub const VERSION: &str = "x-ferryyoke-version";
 
+/// Between daemons: tokens of an organisation that are asked for; in the answer, how many are given.
+pub const DRAW: &str = "x-ferryyoke-draw";
+
 /// The prefix of all headers that belong to the mesh.
 const PREFIX: &str = "x-ferryyoke-";
 
@@ -103,6 +106,14 @@
   }
 }
 
+/// Removes what proves a caller's organisation, and the header that tells it to backend servers: nobody else sets it.
+pub fn remove_proof(headers: &mut HeaderMap, organisation: Option<&HeaderName>) {
+  headers.remove(http::header::AUTHORIZATION);
+  if let Some(organisation) = organisation {
+    headers.remove(organisation);
+  }
+}
+
 /// Removes the headers that belong to the mesh, so that nobody else speaks in its name.
 pub fn remove_mesh_headers(headers: &mut HeaderMap) {
   let mesh: Vec<HeaderName> =
--- /dev/null
+++ b/src/proxy/membership.rs
@@ -0,0 +1,203 @@
+//! Which organisation a caller belongs to, and whether its rate limit admits the request.
+
+use super::*;
+
+use super::egress::not_of_this_fleet;
+
+/// Milliseconds within which the daemon that keeps a ledger must answer: many round trips between regions, and little
+/// of the time that a request has.
+const DRAW_TIMEOUT_MS: u64 = 200;
+
+/// The organisation whose key the request carries; nothing where it needs none.
+pub(super) fn identify(
+  shared: &Shared,
+  matched: &RouteMatch,
+  headers: &HeaderMap,
+) -> std::result::Result<Option<Rc<Member>>, Refusal> {
+  let keys = shared.key_ring();
+  if keys.is_empty() {
+    return Ok(None);
+  }
+  if !matched.handling.public && shared.may_miss_revocation() {
+    let reason = "this box cannot tell which keys were taken away";
+    let retry_after_ms = Shared::RETRY_AFTER_MS;
+    return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms));
+  }
+  match keys.identify(headers.get(http::header::AUTHORIZATION)) {
+    Ok(member) => Ok(Some(member)),
+    Err(_) if matched.handling.public => Ok(None),
+    Err(fault) => Err(unproved(shared, fault)),
+  }
+}
+
+/// A request without a key that holds. One that a newer version may know is not the caller's mistake.
+fn unproved(shared: &Shared, fault: KeyFault) -> Refusal {
+  match shared.newer_version() {
+    Some(newer) if fault == KeyFault::Unknown => {
+      let reason = format!("{fault}, and version {newer} is not in force here yet");
+      Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, carry::BEHIND_RETRY_MS)
+    }
+    _ => Refusal::wrong(StatusCode::UNAUTHORIZED, fault.to_string()),
+  }
+}
+
+/// A request that its organisation's rate limit admitted. Its token is given back unless a backend server may have
+/// got the request.
+pub(super) struct AdmittedRequest {
+  organisation: Option<OrganisationName>,
+  shared: Rc<Shared>,
+}
+
+impl AdmittedRequest {
+  /// Waits until the rate limit admits the request, or refuses it.
+  pub async fn admit(
+    shared: &Rc<Shared>,
+    member: Option<&Member>,
+  ) -> std::result::Result<Self, Refusal> {
+    let limited = member.and_then(|member| Some((&member.organisation, member.rate_limit?)));
+    let mut admitted = Self { organisation: None, shared: shared.clone() };
+    let Some((organisation, limit)) = limited else {
+      return Ok(admitted);
+    };
+    match decide(shared, organisation, limit).await {
+      Admission::Admitted => {
+        admitted.organisation = Some(organisation.clone());
+        Ok(admitted)
+      }
+      Admission::Refused { retry_after_ms } => {
+        shared.metrics.requests_over_limit.inc();
+        let reason = format!("{organisation} asks for more than {limit}");
+        Err(Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, reason, retry_after_ms))
+      }
+    }
+  }
+
+  /// A backend server may have got the request: its token is spent.
+  pub fn spend(mut self) {
+    self.organisation = None;
+  }
+}
+
+impl Drop for AdmittedRequest {
+  fn drop(&mut self) {
+    if let Some(organisation) = self.organisation.take() {
+      let now = self.shared.now().time;
+      self.shared.rate_limits.borrow_mut().give_back(now, &organisation);
+    }
+  }
+}
+
+async fn decide(
+  shared: &Rc<Shared>,
+  organisation: &OrganisationName,
+  limit: RateLimit,
+) -> Admission {
+  let (wake, woken) = futures_channel::oneshot::channel();
+  let now = shared.now().time;
+  let arrived = shared.rate_limits.borrow_mut().arrive(now, organisation, limit, wake);
+  if let Some(wanted) = arrived.draw {
+    monoio::spawn(draw(shared.clone(), organisation.clone(), limit, wanted));
+  }
+  match arrived.admission {
+    Some(admission) => admission,
+    None => woken.await.unwrap_or(Admission::Refused { retry_after_ms: Shared::RETRY_AFTER_MS }),
+  }
+}
+
+/// Draws tokens, and wakes those who wait for them.
+async fn draw(
+  shared: Rc<Shared>,
+  organisation: OrganisationName,
+  limit: RateLimit,
+  mut wanted: u64,
+) {
+  loop {
+    let grant = draw_once(&shared, &organisation, limit, wanted).await;
+    let now = shared.now().time;
+    let woken = shared.rate_limits.borrow_mut().drawn(now, &organisation, limit, wanted, grant);
+    debug!(
+      shared.log.logger, #Log::REQUEST, "tokens were drawn";
+      "organisation" => organisation.as_str(), "wanted" => wanted,
+      "granted" => grant.map_or("no answer".into(), |grant| grant.tokens.to_string()),
+      "settled" => woken.settled.len()
+    );
+    for (waiter, admission) in woken.settled {
+      waiter.send(admission).ok();
+    }
+    match woken.draw {
+      Some(more) => wanted = more,
+      None => return,
+    }
+  }
+}
+
+/// One draw; nothing where the daemon that keeps the ledger does not answer.
+async fn draw_once(
+  shared: &Rc<Shared>,
+  organisation: &OrganisationName,
+  limit: RateLimit,
+  wanted: u64,
+) -> Option<Grant> {
+  let keeper = shared.rate_limits.borrow().keeper(organisation).cloned();
+  let own_box = &shared.settings.box_id;
+  let Some(keeper) = keeper.filter(|keeper| keeper != own_box) else {
+    let now = shared.now().time;
+    return Some(shared.rate_limits.borrow_mut().draw(now, organisation, limit, wanted));
+  };
+  let address = shared.forward_address(&keeper)?;
+  let limit = Duration::from_millis(DRAW_TIMEOUT_MS);
+  timer::timeout(limit, ask(shared, address, organisation, wanted)).await.ok()?
+}
+
+/// What another daemon proves with the fleet key when it draws tokens.
+fn sealed_text(organisation: &OrganisationName, wanted: u64) -> String {
+  format!("draw {organisation} {wanted}")
+}
+
+async fn ask(
+  shared: &Rc<Shared>,
+  address: SocketAddr,
+  organisation: &OrganisationName,
+  wanted: u64,
+) -> Option<Grant> {
+  let client = shared.peer_pool.checkout_within(address, DRAW_TIMEOUT_MS).await.ok()?;
+  let mut request = Request::new(web::empty());
+  let headers = request.headers_mut();
+  headers::set(headers, headers::DRAW, wanted);
+  headers::set(headers, "host", address);
+  headers::set(headers, headers::ORGANISATION, organisation);
+  headers::set(headers, headers::SEAL, shared.seal(&sealed_text(organisation, wanted)));
+  let response = shared.peer_pool.send(client, request, None).await.ok()?;
+  let (head, body) = response.into_parts();
+  // The whole is read, so that the connection serves the next draw.
+  web::collect(body, ANSWER_BYTES_MAX).await.ok()?;
+  let tokens = headers::parsed(&head.headers, headers::DRAW)?;
+  let retry_after_ms = headers::parsed(&head.headers, headers::RETRY_AFTER_MS)?;
+  Some(Grant { retry_after_ms, tokens })
+}
+
+/// Largest body of an answer to a draw, in bytes.
+const ANSWER_BYTES_MAX: usize = 1_024;
+
+/// Gives another daemon tokens of an organisation whose ledger this one keeps.
+pub(super) fn answer(shared: &Shared, asked: &HeaderMap) -> Response<AnyBody> {
+  let wanted = headers::parsed::<u64>(asked, headers::DRAW);
+  let organisation = headers::parsed::<OrganisationName>(asked, headers::ORGANISATION);
+  let seal = headers::parsed::<Digest>(asked, headers::SEAL);
+  let (Some(wanted), Some(organisation), Some(seal)) = (wanted, organisation, seal) else {
+    return web::text(StatusCode::BAD_REQUEST, "a draw lacks a header");
+  };
+  if !shared.is_sealed(&sealed_text(&organisation, wanted), &seal) {
+    return not_of_this_fleet(shared).response(&shared.names.request_id(), false);
+  }
+  let Some(limit) = shared.rate_limit(&organisation) else {
+    let reason = format!("no rate limit of {organisation} is in force here");
+    return web::text(StatusCode::NOT_FOUND, reason);
+  };
+  let now = shared.now().time;
+  let grant = shared.rate_limits.borrow_mut().draw(now, &organisation, limit, wanted);
+  let mut response = web::text(StatusCode::OK, "");
+  headers::set(response.headers_mut(), headers::DRAW, grant.tokens);
+  headers::set(response.headers_mut(), headers::RETRY_AFTER_MS, grant.retry_after_ms);
+  response
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,9 +7,10 @@
 use super::*;
 
 use crate::{
-  configuration::{Handling, Policy},
+  configuration::{Handling, Policy, RateLimit},
   fleet::{BackendState, EndpointState, Process},
   node::Shared,
+  organisations::{Admission, Grant, KeyFault, Member},
   requests::{
     Arrival, Attempt, AttemptOutcome, BackendMonitor, CallerClass, Claim, ClaimState, ClaimStep,
     ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchEvent, DispatchStep, ExchangeId,
@@ -30,8 +31,8 @@
   attempt_result::AttemptResult, body_in_turn::BodyInTurn, delivered_body::DeliveredBody,
   forwarded::Forwarded, guarded_body::GuardedBody, held_exchange::HeldExchange, held_run::HeldRun,
   held_slot::HeldSlot, held_turn::HeldTurn, incoming_request::IncomingRequest, lent_body::LentBody,
-  observed_run::ObservedRun, refusal::Refusal, request_body::RequestBody,
-  reserved_answer::ReservedAnswer, tries::Tries,
+  membership::AdmittedRequest, observed_run::ObservedRun, refusal::Refusal,
+  request_body::RequestBody, reserved_answer::ReservedAnswer, tries::Tries,
 };
 
 mod arrivals;
@@ -51,6 +52,7 @@
 mod held_turn;
 mod incoming_request;
 mod lent_body;
+mod membership;
 mod observed_run;
 mod refusal;
 mod request_body;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -281,7 +281,7 @@
   }
 
   fn choose_of(&self, tried: &[&BoxId], lane: Lane, around: &mut Surroundings) -> Choice {
-    let (is_drained, traffic) = (around.is_drained, around.traffic);
+    let (evacuated, is_drained, traffic) = (around.evacuated, around.is_drained, around.traffic);
     let unusable = |endpoint: &Endpoint| {
       let box_id = &endpoint.peer.box_id;
       if tried.contains(&box_id) {
@@ -293,6 +293,12 @@
       if self.terms.only_box.as_ref().is_some_and(|only_box| only_box != box_id) {
         return Some(Verdict::HeldBack);
       }
+      if evacuated.contains(&endpoint.peer.data_hall) {
+        return Some(Verdict::Evacuated);
+      }
+      if self.terms.regions.as_ref().is_some_and(|regions| !regions.contains(&endpoint.region)) {
+        return Some(Verdict::OtherRegion);
+      }
       if !traffic.admits(endpoint, lane) {
         return Some(Verdict::OtherVersion);
       }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -29,6 +29,7 @@
   claim_state::ClaimState,
   claim_step::ClaimStep,
   claim_ticket::ClaimTicket,
+  cold_gate::ColdGate,
   completion::Completion,
   condition::Condition,
   crash_detector::{CrashDetector, RunId},
@@ -78,6 +79,7 @@
 mod claim_state;
 mod claim_step;
 mod claim_ticket;
+mod cold_gate;
 mod completion;
 mod condition;
 mod crash_detector;
--- a/src/requests/surroundings.rs
+++ b/src/requests/surroundings.rs
@@ -10,6 +10,8 @@
   pub candidates: &'a [Endpoint],
   /// The data hall of this daemon.
   pub data_hall: &'a DataHall,
+  /// The data halls that operators evacuate.
+  pub evacuated: &'a BTreeSet<DataHall>,
   /// Whether operators drain a box.
   pub is_drained: &'a dyn Fn(&BoxId) -> bool,
   /// The present moment.
--- a/src/requests/terms.rs
+++ b/src/requests/terms.rs
@@ -15,6 +15,8 @@
   pub lane: Lane,
   /// The one box to which it may be sent; any where there is none.
   pub only_box: Option<BoxId>,
+  /// The regions in which it may be served; nothing where it may be anywhere.
+  pub regions: Option<BTreeSet<Region>>,
   /// Whether it may run more than once.
   pub repeatable: bool,
   /// Whether an answer that tells of a failure is asked for elsewhere.
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -18,8 +18,8 @@
   /// work that its parent has behind it.
   const CALL_PART: f64 = 0.75;
 
-  /// The urgency of a request that arrives now, `elapsed_ms` after its caller's first try. `is_call`
-  /// says that a running request needs it.
+  /// The urgency of a request of a rank that arrives now, `elapsed_ms` after its caller's first try. `is_call` says
+  /// that a running request needs it.
   ///
   /// A caller counts from its first try: one that came back has less time until its answer is due. Once
   /// it is overdue it takes a slot that is free, and waits for none, so that it does not make others
@@ -28,6 +28,7 @@
     now: Time,
     deadline: Time,
     handling: &Handling,
+    rank: u32,
     is_call: bool,
     elapsed_ms: u64,
   ) -> Self {
@@ -38,7 +39,7 @@
       return Self { due: now.after(target_ms.min(left_ms)), patience, priority: 0 };
     }
     let due = now.after(target_ms.saturating_sub(elapsed_ms).min(left_ms));
-    Self { due, patience: due, priority: handling.priority }
+    Self { due, patience: due, priority: rank }
   }
 }
 
--- a/src/requests/verdict.rs
+++ b/src/requests/verdict.rs
@@ -8,6 +8,8 @@
   Chosen,
   /// An operator drains it, or it drains by itself.
   Draining,
+  /// The operators evacuate its data hall.
+  Evacuated,
   /// It failed several times in a row and rests.
   Ejected,
   /// It is leaving or lost.
@@ -18,6 +20,8 @@
   Loaded,
   /// It was not among those compared.
   NotCompared,
+  /// Its region is none of those in which the request may be served.
+  OtherRegion,
   /// Its version is not in force, or gets other requests.
   OtherVersion,
   /// It was tried for this request already.
@@ -37,10 +41,12 @@
       Self::Chosen => "chosen",
       Self::Draining => "draining",
       Self::Ejected => "ejected after failures",
+      Self::Evacuated => "in a data hall that is evacuated",
       Self::Gone => "leaving or lost",
       Self::HeldBack => "not where the request is tried",
       Self::Loaded => "expected to do worse than the chosen one",
       Self::NotCompared => "not among those compared",
+      Self::OtherRegion => "in a region where the request may not be served",
       Self::OtherVersion => "of a version that gets other requests",
       Self::Tried => "tried already",
     })
--- a/src/settings/deployment.rs
+++ b/src/settings/deployment.rs
@@ -20,12 +20,15 @@
   pub retry_ratio: f64,
   /// Milliseconds of the window over which second tries are counted.
   pub retry_window_ms: u64,
+  /// Milliseconds within which a key that is taken away holds at no box any more, whatever that box can reach; nothing
+  /// where a box that is cut off may go on by the keys that it knows.
+  pub revoke_ms: Option<u64>,
   /// What a new version of a service's software may receive that turns out bad.
   pub share_limits: ShareLimits,
 }
 
 impl Deployment {
-  const KEYS: [&str; 10] = [
+  const KEYS: [&str; 11] = [
     "apply",
     "control",
     "link_mbps",
@@ -34,6 +37,7 @@
     "retry_extra",
     "retry_ratio",
     "retry_window",
+    "revoke",
     "rollout_extra",
     "rollout_share",
   ];
@@ -55,6 +59,8 @@
     let retry_extra = node.field("retry_extra").number(0, 1_000_000);
     let retry_ratio = node.field("retry_ratio").ratio();
     let retry_window_ms = duration(node, "retry_window");
+    let revoke_field = node.field("revoke");
+    let revoke_ms = revoke_field.is_present().then(|| revoke_field.duration_ms());
     let usual = ShareLimits::default();
     let extra = node.field("rollout_extra").number_or(usual.extra, 0, 1_000_000);
     let share_field = node.field("rollout_share");
@@ -68,6 +74,10 @@
       retry_extra: retry_extra?,
       retry_ratio: retry_ratio?,
       retry_window_ms: retry_window_ms?,
+      revoke_ms: match revoke_ms {
+        None => None,
+        Some(revoke_ms) => Some(revoke_ms?),
+      },
       share_limits: ShareLimits { extra: extra?, share: share? },
     })
   }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -38,6 +38,8 @@
   request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram>,
   /// Requests that were refused here because processes of backend servers had ended while they ran them.
   pub requests_held_back: Counter,
+  /// Requests that were refused here because their organisation asked for more than its rate limit.
+  pub requests_over_limit: Counter,
   /// How often the process stood still.
   pub standstills: Counter,
   store_calls: Family<StoreLabels, Counter>,
@@ -100,6 +102,12 @@
       "Requests refused because processes of backend servers had ended while they ran them",
       requests_held_back.clone(),
     );
+    let requests_over_limit: Counter = Counter::default();
+    registry.register(
+      "requests_over_limit",
+      "Requests refused because their organisation asked for more than its rate limit",
+      requests_over_limit.clone(),
+    );
     let standstills: Counter = Counter::default();
     registry.register(
       "standstills",
@@ -139,6 +147,7 @@
       reports_refused,
       request_seconds,
       requests_held_back,
+      requests_over_limit,
       standstills,
       store_calls,
       store_era,
--- a/src/values/mod.rs
+++ b/src/values/mod.rs
@@ -5,7 +5,8 @@
 pub use self::{
   born::Born, box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest,
   duration_ms::DurationMs, error::Error, fingerprint::Fingerprint, incarnation::Incarnation,
-  instance_id::InstanceId, operator::Operator, policy_name::PolicyName, region::Region,
+  instance_id::InstanceId, key_digest::KeyDigest, operator::Operator,
+  organisation_name::OrganisationName, policy_name::PolicyName, rate::Rate, region::Region,
   request_id::RequestId, route_name::RouteName, service_name::ServiceName,
   software_version::SoftwareVersion, team::Team, time::Time, try_key::TryKey, version::Version,
 };
@@ -20,8 +21,11 @@
 mod fingerprint;
 mod incarnation;
 mod instance_id;
+mod key_digest;
 mod operator;
+mod organisation_name;
 mod policy_name;
+mod rate;
 mod region;
 mod request_id;
 mod route_name;
--- a/tests/backend_record.rs
+++ b/tests/backend_record.rs
@@ -28,7 +28,7 @@
 /// What is known of a process that the health endpoint named and that reported since.
 fn known(name: &str, sequence: u64) -> BackendRecord {
   let mut record = BackendRecord::default();
-  record.probed(Time(0), &instance(name));
+  record.probed(Time(0), &instance(name), None);
   assert_eq!(record.reported(Time(0), &report(name, sequence, false)), Heard::News);
   record
 }
@@ -47,7 +47,7 @@
   assert_eq!(record.state(), BackendState::Leaving);
   assert_eq!(record.reported(Time(3), &report("i-1", 8, false)), Heard::News);
   assert_eq!(record.state(), BackendState::Leaving, "a process that leaves does not come back");
-  record.probed(Time(4), &instance("i-1"));
+  record.probed(Time(4), &instance("i-1"), None);
   assert_eq!(record.state(), BackendState::Leaving, "whatever its health endpoint says");
 }
 
@@ -58,7 +58,7 @@
   assert_eq!(record.state(), BackendState::Leaving);
   assert_eq!(record.reported(Time(1), &report("i-1", 6, false)), Heard::Late);
   assert_eq!(record.reported(Time(2), &report("i-2", 1, false)), Heard::News, "its successor");
-  record.probed(Time(2), &instance("i-2"));
+  record.probed(Time(2), &instance("i-2"), None);
   assert_eq!(record.state(), BackendState::Ready);
   assert_eq!(
     record.reported(Time(3), &report("i-1", 9, false)),
@@ -72,14 +72,14 @@
 fn a_fresh_daemon_believes_the_health_endpoint_until_the_first_report() {
   let mut record = BackendRecord::default();
   assert!(record.is_in_doubt());
-  record.probed(Time(0), &instance("i-1"));
+  record.probed(Time(0), &instance("i-1"), None);
   assert_eq!(record.state(), BackendState::Ready);
   assert!(!record.is_in_doubt());
   record.vanished();
   assert_eq!(record.state(), BackendState::Unknown);
   assert_eq!(record.reported(Time(0), &report("i-1", 3, false)), Heard::News);
   assert_eq!(record.state(), BackendState::Ready);
-  record.probed(Time(0), &instance("i-9"));
+  record.probed(Time(0), &instance("i-9"), None);
   assert_eq!(record.process(), Some(&process("i-1", None)));
 }
 
@@ -118,7 +118,7 @@
     (Some(&process("i-2", None)), BackendState::Ready)
   );
   assert!(record.is_in_doubt());
-  record.probed(Time(2), &instance("i-2"));
+  record.probed(Time(2), &instance("i-2"), None);
   assert!(!record.is_in_doubt(), "no further probes");
   assert_eq!(record.reported(Time(3), &report("i-2", 2, false)), Heard::News);
   assert_eq!(record.reported(Time(4), &report("i-1", 91, true)), Heard::News);
@@ -133,7 +133,7 @@
   let mut record = known("i-1", 5);
   assert_eq!(record.reported(Time(1), &report("i-2", 1, false)), Heard::News);
   assert_eq!(record.process(), Some(&process("i-1", None)));
-  record.probed(Time(2), &instance("i-2"));
+  record.probed(Time(2), &instance("i-2"), None);
   assert_eq!(
     (record.process(), record.state()),
     (Some(&process("i-2", None)), BackendState::Ready)
@@ -144,7 +144,7 @@
 /// What is known of a process that says when it started.
 fn known_born(id: &str, born: u64, sequence: u64) -> BackendRecord {
   let mut record = BackendRecord::default();
-  record.probed(Time(0), &instance(id));
+  record.probed(Time(0), &instance(id), None);
   let report = report_of(process(id, Some(born)), sequence, false);
   assert_eq!(record.reported(Time(0), &report), Heard::News);
   record
@@ -161,7 +161,7 @@
   let again = BackendReport { slots: 3, ..born("i-1", 200, 1, false) };
   assert_eq!(record.reported(Time(10), &again), Heard::News);
   assert!(record.is_in_doubt());
-  record.probed(Time(20), &instance("i-1"));
+  record.probed(Time(20), &instance("i-1"), None);
   assert_eq!((record.state(), record.slots()), (BackendState::Ready, Some(3)));
   assert_eq!(record.process(), Some(&process("i-1", Some(200))));
   assert_eq!(record.starts(), 1);
@@ -175,10 +175,10 @@
     let mut record = known_born("i-1", 100, 40);
     assert_eq!(record.reported(Time(1), &born("i-1", 100, 41, true)), Heard::News);
     record.deregistered(&process("i-1", says_moment.then_some(100)));
-    record.probed(Time(5), &instance("i-1"));
+    record.probed(Time(5), &instance("i-1"), None);
     assert_eq!(record.state(), BackendState::Leaving);
     assert_eq!(record.reported(Time(10), &born("i-1", 200, 1, false)), Heard::News);
-    record.probed(Time(20), &instance("i-1"));
+    record.probed(Time(20), &instance("i-1"), None);
     assert_eq!(record.state(), BackendState::Ready);
     for sequence in [42, 500] {
       assert_eq!(record.reported(Time(30), &born("i-1", 100, sequence, true)), Heard::Late);
@@ -194,7 +194,7 @@
   let mut record = known_born("i-1", 100, 40);
   assert_eq!(record.reported(Time(1), &born("i-1", 200, 7, true)), Heard::News);
   assert_eq!(record.state(), BackendState::Leaving);
-  record.probed(Time(2), &instance("i-1"));
+  record.probed(Time(2), &instance("i-1"), None);
   assert_eq!(record.state(), BackendState::Leaving);
 }
 
@@ -245,7 +245,7 @@
   for second in 1..4 {
     record.reported(Time(second * 1_000), &born("i-1", 100, 4 + second, false));
     // The health endpoint names the id that both bear.
-    record.probed(Time(second * 1_000 + 250), &instance("i-1"));
+    record.probed(Time(second * 1_000 + 250), &instance("i-1"), None);
   }
   assert_eq!(record.process(), Some(&process("i-1", Some(100))));
   assert_eq!(record.state(), BackendState::Ready);
@@ -272,7 +272,7 @@
           let late = u.choose(&sent)?.clone();
           record.reported(Time(now), &late);
         }
-        4 if !is_leaving => record.probed(Time(now), &instance(id)),
+        4 if !is_leaving => record.probed(Time(now), &instance(id), None),
         5 => record.vanished(),
         _ => {
           sequence += 1;
@@ -295,10 +295,40 @@
     for _ in 0..4 {
       (now, sequence) = (now + 1_000, sequence + 1);
       record.reported(Time(now), &born(id, moment, sequence, false));
-      record.probed(Time(now), &instance(id));
+      record.probed(Time(now), &instance(id), None);
     }
     assert_eq!(record.process(), Some(&process(id, Some(moment))));
     assert_eq!(record.state(), BackendState::Ready, "{record:?}");
     Ok(())
   });
 }
+
+/// One that comes back with its data hall may have turned cold without a new start.
+#[test]
+fn a_process_that_may_have_turned_cold_counts_as_cold_until_it_tells() {
+  let mut record = known("i-1", 1);
+  assert!(!record.is_cold(Time(10)) && !record.is_in_doubt());
+  record.may_be_cold(Time(10), 3_000);
+  assert!(record.is_cold(Time(3_000)) && record.is_in_doubt());
+  record.probed(Time(20), &instance("i-2"), Some(0));
+  assert!(record.is_cold(Time(20)), "another process says nothing of it");
+  record.probed(Time(20), &instance("i-1"), Some(500));
+  assert!(record.is_cold(Time(519)) && !record.is_cold(Time(520)) && !record.is_in_doubt());
+}
+
+/// Where its answers do not tell, one that is well is not cold.
+#[test]
+fn a_probe_that_tells_nothing_of_cold_ends_the_doubt() {
+  let mut record = known("i-1", 1);
+  record.may_be_cold(Time(10), 3_000);
+  record.probed(Time(20), &instance("i-1"), None);
+  assert!(!record.is_cold(Time(20)) && !record.is_in_doubt());
+}
+
+#[test]
+fn a_report_tells_how_long_a_process_stays_cold() {
+  let mut record = known("i-1", 1);
+  let cold = BackendReport { cold_left_ms: 700, ..report("i-1", 2, false) };
+  assert_eq!(record.reported(Time(100), &cold), Heard::News);
+  assert!(record.is_cold(Time(799)) && !record.is_cold(Time(800)));
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -12,10 +12,11 @@
       RetryBudget, RetryLimits, Surroundings, Terms, TryId, TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
-    values::{BoxId, Time},
+    values::{BoxId, DataHall, Time},
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
+  std::collections::BTreeSet,
   support::{endpoints::endpoint, histories},
 };
 
@@ -28,6 +29,7 @@
 struct Daemon {
   balancer: Balancer,
   budget: RetryBudget,
+  evacuated: BTreeSet<DataHall>,
   endpoints: Vec<Endpoint>,
   now: Time,
   rng: ChaCha8Rng,
@@ -41,6 +43,7 @@
     Self {
       balancer: Balancer::default(),
       budget,
+      evacuated: BTreeSet::new(),
       endpoints: (0..boxes)
         .map(|index| endpoint(&format!("box-{index}"), &format!("hall-{}", index % 2), 4))
         .collect(),
@@ -57,6 +60,7 @@
       budget: &mut self.budget,
       candidates: &self.endpoints,
       data_hall: &data_hall,
+      evacuated: &self.evacuated,
       is_drained: &|_: &BoxId| false,
       now: self.now,
       own_box: &"own-box".parse().expect("a name"),
@@ -106,6 +110,7 @@
     deadline: START.after(1_200),
     lane: Lane::InForce,
     only_box: None,
+    regions: None,
     repeatable,
     retry_failures: repeatable,
     service: "service".parse().expect("a name"),
@@ -121,6 +126,37 @@
   AttemptOutcome::Unknown { reason: "it broke".into() }
 }
 
+/// Where operators empty a data hall, nothing goes there, also where nobody else is left.
+#[test]
+fn an_evacuated_data_hall_gets_no_tries() {
+  let mut daemon = Daemon::new(4);
+  daemon.evacuated.insert("hall-0".parse().expect("a name"));
+  for _ in 0..50 {
+    let order = daemon.start(&mut Dispatch::new(terms(true)));
+    assert_eq!(order.endpoint.peer.data_hall.as_str(), "hall-1");
+  }
+  daemon.evacuated.insert("hall-1".parse().expect("a name"));
+  let step = daemon.handle(&mut Dispatch::new(terms(true)), DispatchEvent::Started);
+  assert!(matches!(step, DispatchStep::Refuse(AttemptOutcome::NotRun { .. })), "{step:?}");
+}
+
+/// A request that may be served in some regions only waits for none in others.
+#[test]
+fn a_request_stays_in_the_regions_where_it_may_be_served() {
+  let mut daemon = Daemon::new(4);
+  daemon.endpoints[3].region = "elsewhere".parse().expect("a name");
+  let bound = |region: &str| {
+    let regions = Some(BTreeSet::from([region.parse().expect("a name")]));
+    Dispatch::new(Terms { regions, ..terms(true) })
+  };
+  for _ in 0..50 {
+    assert_eq!(daemon.start(&mut bound("elsewhere")).endpoint.peer.box_id.as_str(), "box-3");
+    assert_ne!(daemon.start(&mut bound("region")).endpoint.peer.box_id.as_str(), "box-3");
+  }
+  let step = daemon.handle(&mut bound("nowhere"), DispatchEvent::Started);
+  assert!(matches!(step, DispatchStep::Refuse(AttemptOutcome::NotRun { .. })), "{step:?}");
+}
+
 /// An answer that its box gave a while ago may be lost, or wait in front of a full link: nobody can tell.
 #[test]
 fn an_overdue_answer_is_asked_for_elsewhere_and_still_taken() {
--- a/tests/operator_source.rs
+++ b/tests/operator_source.rs
@@ -4,9 +4,11 @@
   ferryyoke::{
     configuration::{Configuration, Source},
     platform::OperatorSource,
-    values::{RouteName, Version},
+    store::Key,
+    values::{KeyDigest, RouteName, Version},
   },
   serde_json::{Value, json},
+  std::collections::BTreeSet,
 };
 
 /// A configuration with one route, each kind of field given once.
@@ -101,3 +103,49 @@
   let refused = OperatorSource.read(&text[..text.len() / 2]).expect_err("a refusal");
   assert_eq!(refused.version, None);
 }
+
+#[test]
+fn organisations_are_known_by_digests_of_their_keys() {
+  let mut written = written("safe");
+  written["Tenants"] = json!([
+    { "ApiKeys": ["secret-1", "secret-2"], "Burst": 420, "Name": "council", "Priority": 1,
+      "RatePerS": 42.5, "AllowedRegions": ["kigali"] },
+    { "ApiKeys": [], "Burst": 0, "Name": "parish", "RatePerS": 0 }
+  ]);
+  written["Routes"][0]["Public"] = json!(true);
+  let configuration = read(&written);
+  assert!(!configuration.encode().contains("secret"), "keys stand in no configuration");
+  let council = &configuration.organisations[&"council".parse().expect("a name")].value;
+  assert_eq!(council.keys, BTreeSet::from([key("secret-1"), key("secret-2")]));
+  assert_eq!((council.priority, council.regions.len()), (Some(1), 1));
+  let limit = council.rate_limit.expect("a limit");
+  assert_eq!((limit.burst, limit.rate.to_string()), (420, "42.5/s".into()));
+  let parish = &configuration.organisations[&"parish".parse().expect("a name")].value;
+  assert_eq!((parish.rate_limit, parish.priority), (None, None));
+  assert!(configuration.routes[&"minutes".parse().expect("a name")].value.handling.public);
+}
+
+fn key(text: &str) -> KeyDigest {
+  KeyDigest::of(text.as_bytes())
+}
+
+#[test]
+fn a_service_tells_what_its_cold_backend_servers_take() {
+  let mut written = written("safe");
+  written["Services"][0]["Cold"] = json!("3s");
+  written["Services"][0]["ColdPerS"] = json!(13.0);
+  let configuration = read(&written);
+  let cold_start =
+    |name: &str| configuration.services[&name.parse().expect("a name")].value.cold_start;
+  let cold = cold_start("archive").expect("a bound");
+  assert_eq!((cold.duration_ms, cold.rate.to_string()), (3_000, "13/s".into()));
+  assert_eq!(cold_start("registry"), None);
+}
+
+#[test]
+fn the_key_of_an_evacuation_names_its_data_hall() {
+  let hall = |key: &str| OperatorSource.evacuated_hall(&Key::of(&[key]));
+  assert_eq!(hall("op/evacuate/milano").expect("a data hall").as_str(), "milano");
+  assert_eq!(hall("op/config"), None);
+  assert_eq!(hall("op/evacuate/"), None);
+}
--- /dev/null
+++ b/tests/organisations.rs
@@ -0,0 +1,353 @@
+//! Organisations: whose key a request carries, and rate limits that count over all daemons of a fleet, which spend
+//! tokens that one of them keeps.
+
+mod support;
+
+use {
+  ferryyoke::{
+    configuration::{Configuration, Organisation, Patch, RateLimit, Revised},
+    organisations::{Admission, Grant, KeyFault, KeyRing, RateLimits},
+    values::{BoxId, KeyDigest, OrganisationName, Rate, Time},
+  },
+  http::HeaderValue,
+  rand::{Rng, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+  std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Milliseconds on the way between two daemons.
+const DELAY_MS: u64 = 2;
+/// Milliseconds after which a draw without an answer is given up.
+const DRAW_TIMEOUT_MS: u64 = 200;
+/// Milliseconds of the window over which a fleet's requests are counted.
+const WINDOW_MS: u64 = 5_000;
+
+fn name(text: &str) -> OrganisationName {
+  text.parse().expect("a name")
+}
+
+fn box_id(index: usize) -> BoxId {
+  format!("box-{index}").parse().expect("a name")
+}
+
+fn limit(per_s: f64, burst: u64) -> RateLimit {
+  RateLimit { burst, rate: Rate::per_s(per_s).expect("a rate") }
+}
+
+fn configuration(keys: &[(&str, &str)]) -> Configuration {
+  let mut configuration = Configuration::default();
+  for (organisation, key) in keys {
+    let value = Organisation {
+      keys: BTreeSet::from([KeyDigest::of(key.as_bytes())]),
+      owner: "team".parse().expect("a name"),
+      priority: Some(1),
+      rate_limit: None,
+      regions: BTreeSet::new(),
+    };
+    let revised = Revised { revision: Patch::REVISION, value };
+    configuration.organisations.insert(name(organisation), revised);
+  }
+  configuration
+}
+
+#[test]
+fn a_key_proves_its_organisation_and_nothing_else_does() {
+  let ring = KeyRing::new(&configuration(&[("council", "secret-1"), ("parish", "secret-2")]));
+  let identify = |text: &str| {
+    let value = HeaderValue::from_str(text).expect("a value");
+    ring.identify(Some(&value)).map(|member| member.organisation.to_string())
+  };
+  assert_eq!(identify("Bearer secret-2"), Ok("parish".into()));
+  assert_eq!(identify("bearer  secret-1 "), Ok("council".into()));
+  for wrong in ["Bearer secret", "Bearer secret-11", "Bearer SECRET-1"] {
+    assert_eq!(identify(wrong), Err(KeyFault::Unknown), "{wrong}");
+  }
+  for wrong in ["", "Bearer", "Bearer ", "Basic secret-1", "secret-1"] {
+    assert_eq!(identify(wrong), Err(KeyFault::Missing), "{wrong}");
+  }
+  assert_eq!(ring.identify(None).err(), Some(KeyFault::Missing));
+}
+
+/// What a caller sends as its key is read whatever it is.
+#[test]
+fn no_bytes_stop_the_search_for_a_key() {
+  let ring = KeyRing::new(&configuration(&[("council", "secret-1")]));
+  support::histories(500, |u| {
+    let bytes: Vec<u8> = u.arbitrary()?;
+    if let Ok(value) = HeaderValue::from_bytes(&bytes) {
+      let is_key = value.as_bytes() == b"Bearer secret-1";
+      assert_eq!(ring.identify(Some(&value)).is_ok(), is_key, "{value:?}");
+    }
+    Ok(())
+  });
+}
+
+enum Coming {
+  Answer { grant: Option<Grant>, organisation: OrganisationName, to: usize, wanted: u64 },
+  Draw { from: usize, keeper: BoxId, organisation: OrganisationName, wanted: u64 },
+}
+
+/// Daemons with the rate limits of some organisations, in virtual time.
+struct Fleet {
+  /// When requests of each organisation were admitted.
+  admitted: BTreeMap<OrganisationName, Vec<u64>>,
+  coming: BTreeMap<(u64, u64), Coming>,
+  /// Daemons that are cut off from all others.
+  cut: BTreeSet<usize>,
+  daemons: BTreeMap<usize, RateLimits<OrganisationName>>,
+  draws: usize,
+  last: u64,
+  limits: BTreeMap<OrganisationName, RateLimit>,
+  now: u64,
+  refused: BTreeMap<OrganisationName, usize>,
+  rng: ChaCha8Rng,
+}
+
+impl Fleet {
+  fn new(boxes: usize, limits: &[(&str, RateLimit)]) -> Self {
+    let mut fleet = Self {
+      admitted: BTreeMap::new(),
+      coming: BTreeMap::new(),
+      cut: BTreeSet::new(),
+      daemons: (0..boxes).map(|index| (index, RateLimits::default())).collect(),
+      draws: 0,
+      last: 0,
+      limits: limits.iter().map(|(organisation, limit)| (name(organisation), *limit)).collect(),
+      now: 1_000,
+      refused: BTreeMap::new(),
+      rng: ChaCha8Rng::seed_from_u64(11),
+    };
+    fleet.tell_boxes(0);
+    fleet.now = 20_000;
+    fleet
+  }
+
+  /// All daemons learn which of them are there, and how many are lost.
+  fn tell_boxes(&mut self, lost: usize) {
+    let boxes: Vec<BoxId> = self.daemons.keys().map(|index| box_id(*index)).collect();
+    for daemon in self.daemons.values_mut() {
+      daemon.set_boxes(Time(self.now), boxes.iter(), lost);
+    }
+  }
+
+  fn at(&mut self, at: u64, coming: Coming) {
+    self.last += 1;
+    self.coming.insert((at, self.last), coming);
+  }
+
+  /// Lets requests of each organisation come at random boxes, so many a second, for a time.
+  fn run(&mut self, duration_ms: u64, demand: &[(&str, f64)]) {
+    let until = self.now + duration_ms;
+    while self.now < until {
+      self.now += 1;
+      while let Some(first) = self.coming.first_entry().filter(|one| one.key().0 <= self.now) {
+        let coming = first.remove();
+        self.come(coming);
+      }
+      for (organisation, per_s) in demand {
+        let whole = (per_s / 1_000.0).floor();
+        let part = per_s / 1_000.0 - whole;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let count = whole as usize + usize::from(self.rng.random_bool(part));
+        (0..count).for_each(|_| self.arrive(&name(organisation)));
+      }
+    }
+  }
+
+  fn arrive(&mut self, organisation: &OrganisationName) {
+    let place = self.rng.random_range(0..self.daemons.len());
+    let at = *self.daemons.keys().nth(place).expect("a daemon");
+    let (now, limit) = (Time(self.now), self.limits[organisation]);
+    let daemon = self.daemons.get_mut(&at).expect("it runs");
+    let arrived = daemon.arrive(now, organisation, limit, organisation.clone());
+    if let Some(admission) = arrived.admission {
+      self.settle(organisation, admission);
+    }
+    if let Some(wanted) = arrived.draw {
+      self.draw(at, organisation, wanted);
+    }
+  }
+
+  fn settle(&mut self, organisation: &OrganisationName, admission: Admission) {
+    match admission {
+      Admission::Admitted => self.admitted.entry(organisation.clone()).or_default().push(self.now),
+      Admission::Refused { retry_after_ms } => {
+        assert!((1..=5_000).contains(&retry_after_ms), "{retry_after_ms}");
+        *self.refused.entry(organisation.clone()).or_default() += 1;
+      }
+    }
+  }
+
+  fn draw(&mut self, from: usize, organisation: &OrganisationName, wanted: u64) {
+    self.draws += 1;
+    let keeper = self.daemons[&from].keeper(organisation).cloned().expect("a keeper");
+    let organisation = organisation.clone();
+    self.at(self.now + DELAY_MS, Coming::Draw { from, keeper, organisation, wanted });
+  }
+
+  fn come(&mut self, coming: Coming) {
+    let now = Time(self.now);
+    match coming {
+      Coming::Draw { from, keeper, organisation, wanted } => {
+        let limit = self.limits[&organisation];
+        let is_cut = |index: usize| index != from && self.cut.contains(&index);
+        let at = self.daemons.keys().copied().find(|index| box_id(*index) == keeper);
+        let at = at.filter(|at| !is_cut(*at) && (*at == from || !self.cut.contains(&from)));
+        let kept = at.and_then(|at| self.daemons.get_mut(&at));
+        let grant = kept.map(|daemon| daemon.draw(now, &organisation, limit, wanted));
+        let after_ms = if grant.is_some() { DELAY_MS } else { DRAW_TIMEOUT_MS };
+        self.at(self.now + after_ms, Coming::Answer { grant, organisation, to: from, wanted });
+      }
+      Coming::Answer { grant, organisation, to, wanted } => {
+        let limit = self.limits[&organisation];
+        let Some(daemon) = self.daemons.get_mut(&to) else {
+          return;
+        };
+        let woken = daemon.drawn(now, &organisation, limit, wanted, grant);
+        for (waiter, admission) in woken.settled {
+          self.settle(&waiter, admission);
+        }
+        if let Some(more) = woken.draw {
+          self.draw(to, &organisation, more);
+        }
+      }
+    }
+  }
+
+  /// Ends the daemon that keeps an organisation's ledger. The others learn of it later.
+  fn end_keeper(&mut self, organisation: &str) {
+    let keeper = self.daemons[&0].keeper(&name(organisation)).cloned();
+    self.daemons.retain(|index, _| Some(box_id(*index)) != keeper);
+  }
+
+  /// The most requests of an organisation within any window.
+  fn most(&self, organisation: &str) -> usize {
+    let admitted = self.admitted.get(&name(organisation)).map_or(&[][..], Vec::as_slice);
+    let within = |from: usize| admitted.partition_point(|at| *at <= admitted[from] + WINDOW_MS);
+    (0..admitted.len()).map(|from| within(from) - from).max().unwrap_or_default()
+  }
+
+  fn assert_bound(&self, organisation: &str) {
+    let limit = self.limits[&name(organisation)];
+    #[allow(clippy::cast_precision_loss)]
+    let bound = (limit.rate.requests_per_s() * 5.0 + limit.burst as f64) * 1.1 + 20.0;
+    #[allow(clippy::cast_precision_loss)]
+    let most = self.most(organisation) as f64;
+    assert!(most <= bound, "{most} requests of {organisation} in a window, and {bound} may be");
+  }
+
+  fn refused(&self, organisation: &str) -> usize {
+    self.refused.get(&name(organisation)).copied().unwrap_or_default()
+  }
+
+  fn served(&self, organisation: &str) -> usize {
+    self.admitted.get(&name(organisation)).map_or(0, Vec::len)
+  }
+}
+
+/// Two organisations of usual shape: a large one, and a small one whose requests are few and far between.
+const LIMITS: [(&str, RateLimitOf); 2] = [("large", (400.0, 400)), ("small", (5.0, 5))];
+
+type RateLimitOf = (f64, u64);
+
+fn limits() -> Vec<(&'static str, RateLimit)> {
+  LIMITS.map(|(organisation, (per_s, burst))| (organisation, limit(per_s, burst))).to_vec()
+}
+
+/// The pattern of a calm day: five eighths of each limit, at boxes drawn at random.
+#[test]
+fn nothing_is_refused_below_the_limit() {
+  for boxes in [1, 13, 75] {
+    let mut fleet = Fleet::new(boxes, &limits());
+    fleet.run(20_000, &[("large", 250.0), ("small", 3.0)]);
+    let asked = fleet.served("large") + fleet.refused("large");
+    assert!(fleet.refused("large") * 200 <= asked, "{boxes}: {} refused", fleet.refused("large"));
+    assert!(fleet.refused("small") <= 2, "{boxes}: {} refused", fleet.refused("small"));
+    assert!(fleet.draws <= asked + 100, "{boxes}: {} draws for {asked} requests", fleet.draws);
+  }
+}
+
+/// The pattern of one organisation that sends many times its usual: it gets its limit, and the other all it asks for.
+#[test]
+fn an_organisation_that_asks_for_too_much_gets_its_limit() {
+  for boxes in [1, 13, 75] {
+    let mut fleet = Fleet::new(boxes, &limits());
+    fleet.run(5_000, &[("large", 250.0), ("small", 3.0)]);
+    fleet.run(10_000, &[("large", 1_900.0), ("small", 3.0)]);
+    fleet.assert_bound("large");
+    let served = fleet.served("large");
+    assert!(served >= 250 * 4 + 400 * 9, "{boxes}: {served} served of the large one");
+    assert!(fleet.refused("small") <= 2, "{boxes}: {} refused", fleet.refused("small"));
+    let mut fleet = Fleet::new(boxes, &limits());
+    fleet.run(10_000, &[("small", 40.0)]);
+    fleet.assert_bound("small");
+    assert!(fleet.served("small") >= 45, "{boxes}: {} served", fleet.served("small"));
+  }
+}
+
+/// The burst is not given out again by the next daemon that keeps the ledger, nor by daemons that miss it.
+#[test]
+fn the_limit_holds_as_the_keeper_of_the_ledger_ends() {
+  for organisation in ["large", "small"] {
+    let mut fleet = Fleet::new(40, &limits());
+    let demand = [("large", 1_900.0), ("small", 40.0)];
+    fleet.run(3_000, &demand);
+    for _ in 0..3 {
+      fleet.end_keeper(organisation);
+      fleet.run(1_000, &demand);
+      fleet.tell_boxes(1);
+      fleet.run(4_000, &demand);
+    }
+    fleet.assert_bound("large");
+    fleet.assert_bound("small");
+    assert!(fleet.served("large") >= 400 * 14, "{} served", fleet.served("large"));
+  }
+}
+
+/// Daemons that are cut off go on with an equal part each, which the ledger leaves to them once they are lost.
+#[test]
+fn the_limit_holds_while_a_third_of_the_fleet_is_cut_off() {
+  let mut fleet = Fleet::new(60, &limits());
+  let demand = [("large", 1_900.0), ("small", 30.0)];
+  fleet.run(3_000, &demand);
+  fleet.cut = (0..20).collect();
+  fleet.run(3_000, &demand);
+  let others: Vec<BoxId> = (20..60).map(box_id).collect();
+  for daemon in (20..60).collect::<Vec<usize>>() {
+    let daemon = fleet.daemons.get_mut(&daemon).expect("it runs");
+    daemon.set_boxes(Time(fleet.now), others.iter(), 20);
+  }
+  fleet.run(9_000, &demand);
+  fleet.assert_bound("large");
+  fleet.assert_bound("small");
+}
+
+/// A limit that the operators lower binds what is held already.
+#[test]
+fn a_lowered_limit_binds_at_once() {
+  let mut fleet = Fleet::new(30, &limits());
+  fleet.run(5_000, &[("large", 250.0)]);
+  fleet.limits.insert(name("large"), limit(50.0, 50));
+  fleet.run(1_000, &[("large", 250.0)]);
+  fleet.admitted.clear();
+  fleet.run(10_000, &[("large", 250.0)]);
+  fleet.assert_bound("large");
+  assert!(fleet.served("large") >= 50 * 9, "{} served", fleet.served("large"));
+}
+
+/// Requests that no backend server got do not count.
+#[test]
+fn a_token_that_was_not_spent_serves_another_request() {
+  let mut limits: RateLimits<()> = RateLimits::default();
+  let (now, organisation, limit) = (Time(0), name("council"), limit(1.0, 1));
+  limits.set_boxes(now, [box_id(0)].iter(), 0);
+  assert_eq!(limits.arrive(now, &organisation, limit, ()).draw, Some(1));
+  let grant = limits.draw(now, &organisation, limit, 1);
+  let woken = limits.drawn(now, &organisation, limit, 1, Some(grant));
+  let refused = Admission::Refused { retry_after_ms: grant.retry_after_ms };
+  let first = if grant.tokens > 0 { Admission::Admitted } else { refused };
+  assert_eq!(woken.settled, [((), first)]);
+  limits.give_back(now, &organisation);
+  let arrived = limits.arrive(now, &organisation, limit, ());
+  assert_eq!(arrived.admission, Some(Admission::Admitted));
+}
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -97,3 +97,8 @@
   let settings = Settings::parse(&text, &|_| Some("a secret that is long enough".into()));
   settings.unwrap_or_else(|err| panic!("{err}"));
 }
+
+#[test]
+fn organisations() {
+  check_page("organisations.md");
+}
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -138,12 +138,12 @@
 fn requests_wait_while_they_can_be_in_time_and_calls_longer() {
   let handling =
     Handling { priority: 2, target_ms: Some(400), timeout_ms: Some(1_200), ..Handling::default() };
-  let own = Urgency::of(Time(1_000), Time(2_200), &handling, false, 0);
+  let own = Urgency::of(Time(1_000), Time(2_200), &handling, handling.priority, false, 0);
   assert_eq!((own.due, own.patience, own.priority), (Time(1_400), Time(1_400), 2));
-  let call = Urgency::of(Time(1_000), Time(1_400), &handling, true, 0);
+  let call = Urgency::of(Time(1_000), Time(1_400), &handling, handling.priority, true, 0);
   assert!(call.patience >= Time(1_250) && call.patience < Time(1_400), "{call:?}");
   assert_eq!(call.priority, 0);
-  let short = Urgency::of(Time(1_000), Time(1_010), &handling, false, 0);
+  let short = Urgency::of(Time(1_000), Time(1_010), &handling, handling.priority, false, 0);
   assert!(short.patience <= Time(1_010) && short.due <= Time(1_010), "{short:?}");
 }
 
@@ -174,10 +174,10 @@
 fn a_caller_that_comes_back_is_due_from_its_first_try() {
   let handling =
     Handling { priority: 2, target_ms: Some(400), timeout_ms: Some(1_200), ..Handling::default() };
-  let early = Urgency::of(Time(1_000), Time(2_000), &handling, false, 100);
+  let early = Urgency::of(Time(1_000), Time(2_000), &handling, handling.priority, false, 100);
   assert_eq!(early.due, Time(1_300));
   assert_eq!(early.patience, early.due);
-  let overdue = Urgency::of(Time(1_000), Time(1_700), &handling, false, 500);
+  let overdue = Urgency::of(Time(1_000), Time(1_700), &handling, handling.priority, false, 500);
   assert_eq!((overdue.due, overdue.patience), (Time(1_000), Time(1_000)));
 }
 
--- a/tests/support/followers.rs
+++ b/tests/support/followers.rs
@@ -16,7 +16,7 @@
     rollout::{ShareLimits, TrafficTable},
     standin::Keyspace,
     store::{self, Era, Key, Refusal, Reply, StoreRequest, Value},
-    values::{BoxId, Incarnation, Time, Version},
+    values::{BoxId, DataHall, Incarnation, Time, Version},
   },
   std::{
     collections::{BTreeMap, BTreeSet},
@@ -65,6 +65,8 @@
   copy: Keyspace,
   /// How often the store went back.
   era: Era,
+  /// The data halls that each box holds for evacuated.
+  evacuated: BTreeMap<BoxId, BTreeSet<DataHall>>,
   /// Boxes whose process stands still.
   pub frozen: BTreeSet<BoxId>,
   keyspace: Keyspace,
@@ -120,6 +122,7 @@
       coming: BTreeMap::new(),
       copy: Keyspace::default(),
       era: Era(0),
+      evacuated: BTreeMap::new(),
       frozen: BTreeSet::new(),
       keyspace: Keyspace::default(),
       last: 0,
@@ -214,6 +217,7 @@
   pub fn stop(&mut self, index: usize) {
     let box_id = Self::box_id(index);
     self.boxes.remove(&box_id);
+    self.evacuated.remove(&box_id);
     self.traffic.remove(&box_id);
     self.lines.clear(&box_id);
     self.watches.retain(|(owner, ..)| *owner != box_id);
@@ -407,6 +411,9 @@
       Action::Behind(version) => self.behind.push((box_id.clone(), version)),
       Action::CallStore { call, request } => self.call_store(box_id, call, request),
       Action::CloseLink { link } => self.close(&(box_id.clone(), link), Some(box_id)),
+      Action::EvacuationsChanged(halls) => {
+        self.evacuated.insert(box_id.clone(), halls);
+      }
       Action::Refuse { reason, .. } => self.refused.push((box_id.clone(), reason)),
       Action::Log(text) => self.logged.push(format!("{} {box_id}: {text}", self.now)),
       Action::OpenLink(peer) => self.open(box_id, &peer.box_id),
@@ -606,6 +613,11 @@
     endpoints.get(&Self::box_id(to)).is_some_and(|one| one.state == EndpointState::Live)
   }
 
+  /// The data halls that a box holds for evacuated.
+  pub fn evacuated(&self, index: usize) -> BTreeSet<DataHall> {
+    self.evacuated.get(&Self::box_id(index)).cloned().unwrap_or_default()
+  }
+
   /// Boxes that run, by index, for which `holds` does not.
   pub fn lacking(&self, count: usize, holds: impl Fn(&Self, usize) -> bool) -> Vec<usize> {
     let runs = |index: &usize| self.boxes.contains_key(&Self::box_id(*index));
--- a/tests/support/oracle.rs
+++ b/tests/support/oracle.rs
@@ -114,7 +114,7 @@
     let target = match object {
       Object::Route(_, route) => ObjectName::Service(route.service.clone()),
       Object::Service(_, service) => ObjectName::Policy(service.policy.clone()),
-      Object::Drain(..) | Object::Policy(..) => continue,
+      Object::Drain(..) | Object::Organisation(..) | Object::Policy(..) => continue,
     };
     assert!(objects.contains_key(&target), "{} names {target}", object.name());
   }
--- a/tests/support/plain_source.rs
+++ b/tests/support/plain_source.rs
@@ -4,7 +4,7 @@
   configuration::{Configuration, Patch, Policy, Revised, Service, Source, Unreadable},
   rollout::Order,
   store::Key,
-  values::{Digest, PolicyName, ServiceName, Team, Version},
+  values::{DataHall, Digest, PolicyName, ServiceName, Team, Version},
 };
 
 /// Reads the product's own form of a configuration.
@@ -16,6 +16,10 @@
     Key::of(&["op", "config"])
   }
 
+  fn evacuated_hall(&self, key: &Key) -> Option<DataHall> {
+    key.as_str().strip_prefix("op/evacuate/")?.parse().ok()
+  }
+
   fn ordered_service(&self, key: &Key) -> Option<ServiceName> {
     key.as_str().strip_prefix("op/orders/")?.parse().ok()
   }
@@ -47,8 +51,13 @@
   let revision = Patch::REVISION;
   configuration.policies.insert(name.clone(), Revised { revision, value: policy });
   for index in 0..count {
-    let value =
-      Service { connections: None, health_path: None, owner: owner.clone(), policy: name.clone() };
+    let value = Service {
+      cold_start: None,
+      connections: None,
+      health_path: None,
+      owner: owner.clone(),
+      policy: name.clone(),
+    };
     // A name that does not compress, so that many services are large on a link.
     let name = Digest::of(format!("service-{index}").as_bytes()).to_string();
     let name = name[..40].parse().expect("a name");
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -511,6 +511,7 @@
       Action::Answer { .. }
       | Action::Behind(_)
       | Action::EndpointsChanged
+      | Action::EvacuationsChanged(_)
       | Action::Refuse { .. }
       | Action::RolloutsChanged(_)
       | Action::StoreWentBack(_)
@@ -654,6 +655,7 @@
 /// The step that puts a service.
 pub fn put_service(number: u8) -> Operation {
   let service = Service {
+    cold_start: None,
     connections: None,
     health_path: None,
     owner: team(),
