Ask the store less while a fleet forms

Cause: the entry was written after four seconds without a backend server and again once that was found, where the first configuration comes after five seconds; and while a fleet forms each box reads the directory each second, though nobody looks for neighbours until it has formed.

Change: an entry that says that a box takes no work waits for eight seconds; pauses between reads grow with the time since the start, and the last one ends as the fleet counts as formed.

--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -6,7 +6,8 @@
   const DIRECTORY_MS: u64 = 2_000;
   /// Milliseconds between the first reads: a fleet that starts at once finds itself that soon.
   const DIRECTORY_FIRST_MS: u64 = 500;
-  /// Milliseconds between two reads while the fleet forms.
+  /// Milliseconds between two reads while the fleet forms, at least. Pauses grow: a fleet that still does is not known
+  /// by the next read either.
   const DIRECTORY_FORMING_MS: u64 = 1_000;
   /// Milliseconds between the turns of two watchers to read the directory: whichever sees first that an entry
   /// is gone tells the fleet.
@@ -46,7 +47,7 @@
     let base_ms = if is_new {
       Self::DIRECTORY_FIRST_MS
     } else if self.is_forming() {
-      Self::DIRECTORY_FORMING_MS
+      return self.forming_pause_ms();
     } else if self.is_watcher() && !self.is_settling() && self.lapsed.is_empty() {
       return self.until_turn_ms(Self::DIRECTORY_TURN_MS);
     } else if is_told {
@@ -57,6 +58,16 @@
     self.rng.random_range(base_ms * 3 / 4..=base_ms * 5 / 4)
   }
 
+  /// Milliseconds until the next read while the fleet forms: the last one comes as it counts as formed, when
+  /// neighbours are looked for.
+  fn forming_pause_ms(&mut self) -> u64 {
+    let formed_at = self.started_at.after(Self::FORMING_MS);
+    let so_far_ms = self.now.time.since_ms(self.started_at);
+    let base_ms = Self::DIRECTORY_FORMING_MS.max(so_far_ms);
+    let pause_ms = self.rng.random_range(base_ms * 3 / 4..=base_ms * 5 / 4);
+    pause_ms.min(formed_at.since_ms(self.now.time).max(1))
+  }
+
   pub(super) fn directory_answered(&mut self, result: &store::Result<Reply>) {
     self.directory_call = None;
     let pause_ms = match result {
--- a/src/distribution/follower/following.rs
+++ b/src/distribution/follower/following.rs
@@ -11,8 +11,9 @@
   /// it is no watcher.
   pub(super) const SETTLING_MS: u64 = 2_000;
   /// Milliseconds after which the entry of a box that takes no work yet is written: by then its backend server
-  /// was found, which spares a call a box, or is long in coming.
-  const ENTRY_DELAY_MS: u64 = 4_000;
+  /// was found, which spares a call a box, or is long in coming. Where the first configuration comes late, three
+  /// reports must do, which takes five seconds; neighbours count a box as one that lives for longer.
+  const ENTRY_DELAY_MS: u64 = 8_000;
   /// Milliseconds after which a store that has no configuration yet is read again. An old read costs a tenth of
   /// a watch, and each box of a fleet that starts as a whole would need one.
   const UNREAD_MS: u64 = 500;
