Give organisations and news about boxes files of their own, and prove keys on real processes

The daemon's shared state and the follower had grown past 460 lines; what they hold of organisations and of news stands apart now. crates/ferryyoke-soak/tests/keys.rs runs four daemons: no key and a wrong one get 401, a right one is served and goes no further, a public route needs none, a spoofed organisation is not told, no key stands in a log; a key that is taken away opens nothing within two seconds, also at a box that starts anew; a rate limit counts over all boxes.

--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -210,6 +210,12 @@
   answered.ok()?.ok().map(|(status, _)| status)
 }
 
+/// The header by which a caller proves its organisation.
+pub const KEY: &str = "authorization";
+
+/// The header that tells a backend server of the caller's organisation.
+pub const ORGANISATION: &str = "x-tenant-id";
+
 /// The header by which a request tells for how many milliseconds it is worked on.
 pub const WORK_MS: &str = "x-soak-work-ms";
 
@@ -264,7 +270,9 @@
   let work_ms = {
     let mut state = state.borrow_mut();
     let (at_ms, instance) = (elapsed_ms(state.started), state.process());
-    let run = record::Run { at_ms, instance, request_id: request_id.clone() };
+    let (has_key, organisation) = (header(KEY).is_some(), header(ORGANISATION));
+    let request_id = request_id.clone();
+    let run = record::Run { at_ms, has_key, instance, organisation, request_id };
     state.record.borrow_mut().runs.push(run);
     let told_ms = header(WORK_MS).and_then(|value| value.parse().ok());
     told_ms.unwrap_or_else(|| state.rng.random_range(2..60))
--- a/crates/ferryyoke-soak/src/platform/mod.rs
+++ b/crates/ferryyoke-soak/src/platform/mod.rs
@@ -4,7 +4,7 @@
 use super::*;
 
 pub use self::{
-  backend_server::{ANSWER_BYTES, BackendServer, CRASH_MS, WORK_MS},
+  backend_server::{ANSWER_BYTES, BackendServer, CRASH_MS, KEY, ORGANISATION, WORK_MS},
   configuration::{added_path, configuration},
   foreign::{foreign_items, foreign_reports},
   store::{Fields, StoreServer},
--- a/crates/ferryyoke-soak/src/record.rs
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -48,8 +48,12 @@
 pub struct Run {
   /// When it began.
   pub at_ms: Ms,
+  /// Whether the caller's key came with it.
+  pub has_key: bool,
   /// The process that ran it.
   pub instance: String,
+  /// The organisation that it was told of.
+  pub organisation: Option<String>,
   /// The request.
   pub request_id: String,
 }
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -31,7 +31,8 @@
 }
 
 fn run(at_ms: u64) -> Run {
-  Run { at_ms, instance: "i-1".into(), request_id: "one".into() }
+  let (instance, request_id) = ("i-1".into(), "one".into());
+  Run { at_ms, has_key: false, instance, organisation: None, request_id }
 }
 
 fn promises(record: &mut Record) -> Vec<&'static str> {
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 use {
-  self::returning::Returning,
+  self::{news::UntoldNews, returning::Returning},
   super::{inquiry::Asker, watchers::Watchers},
 };
 
@@ -13,6 +13,7 @@
 mod evacuating;
 mod following;
 mod neighbours;
+mod news;
 mod returning;
 mod rollouts;
 mod silence;
@@ -108,14 +109,6 @@
   watchers: Watchers,
 }
 
-/// News about a box that were not told yet.
-#[derive(Clone, Debug)]
-struct UntoldNews {
-  endpoint: Endpoint,
-  /// The link that told them; nothing where this daemon found them out itself.
-  from: Option<LinkId>,
-}
-
 /// A version in the store that this daemon did not take.
 #[derive(Clone, Debug)]
 struct RefusedVersion {
@@ -278,39 +271,6 @@
     self.formed_at.is_none_or(|at| self.now.time.since_ms(at) < Self::SETTLING_MS)
   }
 
-  /// News about boxes were taken in. Those that come alone are told at once; those of a crowd are gathered for a tick,
-  /// so that each neighbour gets them in one message.
-  pub(super) fn news_taken(&mut self, news: &[Endpoint], from: Option<LinkId>) {
-    for endpoint in news {
-      self.watchers.note(endpoint);
-      let untold = UntoldNews { endpoint: endpoint.clone(), from };
-      self.untold_news.insert(endpoint.peer.box_id.clone(), untold);
-    }
-    if self.now.time.since_ms(self.news_told_at) >= Distributor::TICK_MS {
-      self.tell_news();
-    }
-  }
-
-  /// Tells the proxies of this box, and all neighbours but those that told, the news that were gathered.
-  fn tell_news(&mut self) {
-    let untold = std::mem::take(&mut self.untold_news);
-    if untold.is_empty() {
-      return;
-    }
-    self.news_told_at = self.now.time;
-    let news: Vec<Endpoint> = untold.values().map(|one| one.endpoint.clone()).collect();
-    self.note_versions(&news);
-    self.act(Action::EndpointsNews(news));
-    let links: Vec<LinkId> = self.links.keys().copied().collect();
-    for link in links {
-      let news = untold.values().filter(|one| one.from != Some(link));
-      let news: Vec<Endpoint> = news.map(|one| one.endpoint.clone()).collect();
-      if !news.is_empty() {
-        self.send(link, Message::News(news));
-      }
-    }
-  }
-
   /// Announces the box's own news with the next sequence.
   fn announce(&mut self) {
     self.own.sequence += 1;
@@ -353,25 +313,9 @@
     self.announce();
   }
 
-  /// Takes in news about a box. Returns whether it was new.
-  fn take_news(&mut self, endpoint: &Endpoint) -> bool {
-    if endpoint.peer.box_id == self.own.peer.box_id {
-      self.take_own_news(endpoint);
-      return false;
-    }
-    if !endpoint.state.is_gone() {
-      self.lapsed.remove(&endpoint.peer.box_id);
-    }
-    let known = self.endpoints.get(&endpoint.peer.box_id);
-    let former = known.map(|known| known.service.clone());
-    let is_news = self.endpoints.merge(self.now.time, endpoint.clone());
-    self.changed_services.extend(former.filter(|former| is_news && *former != endpoint.service));
-    is_news
-  }
-
   /// News about this box that this life did not announce comes from an earlier life, whose clock may
   /// have been ahead, or from somebody who holds the box for lost.
-  fn take_own_news(&mut self, endpoint: &Endpoint) {
+  pub(super) fn take_own_news(&mut self, endpoint: &Endpoint) {
     self.keep_findings(endpoint);
     if !endpoint.is_newer_than(&self.own) {
       return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -48,6 +48,7 @@
 #[allow(clippy::module_inception)]
 mod node;
 mod open_link;
+mod organisation_side;
 mod places;
 mod rollout_side;
 mod shared;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -30,7 +30,7 @@
   pub cold_gate: RefCell<ColdGate>,
   configuration: RefCell<Option<Arc<Configuration>>>,
   /// When the store, or somebody who heard from it, last confirmed the configuration in force.
-  confirmed_at: Cell<Option<Time>>,
+  pub(super) confirmed_at: Cell<Option<Time>>,
   /// Which requests run at the backend server, and under which its process ended.
   pub crash_detector: RefCell<CrashDetector>,
   /// The header names of callers and backend servers.
@@ -40,7 +40,7 @@
   pub(super) evacuated: RefCell<Rc<BTreeSet<DataHall>>>,
   /// When the backend server's answers were last told of.
   pub(super) evidence_at: Cell<Time>,
-  key_ring: RefCell<Rc<KeyRing>>,
+  pub(super) key_ring: RefCell<Rc<KeyRing>>,
   /// Bounds what the backend server runs.
   pub limiter: RefCell<Limiter>,
   /// Bounds the bodies that come over the box's network link; nothing where its speed is not known.
@@ -104,9 +104,6 @@
   pub const PEER_GRACE_MS: u64 = 50;
   /// Requests that wait for a slot where no policy says otherwise.
   const QUEUE_DEFAULT: usize = 64;
-  /// Milliseconds before a revoked key must hold no more at which a box that is cut off stops to take any: requests
-  /// that it took must have reached their backend servers by then.
-  const REVOCATION_SPARE_MS: u64 = 1_000;
   /// Milliseconds after which to come back where nothing better is known.
   pub const RETRY_AFTER_MS: u64 = 100;
 
@@ -200,11 +197,7 @@
     self.caller_times.borrow_mut().retain(is_known);
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
-    let has_limit = |name: &OrganisationName| {
-      configuration.organisations.get(name).is_some_and(|one| one.value.rate_limit.is_some())
-    };
-    self.rate_limits.borrow_mut().retain(has_limit);
-    *self.key_ring.borrow_mut() = Rc::new(KeyRing::new(&configuration));
+    self.set_organisations(&configuration);
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
@@ -260,37 +253,6 @@
     self.clock.elapsed_us()
   }
 
-  /// The configuration in force was confirmed so many milliseconds ago; nothing where it never was.
-  pub fn note_confirmed(&self, age_ms: Option<u64>) {
-    let now = self.now().time;
-    self.confirmed_at.set(age_ms.map(|age_ms| Time(now.0.saturating_sub(age_ms))));
-  }
-
-  /// Whether keys hold only while it is known that they were not taken away.
-  pub fn must_know_revocations(&self) -> bool {
-    self.settings.deployment.as_ref().is_some_and(|one| one.revoke_ms.is_some())
-  }
-
-  /// Whether a key may have been taken away so long ago that it must not hold here any more.
-  pub fn may_miss_revocation(&self) -> bool {
-    let Some(revoke_ms) = self.settings.deployment.as_ref().and_then(|one| one.revoke_ms) else {
-      return false;
-    };
-    let latest_ms = revoke_ms.saturating_sub(Self::REVOCATION_SPARE_MS);
-    let now = self.now().time;
-    self.confirmed_at.get().is_none_or(|at| now.since_ms(at) >= latest_ms)
-  }
-
-  /// The keys of organisations in force.
-  pub fn key_ring(&self) -> Rc<KeyRing> {
-    self.key_ring.borrow().clone()
-  }
-
-  /// What an organisation may ask for; nothing where it is not known, or may ask for anything.
-  pub fn rate_limit(&self, organisation: &OrganisationName) -> Option<RateLimit> {
-    self.configuration.borrow().as_ref()?.organisations.get(organisation)?.value.rate_limit
-  }
-
   /// Where the daemon of a box takes requests from other daemons.
   pub fn forward_address(&self, box_id: &BoxId) -> Option<SocketAddr> {
     self.endpoints.borrow().find(box_id).map(|endpoint| endpoint.forward_address)
