--- a/src/organisations/key_ring.rs
+++ b/src/organisations/key_ring.rs
@@ -5,6 +5,8 @@
 /// A key is found by its digest, so how long that takes tells nothing of the keys that are held.
 #[derive(Clone, Debug, Default)]
 pub struct KeyRing {
+  /// Whether there are organisations, also where none of them holds a key any more.
+  is_needed: bool,
   members: BTreeMap<KeyDigest, Rc<Member>>,
 }
 
@@ -35,12 +37,12 @@
       });
       members.extend(organisation.keys.iter().map(|key| (*key, member.clone())));
     }
-    Self { members }
+    Self { is_needed: !configuration.organisations.is_empty(), members }
   }
 
-  /// Whether there are no keys, so that nobody needs one.
-  pub fn is_empty(&self) -> bool {
-    self.members.is_empty()
+  /// Whether requests need a key.
+  pub fn is_needed(&self) -> bool {
+    self.is_needed
   }
 
   /// The organisation whose key a request carries, as the value of its `Authorization`.
--- a/src/proxy/carry.rs
+++ b/src/proxy/carry.rs
@@ -242,7 +242,7 @@
   let mut passed = head.headers;
   headers::remove_connection_headers(&mut passed);
   headers::remove_mesh_headers(&mut passed);
-  if !shared.key_ring().is_empty() {
+  if shared.key_ring().is_needed() {
     headers::remove_proof(&mut passed, shared.dialect.organisation.as_ref());
   }
   headers::set(&mut passed, headers::CALLER_CLASS, class);
--- a/src/proxy/membership.rs
+++ b/src/proxy/membership.rs
@@ -15,7 +15,7 @@
   headers: &HeaderMap,
 ) -> std::result::Result<Option<Rc<Member>>, Refusal> {
   let keys = shared.key_ring();
-  if keys.is_empty() {
+  if !keys.is_needed() {
     return Ok(None);
   }
   if !matched.handling.public && shared.may_miss_revocation() {
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -70,6 +70,20 @@
   assert_eq!(ring.identify(None).err(), Some(KeyFault::Missing));
 }
 
+/// An organisation that lost its last key opens nothing, and does not open everything.
+#[test]
+fn keys_are_needed_also_where_nobody_holds_one() {
+  assert!(!KeyRing::new(&Configuration::default()).is_needed());
+  let mut configuration = configuration(&[("council", "secret-1")]);
+  for organisation in configuration.organisations.values_mut() {
+    organisation.value.keys.clear();
+  }
+  let ring = KeyRing::new(&configuration);
+  assert!(ring.is_needed());
+  let value = HeaderValue::from_static("Bearer secret-1");
+  assert_eq!(ring.identify(Some(&value)).err(), Some(KeyFault::Unknown));
+}
+
 /// What a caller sends as its key is read whatever it is.
 #[test]
 fn no_bytes_stop_the_search_for_a_key() {
