Log and measure what backend servers name in their answers

The limits incident: no line told whether a daemon saw the header, in which answers it stands and how many requests were passed on since. The daemon beside a backend server now reads the rate limit and the leaving header of its answers, logs each change with the number of requests passed so far, and shows limit and requests as metrics. Nothing is decided by it yet: callers see no difference.

--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -55,16 +55,24 @@
   let shared = &node.shared;
   loop {
     let needs_check = shared.backend.borrow().needs_health_check();
-    if needs_check && let Some((instance, cold_ms)) = query_instance(shared).await {
-      node.backend_health_checked(&instance, cold_ms);
+    if needs_check && let Some(found) = query_instance(shared).await {
+      node.backend_health_checked(&found.instance, found.cold_ms);
+      shared.health_named_limit(found.notices);
     }
     timer::sleep(Duration::from_millis(IDENTIFY_PERIOD_MS)).await;
   }
 }
 
-/// Returns the process that answers at the health endpoint with success, and for how many milliseconds it
-/// stays cold, if it says so.
-async fn query_instance(shared: &Shared) -> Option<(InstanceId, Option<u64>)> {
+/// What the health endpoint of a backend server tells of its process.
+struct FoundInstance {
+  /// Milliseconds for which it stays cold, if it says so.
+  cold_ms: Option<u64>,
+  instance: InstanceId,
+  notices: BackendNotices,
+}
+
+/// Returns what the health endpoint tells if it answers with success.
+async fn query_instance(shared: &Shared) -> Option<FoundInstance> {
   let configuration = shared.configuration()?;
   let service = configuration.services.get(&shared.own_service())?;
   let path = service.value.health_path.clone()?;
@@ -78,5 +86,6 @@
   let instance = head.headers.get(name)?.to_str().ok()?.parse().ok()?;
   let cold_ms = shared.header_names.cold_ms.as_ref().and_then(|name| head.headers.get(name));
   let cold_ms = cold_ms.and_then(|value| value.to_str().ok()?.parse().ok());
-  head.status.is_success().then_some((instance, cold_ms))
+  let notices = BackendNotices::read(&shared.header_names, &head.headers);
+  head.status.is_success().then_some(FoundInstance { cold_ms, instance, notices })
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,7 +6,7 @@
   administration,
   distribution::{Distribution, Distributor, Event, Follower, Identity, Timing},
   fleet::{Endpoint, EndpointState, Peer},
-  node::{Clock, DistributionLoop, HeaderNames, Node, Shared},
+  node::{BackendNotices, Clock, DistributionLoop, HeaderNames, Node, Shared},
   platform, proxy,
   settings::{Deployment, Settings},
   store::{HttpStore, Store},
--- /dev/null
+++ b/src/node/backend_notices.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+use http::HeaderMap;
+
+/// What a backend server says about itself in the headers of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BackendNotices {
+  /// Whether the process leaves.
+  pub is_leaving: bool,
+  /// The rate limit that it names.
+  pub limit: LimitNotice,
+}
+
+/// What the headers of an answer say about the rate limit of a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitNotice {
+  /// They name this limit.
+  Named(Rate),
+  /// They name none.
+  NotNamed,
+  /// They name a limit that can't be read.
+  Unreadable,
+}
+
+impl BackendNotices {
+  /// The value of the leaving header of a process that leaves.
+  const LEAVING: &str = "1";
+
+  /// Reads the notices from the headers of an answer.
+  pub fn read(names: &HeaderNames, headers: &HeaderMap) -> Self {
+    let text = |name: &Option<HeaderName>| {
+      let value = headers.get(name.as_ref()?)?;
+      Some(value.to_str().unwrap_or_default().trim())
+    };
+    let limit = match text(&names.rate_limit).map(str::parse) {
+      None => LimitNotice::NotNamed,
+      Some(Ok(rate)) => LimitNotice::Named(rate),
+      Some(Err(_)) => LimitNotice::Unreadable,
+    };
+    Self { is_leaving: text(&names.leaving) == Some(Self::LEAVING), limit }
+  }
+}
--- a/src/node/header_names.rs
+++ b/src/node/header_names.rs
@@ -6,6 +6,8 @@
 pub const REQUEST_ID: &str = "x-ferryyoke-request-id";
 /// The organisation of the caller.
 pub const ORGANISATION: &str = "x-ferryyoke-organisation";
+/// In answers: the requests a second that the backend server takes.
+pub const RATE_LIMIT: &str = "x-ferryyoke-rate-limit";
 /// Milliseconds left until the deadline of the answer.
 pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
 
@@ -20,10 +22,14 @@
   pub expected_instance: Option<HeaderName>,
   /// In answers: the process that answers.
   pub instance: Option<HeaderName>,
+  /// In answers: `1` if the process leaves.
+  pub leaving: Option<HeaderName>,
   /// In answers: the backend server did not run the request.
   pub not_run: Option<HeaderName>,
   /// In requests to a backend server: the caller's organisation.
   pub organisation: Option<HeaderName>,
+  /// In answers: the requests a second that the backend server takes, as long as it names a limit.
+  pub rate_limit: Option<HeaderName>,
   /// In answers: the load of the backend server.
   pub reported_load: Option<HeaderName>,
   /// The id of the request.
@@ -42,8 +48,10 @@
       cold_ms: None,
       expected_instance: None,
       instance: None,
+      leaving: None,
       not_run: None,
       organisation: Some(HeaderName::from_static(ORGANISATION)),
+      rate_limit: Some(HeaderName::from_static(RATE_LIMIT)),
       reported_load: None,
       request_id: HeaderName::from_static(REQUEST_ID),
       retry_after_fractions: false,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,9 +18,9 @@
   organisations::{Admission, KeyRing, RateLimits},
   requests::{
     AnswerBudget, AnswerSizes, BackendMonitor, Balancer, BodyQueue, CallerTimeouts,
-    ColdStartLimiter, Condition, CrashDetector, Limiter, LinkBudget, OpenExchanges, Quarantine,
-    QuarantineChange, ReceivedAttempts, RequestHistory, RequestRecord, RetryBudget, RetryLimits,
-    Router, RunEnd, RunId, RunningRequests, Splitter, StopLimit, Ticket,
+    ColdStartLimiter, Condition, CrashDetector, Limiter, LinkBudget, NamedLimit, OpenExchanges,
+    Quarantine, QuarantineChange, ReceivedAttempts, RequestHistory, RequestRecord, RetryBudget,
+    RetryLimits, Router, RunEnd, RunId, RunningRequests, Splitter, StopLimit, Ticket,
   },
   rollout::{Evidence, Observer, Traffic, TrafficTable},
   settings::Settings,
@@ -30,6 +30,7 @@
 };
 
 pub use self::{
+  backend_notices::{BackendNotices, LimitNotice},
   clock::Clock,
   distribution_loop::{DistributionLoop, InquiryResult},
   header_names::HeaderNames,
@@ -39,6 +40,7 @@
   system_clock::SystemClock,
 };
 
+mod backend_notices;
 mod backend_side;
 mod clock;
 mod distribution_loop;
@@ -47,6 +49,7 @@
 mod names;
 #[allow(clippy::module_inception)]
 mod node;
+mod notice_side;
 mod open_link;
 mod organisation_side;
 mod rollout_side;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -87,6 +87,8 @@
   fn reset_for_new_process(&self) {
     let shared = &self.shared;
     shared.monitor.borrow_mut().reset();
+    shared.named_limit.borrow_mut().reset();
+    shared.metrics.backend_limit.set(0.0);
     shared.observer.borrow_mut().forget();
     shared.backend_pool.close_idle();
     let running = shared.backend.borrow().process().map(ToString::to_string);
--- /dev/null
+++ b/src/node/notice_side.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+/// What the backend server beside the daemon says about itself in its answers.
+impl Shared {
+  /// Records the notices in an answer to a request. `process` is the process that the request named.
+  pub fn backend_answered(&self, process: Option<&Process>, notices: BackendNotices) {
+    if self.backend.borrow().process() != process {
+      return;
+    }
+    let now = self.now().time;
+    let before = self.named_limit.borrow().rate();
+    let is_changed = match notices.limit {
+      LimitNotice::Named(rate) => self.named_limit.borrow_mut().named(now, rate),
+      LimitNotice::NotNamed => self.named_limit.borrow_mut().not_named(now),
+      LimitNotice::Unreadable => false,
+    };
+    if is_changed {
+      self.log_named_limit(process, before);
+    }
+    if notices.is_leaving {
+      info!(
+        self.log.logger, #Log::REQUEST, "an answer of the backend server says that it leaves";
+        "instance" => process.map(ToString::to_string)
+      );
+    }
+  }
+
+  /// Records the limit in an answer of the health endpoint. One that names none proves nothing.
+  pub fn health_named_limit(&self, notices: BackendNotices) {
+    let LimitNotice::Named(rate) = notices.limit else {
+      return;
+    };
+    let before = self.named_limit.borrow().rate();
+    if self.named_limit.borrow_mut().named(self.now().time, rate) {
+      let process = self.backend.borrow().process().cloned();
+      self.log_named_limit(process.as_ref(), before);
+    }
+  }
+
+  /// Logs a change of the limit, and reports it in the metrics.
+  fn log_named_limit(&self, process: Option<&Process>, before: Option<Rate>) {
+    let limit = self.named_limit.borrow().rate();
+    self.metrics.backend_limit.set(limit.map_or(0.0, Rate::requests_per_s));
+    let in_words = |limit: Option<Rate>| limit.map_or("none".into(), |rate| rate.to_string());
+    info!(
+      self.log.logger, #Log::REQUEST, "the rate limit that the backend server names changed";
+      "instance" => process.map(ToString::to_string), "before" => in_words(before),
+      "limit" => in_words(limit), "requests_passed" => self.metrics.backend_requests.get()
+    );
+  }
+}
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -53,6 +53,8 @@
   pub metrics: Metrics,
   /// Recent failure rate and service time of the backend server.
   pub monitor: RefCell<BackendMonitor>,
+  /// The rate limit that the backend server names.
+  pub named_limit: RefCell<NamedLimit>,
   /// Generates ids.
   pub names: Names,
   /// A version that is known but not in force here yet.
@@ -150,6 +152,7 @@
       log,
       metrics: Metrics::new(),
       monitor: RefCell::default(),
+      named_limit: RefCell::default(),
       names,
       newer_version: Cell::default(),
       observer: RefCell::default(),
--- a/src/platform/header_names.rs
+++ b/src/platform/header_names.rs
@@ -9,8 +9,10 @@
     cold_ms: Some(name("x-cold-ms")),
     expected_instance: Some(name("x-expect-instance")),
     instance: Some(name("x-instance-id")),
+    leaving: Some(name("server-leaving")),
     not_run: Some(name("x-not-executed")),
     organisation: Some(name("x-tenant-id")),
+    rate_limit: Some(name("server-limit")),
     // The running requests, waiting requests and slots, separated by commas.
     reported_load: Some(name("x-server-load")),
     request_id: name("x-request-id"),
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -322,6 +322,8 @@
     AttemptOutcome::not_run(err.to_string(), Shared::RETRY_AFTER_MS)
   })?;
   shared.cold_start_limiter.borrow_mut().record_passed(shared.now().time);
+  shared.metrics.backend_requests.inc();
+  let process = shared.backend.borrow().process().cloned();
   let body = match transfer_slot {
     Some(transfer_slot) => AnyBody::streamed(TransferBody::new(body.for_try(), transfer_slot)),
     None => body.for_try(),
@@ -352,6 +354,10 @@
       return Err(failed("the backend server", &err));
     }
   };
+  if head.status != StatusCode::MISDIRECTED_REQUEST {
+    let notices = BackendNotices::read(&shared.header_names, &head.headers);
+    shared.backend_answered(process.as_ref(), notices);
+  }
   if let Some(outcome) = rejection_outcome(shared, &head) {
     observed.discard();
     return Err(outcome);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,7 +10,7 @@
 use crate::{
   configuration::{Handling, Policy, RateLimit},
   fleet::{BackendState, EndpointState, Process},
-  node::Shared,
+  node::{BackendNotices, Shared},
   organisations::{Admission, CallerOrganisation, Grant, KeyFault},
   requests::{
     Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallerClass, Claim, ClaimOutcome,
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -41,6 +41,7 @@
   limiter_decision::LimiterDecision,
   link_budget::LinkBudget,
   link_queue::LinkQueue,
+  named_limit::NamedLimit,
   open_exchanges::{ExchangeId, OpenAnswer, OpenExchange, OpenExchanges, Sender},
   quarantine::{Quarantine, QuarantineChange, Suspect},
   quarantine_status::QuarantineStatus,
@@ -91,6 +92,7 @@
 mod limiter_decision;
 mod link_budget;
 mod link_queue;
+mod named_limit;
 mod open_exchanges;
 mod quarantine;
 mod quarantine_status;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+use std::sync::atomic::AtomicU64;
+
 use {
   self::labels::{ByteLabels, LinkLabels, RequestLabels, StoreLabels},
   prometheus_client::{
@@ -9,7 +11,7 @@
       gauge::Gauge,
       histogram::{Histogram, exponential_buckets},
     },
-    registry::Registry,
+    registry::{Metric, Registry},
   },
 };
 
@@ -19,6 +21,10 @@
   pub applied_unix_ms: Gauge,
   /// Processes of the backend server that ended while they ran requests.
   pub backend_crashes: Counter,
+  /// The requests a second that the backend server's answers name as its limit; 0 without a limit.
+  pub backend_limit: Gauge<f64, AtomicU64>,
+  /// Requests passed to the backend server.
+  pub backend_requests: Counter,
   /// Configurations of the store that were refused.
   pub configurations_refused: Counter,
   /// Entries of the directory that could not be read. Each counts once.
@@ -58,100 +64,77 @@
     let mut registry = Registry::with_prefix("ferryyoke");
     let request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram> =
       Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.000_1, 2.0, 18)));
-    let link_bytes = Family::default();
-    let links_refused = Family::default();
-    let configurations_refused: Counter = Counter::default();
-    registry.register(
-      "configurations_refused",
-      "Configurations in the store that were not taken",
-      configurations_refused.clone(),
-    );
-    let entries_unreadable: Counter = Counter::default();
-    registry.register(
-      "entries_unreadable",
-      "Entries of the directory that could not be read",
-      entries_unreadable.clone(),
-    );
-    let live_endpoints: Gauge = Gauge::default();
-    registry.register(
-      "live_endpoints",
-      "Backend servers that take work, as far as this daemon knows",
-      live_endpoints.clone(),
-    );
-    let reports_refused: Counter = Counter::default();
-    registry.register(
-      "reports_refused",
-      "Reports that none of the backend server's processes sent",
-      reports_refused.clone(),
-    );
-    let backend_crashes: Counter = Counter::default();
-    registry.register(
-      "backend_crashes",
-      "Processes of the backend server that ended while they ran requests",
-      backend_crashes.clone(),
-    );
-    let fingerprints_held: Gauge = Gauge::default();
-    registry.register(
-      "fingerprints_held",
-      "Fingerprints of requests that are held back, as far as this daemon knows",
-      fingerprints_held.clone(),
-    );
-    let requests_held_back: Counter = Counter::default();
-    registry.register(
-      "requests_held_back",
-      "Requests refused because processes of backend servers had ended while they ran them",
-      requests_held_back.clone(),
-    );
-    let requests_over_limit: Counter = Counter::default();
-    registry.register(
-      "requests_over_limit",
-      "Requests refused because their organisation asked for more than its rate limit",
-      requests_over_limit.clone(),
-    );
-    let process_pauses: Counter = Counter::default();
-    registry.register(
-      "standstills",
-      "How often the process stood still, for its machine was suspended or it got no processor",
-      process_pauses.clone(),
-    );
-    let store_calls = Family::default();
-    let store_era: Gauge = Gauge::default();
-    registry.register("store_era", "How often the store came back from a copy", store_era.clone());
-    let version: Gauge = Gauge::default();
     registry.register(
       "request_seconds",
       "Seconds to the head of the answer, by service and caller class",
       request_seconds.clone(),
     );
-    registry.register("link_bytes", "Bytes on links between daemons", link_bytes.clone());
-    registry.register("links_refused", "Links refused, by reason", links_refused.clone());
-    registry.register("store_calls", "Calls to the store, by result", store_calls.clone());
-    let applied_unix_ms: Gauge = Gauge::default();
-    registry.register(
-      "configuration_applied_unix_ms",
-      "When the version in force was applied, in milliseconds since 1970",
-      applied_unix_ms.clone(),
-    );
-    registry.register("configuration_version", "The version in force", version.clone());
+    let of = &mut registry;
     Self {
-      applied_unix_ms,
-      backend_crashes,
-      configurations_refused,
-      entries_unreadable,
-      fingerprints_held,
+      applied_unix_ms: registered(
+        of,
+        "configuration_applied_unix_ms",
+        "When the version in force was applied, in milliseconds since 1970",
+      ),
+      backend_crashes: registered(
+        of,
+        "backend_crashes",
+        "Processes of the backend server that ended while they ran requests",
+      ),
+      backend_limit: registered(
+        of,
+        "backend_limit",
+        "Requests a second that the backend server names as its limit, 0 without a limit",
+      ),
+      backend_requests: registered(of, "backend_requests", "Requests passed to the backend server"),
+      configurations_refused: registered(
+        of,
+        "configurations_refused",
+        "Configurations in the store that were not taken",
+      ),
+      entries_unreadable: registered(
+        of,
+        "entries_unreadable",
+        "Entries of the directory that could not be read",
+      ),
+      fingerprints_held: registered(
+        of,
+        "fingerprints_held",
+        "Fingerprints of requests that are held back, as far as this daemon knows",
+      ),
       known: RefCell::default(),
-      link_bytes,
-      live_endpoints,
-      links_refused,
-      process_pauses,
-      registry,
-      reports_refused,
+      link_bytes: registered(of, "link_bytes", "Bytes on links between daemons"),
+      links_refused: registered(of, "links_refused", "Links refused, by reason"),
+      live_endpoints: registered(
+        of,
+        "live_endpoints",
+        "Backend servers that take work, as far as this daemon knows",
+      ),
+      process_pauses: registered(
+        of,
+        "standstills",
+        "How often the process stood still, for its machine was suspended or it got no processor",
+      ),
+      reports_refused: registered(
+        of,
+        "reports_refused",
+        "Reports that none of the backend server's processes sent",
+      ),
       request_seconds,
-      requests_held_back,
-      requests_over_limit,
-      store_calls,
-      store_era,
-      version,
+      requests_held_back: registered(
+        of,
+        "requests_held_back",
+        "Requests refused because processes of backend servers had ended while they ran them",
+      ),
+      requests_over_limit: registered(
+        of,
+        "requests_over_limit",
+        "Requests refused because their organisation asked for more than its rate limit",
+      ),
+      store_calls: registered(of, "store_calls", "Calls to the store, by result"),
+      store_era: registered(of, "store_era", "How often the store came back from a copy"),
+      version: registered(of, "configuration_version", "The version in force"),
+      registry,
     }
   }
 
@@ -212,6 +195,13 @@
   }
 }
 
+/// Creates a metric at zero, and registers it.
+fn registered<M: Clone + Default + Metric>(registry: &mut Registry, name: &str, help: &str) -> M {
+  let metric = M::default();
+  registry.register(name, help, metric.clone());
+  metric
+}
+
 impl Default for Metrics {
   fn default() -> Self {
     Self::new()
