--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -15,6 +15,8 @@
   /// Whether the process is down.
   is_down: bool,
   is_leaving: bool,
+  /// The requests a second that the server's answers to requests name as its limit.
+  limit_per_s: Option<f64>,
   number: u32,
   record: Rc<RefCell<Record>>,
   rng: ChaCha8Rng,
@@ -58,6 +60,7 @@
       instance: format!("i-{name}-0"),
       is_down: false,
       is_leaving: false,
+      limit_per_s: None,
       number: 0,
       record,
       rng: ChaCha8Rng::seed_from_u64(u64::from(Digest::of(name.as_bytes()).prefix())),
@@ -105,6 +108,11 @@
     self.state.borrow_mut().begin_process(true);
   }
 
+  /// Sets the limit that the server's answers to requests name from now on, in requests a second.
+  pub fn name_limit(&self, limit_per_s: Option<f64>) {
+    self.state.borrow_mut().limit_per_s = limit_per_s;
+  }
+
   /// Crashes the process for a reason unrelated to the requests that it runs.
   pub fn lose_process(&self) {
     let process = self.process();
@@ -151,6 +159,7 @@
     }
     self.started_unix_ms = unix_ms().max(self.started_unix_ms + 1);
     (self.is_down, self.is_leaving, self.sequence) = (false, false, 0);
+    self.limit_per_s = None;
   }
 }
 
@@ -301,6 +310,9 @@
   if let Ok(value) = request_id.parse() {
     headers.insert(REQUEST_ID, value);
   }
+  if let Some(limit) = state.borrow().limit_per_s.and_then(|limit| limit.to_string().parse().ok()) {
+    headers.insert("server-limit", limit);
+  }
   headers.insert("x-response-seal", http::HeaderValue::from_static("soak"));
   response
 }
