Tell a daemon that starts again the limit of its backend server

The daemon beside a limited backend server forgets the limit when it is killed. Until the first answer it filled all slots: with a limit of 1 a second, 13 requests in 4 s of 11 allowed, from boxes that had been told of the limit and did not restart themselves.

A daemon now tells the limit and its process beside each answer to other daemons, and these send it along with their next requests to that box (requests::HeardLimits). So whichever box was told of the limit tells it before its own request passes. The process's first answer replaces it; a hint for another process changes nothing. Weighed against fewer slots until the first answer: that costs callers at each start of a fleet, this costs a header while a limit is named.

--- a/crates/ferryyoke-soak/tests/named_limits.rs
+++ b/crates/ferryyoke-soak/tests/named_limits.rs
@@ -161,7 +161,6 @@
 
 /// The daemon beside the limited backend server is killed and starts again: the other boxes were told of the limit.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_named_limit_survives_a_restart_of_the_daemon_beside_it() {
   run(async {
     let fleet = fleet().await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,9 +18,10 @@
   organisations::{Admission, KeyRing, RateLimits},
   requests::{
     AnswerBudget, AnswerSizes, BackendMonitor, Balancer, BodyQueue, CallerTimeouts,
-    ColdStartLimiter, Condition, CrashDetector, Limiter, LinkBudget, NamedLimit, OpenExchanges,
-    Quarantine, QuarantineChange, ReceivedAttempts, RequestHistory, RequestRecord, RetryBudget,
-    RetryLimits, Router, RunEnd, RunId, RunningRequests, Splitter, StopLimit, Ticket,
+    ColdStartLimiter, Condition, CrashDetector, HeardLimits, LimitHint, Limiter, LinkBudget,
+    NamedLimit, OpenExchanges, Quarantine, QuarantineChange, ReceivedAttempts, RequestHistory,
+    RequestRecord, RetryBudget, RetryLimits, Router, RunEnd, RunId, RunningRequests, Splitter,
+    StopLimit, Ticket,
   },
   rollout::{Evidence, Observer, Traffic, TrafficTable},
   settings::Settings,
--- a/src/node/notice_side.rs
+++ b/src/node/notice_side.rs
@@ -39,6 +39,26 @@
     }
   }
 
+  /// Returns the limit in force, for other daemons.
+  pub fn limit_hint(&self) -> Option<LimitHint> {
+    let rate = self.named_limit.borrow().rate()?;
+    let instance = self.backend.borrow().process().map(|process| process.id.clone());
+    Some(LimitHint { instance, rate })
+  }
+
+  /// Records the limit that another daemon knows of the backend server's process.
+  pub fn limit_hinted(&self, hint: &LimitHint) {
+    let process = self.backend.borrow().process().cloned();
+    if process.as_ref().map(|process| &process.id) != hint.instance.as_ref() {
+      return;
+    }
+    let before = self.named_limit.borrow().rate();
+    if self.named_limit.borrow_mut().hinted(self.now().time, hint.rate) {
+      self.apply_named_limit();
+      self.log_named_limit(process.as_ref(), before);
+    }
+  }
+
   /// Applies the limit in force to the requests that pass.
   pub(super) fn apply_named_limit(&self) {
     let (now, rate) = (self.now().time, self.named_limit.borrow().rate());
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -33,6 +33,8 @@
   pub(super) confirmed_at: Cell<Option<Time>>,
   /// Tracks the requests that run at the backend server, and finds suspects when its process ends.
   pub crash_detector: RefCell<CrashDetector>,
+  /// The rate limits of backend servers at other boxes.
+  pub heard_limits: RefCell<HeardLimits>,
   /// The header names of callers and backend servers.
   pub header_names: HeaderNames,
   endpoints: RefCell<ServiceEndpoints>,
@@ -145,6 +147,7 @@
       clock,
       crash_detector: RefCell::default(),
       header_names,
+      heard_limits: RefCell::default(),
       evacuated: RefCell::default(),
       evidence_at: Cell::default(),
       is_pacing: Cell::default(),
--- a/src/proxy/arrivals.rs
+++ b/src/proxy/arrivals.rs
@@ -143,7 +143,9 @@
       shared.peer_pool.close_idle();
       QueryResult::NeverArrived
     }
-    Some(ANSWERED) => QueryResult::Answered(read_peer_answer(response, &mut None).await),
+    Some(ANSWERED) => {
+      QueryResult::Answered(read_peer_answer(response, &mut PeerNotices::default()).await)
+    }
     Some(ENDED) => QueryResult::Ended,
     _ => QueryResult::StillPending,
   }
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -35,6 +35,9 @@
     .unwrap_or_else(|outcome| Refusal::from(outcome).response(&forwarded.id, false));
   let own_headers = response.headers_mut();
   headers::set(own_headers, headers::CONDITION, shared.condition());
+  if let Some(limit) = shared.limit_hint() {
+    headers::set(own_headers, headers::BACKEND_LIMIT, limit);
+  }
   headers::set(own_headers, headers::REQUEST_ID, &forwarded.id);
   exchange.deliver(arrived.retain_answer(&forwarded, response).await)
 }
@@ -59,6 +62,7 @@
     deadline: shared.now().time.after(time_left_ms),
     fingerprint: headers::parsed(&head.headers, headers::FINGERPRINT).ok_or_else(malformed)?,
     id: headers::parsed(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
+    known_limit: headers::parsed(&head.headers, headers::BACKEND_LIMIT),
     may_queue: headers::parsed(&head.headers, headers::INSISTS).ok_or_else(malformed)?,
     lane: Lane::InForce,
     only_box: None,
@@ -83,6 +87,7 @@
   let hop = [
     "expect",
     headers::ANSWER_BYTES,
+    headers::BACKEND_LIMIT,
     headers::CALLER_SERVICE,
     headers::DUE_MS,
     headers::FINGERPRINT,
@@ -191,6 +196,9 @@
     Sender::Box => take_transfer_slot(shared, forwarded, &body).await?,
     Sender::Caller => None,
   };
+  if let Some(limit) = &forwarded.known_limit {
+    shared.limit_hinted(limit);
+  }
   let slot = SlotGuard::take(shared, forwarded).await?;
   trace.slot_us = Some(shared.elapsed_us());
   trace.process = shared.backend.borrow().process().cloned();
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -82,14 +82,19 @@
     let answer = egress::run_at_backend(shared, forwarded, body, Sender::Caller).await;
     (answer, Some(shared.own_condition()))
   } else {
-    let mut condition = None;
+    let mut notices = PeerNotices::default();
     let client = shared.peer_pool.checkout_within(order.endpoint.forward_address, order.connect_ms);
     let client = match client.await {
       Ok(client) => client,
       Err(err) => return Err(unreachable(shared, &box_id, &err)),
     };
-    let answer = send_to_peer(shared, forwarded, &body, client, key, &mut condition).await;
-    (answer, condition)
+    let limit = shared.heard_limits.borrow().of(shared.now().time, &box_id).cloned();
+    let answer = send_to_peer(shared, forwarded, &body, client, key, limit, &mut notices).await;
+    if answer.is_ok() || notices.limit.is_some() {
+      let now = shared.now().time;
+      shared.heard_limits.borrow_mut().answered(now, &box_id, notices.limit);
+    }
+    (answer, notices.condition)
   };
   let answer = match answer {
     Ok(response) if forwarded.repeatable => {
@@ -123,7 +128,8 @@
   body: &RequestBody,
   client: Client,
   key: TryKey,
-  condition: &mut Option<Condition>,
+  limit: Option<LimitHint>,
+  notices: &mut PeerNotices,
 ) -> AttemptResult {
   let now = shared.now().time;
   let time_left_ms = forwarded.deadline.since_ms(now);
@@ -132,6 +138,9 @@
   let request_headers = request.headers_mut();
   let seal = shared.seal(&forwarded.sealed_text(key, time_left_ms));
   headers::set(request_headers, headers::ANSWER_BYTES, forwarded.answer_bytes);
+  if let Some(limit) = limit {
+    headers::set(request_headers, headers::BACKEND_LIMIT, limit);
+  }
   headers::set(request_headers, headers::CALLER_CLASS, &forwarded.class);
   headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
   let urgency = forwarded.urgency;
@@ -166,18 +175,17 @@
   };
   let response = sent.map_err(|err| failed("the box", &err))?;
   shared.note_inbound(ANSWER_HEAD_BYTES + response.body().size_hint().exact().unwrap_or_default());
-  read_peer_answer(response, condition).await
+  read_peer_answer(response, notices).await
 }
 
-/// Reads the answer of the daemon beside a backend server, and stores the reported condition of the
-/// backend server in `condition`.
+/// Reads the answer of the daemon beside a backend server, and stores what it tells of that in
+/// `notices`.
 pub(super) async fn read_peer_answer(
   response: Response<ResponseBody>,
-  condition: &mut Option<Condition>,
+  notices: &mut PeerNotices,
 ) -> AttemptResult {
   let (mut head, body) = response.into_parts();
-  *condition = headers::parsed(&head.headers, headers::CONDITION);
-  head.headers.remove(headers::CONDITION);
+  *notices = PeerNotices::take(&mut head.headers);
   if let Some(outcome) = headers::text(&head.headers, headers::OUTCOME) {
     return Err(read_refusal(outcome, &head.headers, body).await);
   }
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -19,6 +19,8 @@
   pub head: ForwardedHead,
   /// Its id.
   pub id: RequestId,
+  /// The rate limit of this box's backend server that the sender of a received request heard of.
+  pub known_limit: Option<LimitHint>,
   /// Whether it may queue for a slot. Otherwise a box that cannot run it at once declines it, and
   /// another box is tried.
   pub may_queue: bool,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -10,6 +10,9 @@
 pub const ARRIVAL: &str = "x-ferryyoke-arrival";
 /// Between daemons: upper bound in milliseconds on the age of the try that is asked about.
 pub const AGE_MS: &str = "x-ferryyoke-age-ms";
+/// Between daemons: the rate limit of the backend server, see [`crate::requests::LimitHint`]. In an
+/// answer the current one, in a request the last one that its sender heard of.
+pub const BACKEND_LIMIT: &str = "x-ferryyoke-backend-limit";
 /// On a refusal between daemons: set if the request reached a backend server, which rejected
 /// it, or may have reached one.
 pub const ARRIVED: &str = "x-ferryyoke-arrived";
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -95,6 +95,7 @@
     fingerprint,
     head,
     id: incoming.id.clone(),
+    known_limit: None,
     may_queue: true,
     lane,
     only_box,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,9 +15,9 @@
   requests::{
     Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallerClass, Claim, ClaimOutcome,
     ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchContext,
-    DispatchEvent, DispatchStep, ExchangeId, LimiterDecision, LinkBudget, OpenAnswer, Quarantine,
-    QuarantineStatus, RequestKey, RequestProfile, RequestRecord, RouteMatch, RunEnd, RunId, Sender,
-    Ticket, TryId, TryOrder, Urgency,
+    DispatchEvent, DispatchStep, ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer,
+    Quarantine, QuarantineStatus, RequestKey, RequestProfile, RequestRecord, RouteMatch, RunEnd,
+    RunId, Sender, Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -34,10 +34,10 @@
   answer_reservation::AnswerReservation, attempt_result::AttemptResult,
   exchange_guard::ExchangeGuard, forwarded_request::ForwardedRequest,
   incoming_request::IncomingRequest, observed_run::ObservedRun, on_end_body::OnEndBody,
-  organisation_admission::AdmittedRequest, refusal::Refusal, request_body::RequestBody,
-  returnable_body::ReturnableBody, run_guard::RunGuard, slot_guard::SlotGuard,
-  tracked_body::TrackedBody, transfer_body::TransferBody, transfer_slot::TransferSlot,
-  tries::Tries,
+  organisation_admission::AdmittedRequest, peer_notices::PeerNotices, refusal::Refusal,
+  request_body::RequestBody, returnable_body::ReturnableBody, run_guard::RunGuard,
+  slot_guard::SlotGuard, tracked_body::TrackedBody, transfer_body::TransferBody,
+  transfer_slot::TransferSlot, tries::Tries,
 };
 
 mod answer_reservation;
@@ -54,6 +54,7 @@
 mod observed_run;
 mod on_end_body;
 mod organisation_admission;
+mod peer_notices;
 mod refusal;
 mod request_body;
 mod returnable_body;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -37,6 +37,8 @@
   dispatch_context::DispatchContext,
   dispatch_event::DispatchEvent,
   dispatch_step::{DispatchStep, TryOrder},
+  heard_limits::HeardLimits,
+  limit_hint::LimitHint,
   limiter::Limiter,
   limiter_decision::LimiterDecision,
   link_budget::LinkBudget,
@@ -89,6 +91,8 @@
 mod dispatch_context;
 mod dispatch_event;
 mod dispatch_step;
+mod heard_limits;
+mod limit_hint;
 mod limiter;
 mod limiter_decision;
 mod link_budget;
--- a/tests/named_limit.rs
+++ b/tests/named_limit.rs
@@ -2,8 +2,8 @@
 
 use ferryyoke::{
   node::{BackendNotices, HeaderNames, LimitNotice},
-  requests::NamedLimit,
-  values::{Rate, Time},
+  requests::{HeardLimits, LimitHint, NamedLimit},
+  values::{BoxId, Rate, Time},
 };
 
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -59,3 +59,35 @@
     assert_eq!(read(&[("limit", unreadable)]), BackendNotices { limit, ..none }, "{unreadable}");
   }
 }
+
+/// Guards against a hint that outlives the limit, or replaces what the process itself says.
+#[test]
+fn a_hint_counts_until_the_process_answers() {
+  let mut limit = NamedLimit::default();
+  assert!(limit.hinted(Time(0), rate(2.0)));
+  assert!(!limit.hinted(Time(10), rate(3.0)), "one is enough");
+  assert_eq!(limit.rate(), Some(rate(2.0)));
+  assert!(limit.not_named(Time(1_000)), "the process names none");
+  assert!(!limit.hinted(Time(1_010), rate(2.0)), "the hint is old");
+  assert_eq!(limit.rate(), None);
+  limit.reset();
+  assert!(limit.hinted(Time(2_000), rate(2.0)), "of the next process");
+}
+
+#[test]
+fn a_limit_that_was_heard_of_is_sent_along_until_an_answer_comes_without_it() {
+  let (one, other): (BoxId, BoxId) =
+    ("one".parse().expect("a name"), "other".parse().expect("a name"));
+  let hint: LimitHint = "22.3/s i-7".parse().expect("a hint");
+  assert_eq!(hint.to_string(), "22.3/s i-7");
+  assert_eq!("5/s".parse(), Ok(LimitHint { instance: None, rate: rate(5.0) }));
+  assert!("i-7 22.3/s".parse::<LimitHint>().is_err());
+  let mut heard = HeardLimits::default();
+  heard.answered(Time(0), &one, Some(hint.clone()));
+  heard.answered(Time(0), &other, None);
+  assert_eq!(heard.of(Time(30_000), &one), Some(&hint));
+  assert_eq!(heard.of(Time(30_000), &other), None);
+  assert_eq!(heard.of(Time(60_000), &one), None, "it may have ended long ago");
+  heard.answered(Time(30_000), &one, None);
+  assert_eq!(heard.of(Time(30_000), &one), None);
+}
