Send nothing new to a backend server whose answers say that it leaves

Cause: the header went on to the caller and nobody read it; a daemon learned of a departure from reports alone.

The daemon beside it takes such an answer like the backend server's own report: it passes on nothing from then on, whoever sends, and tells the fleet within a tick. Only an answer of the process that the request named counts. The next process is taken as ever.

--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -15,6 +15,8 @@
   /// Whether the process is down.
   is_down: bool,
   is_leaving: bool,
+  /// Whether reports of the process are lost on the way.
+  is_mute: bool,
   /// The requests a second that the server's answers to requests name as its limit.
   limit_per_s: Option<f64>,
   number: u32,
@@ -60,6 +62,7 @@
       instance: format!("i-{name}-0"),
       is_down: false,
       is_leaving: false,
+      is_mute: false,
       limit_per_s: None,
       number: 0,
       record,
@@ -108,6 +111,17 @@
     self.state.borrow_mut().begin_process(true);
   }
 
+  /// Lets the process leave without a report: only its answers say so.
+  pub fn leave_unreported(&self) {
+    let mut state = self.state.borrow_mut();
+    (state.is_leaving, state.is_mute) = (true, true);
+  }
+
+  /// Starts another process in the place of the current one, which ends.
+  pub fn start_anew(&self) {
+    self.state.borrow_mut().begin_process(false);
+  }
+
   /// Sets the limit that the server's answers to requests name from now on, in requests a second.
   pub fn name_limit(&self, limit_per_s: Option<f64>) {
     self.state.borrow_mut().limit_per_s = limit_per_s;
@@ -159,7 +173,7 @@
     }
     self.started_unix_ms = unix_ms().max(self.started_unix_ms + 1);
     (self.is_down, self.is_leaving, self.sequence) = (false, false, 0);
-    self.limit_per_s = None;
+    (self.is_mute, self.limit_per_s) = (false, None);
   }
 }
 
@@ -172,7 +186,7 @@
 
 /// Sends one report. Records when a daemon first acknowledges that the process drains.
 async fn send_report(state: &Rc<RefCell<State>>) {
-  if state.borrow().is_down {
+  if state.borrow().is_down || state.borrow().is_mute {
     return;
   }
   let (process, is_leaving, body) = {
@@ -310,6 +324,9 @@
   if let Ok(value) = request_id.parse() {
     headers.insert(REQUEST_ID, value);
   }
+  if state.borrow().is_leaving {
+    headers.insert("server-leaving", http::HeaderValue::from_static("1"));
+  }
   if let Some(limit) = state.borrow().limit_per_s.and_then(|limit| limit.to_string().parse().ok()) {
     headers.insert("server-limit", limit);
   }
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -71,6 +71,7 @@
         for outcome in ticking.shared.take_run_outcomes() {
           ticking.handle(Event::RunsEnded(outcome));
         }
+        ticking.announce_leaving();
         ticking.report_evidence();
         ticking.handle(Event::Tick);
         if ticking.shared.must_know_revocations() {
@@ -81,6 +82,13 @@
     });
   }
 
+  /// Announces to the fleet that the backend server leaves, if its answers said so.
+  fn announce_leaving(self: &Rc<Self>) {
+    if self.shared.take_leaving_notice() && !self.shared.is_stopping() {
+      self.handle(Event::EndpointState(EndpointState::Draining));
+    }
+  }
+
   /// Reports the backend server's answers to the daemons that may decide about a rollout.
   fn report_evidence(self: &Rc<Self>) {
     let own = self.distributor.borrow().own_endpoint().clone();
--- a/src/node/notice_side.rs
+++ b/src/node/notice_side.rs
@@ -18,14 +18,30 @@
       self.apply_named_limit();
       self.log_named_limit(process, before);
     }
-    if notices.is_leaving {
-      info!(
-        self.log.logger, #Log::REQUEST, "an answer of the backend server says that it leaves";
-        "instance" => process.map(ToString::to_string)
-      );
+    if let Some(process) = process.filter(|_| notices.is_leaving) {
+      self.backend_leaves(process);
     }
   }
 
+  /// Records that an answer of the backend server's process says that it leaves. It gets no new requests from now on,
+  /// as after its own report, which may be late or lost.
+  fn backend_leaves(&self, process: &Process) {
+    if self.backend_state() == BackendState::Leaving {
+      return;
+    }
+    self.backend.borrow_mut().deregistered(process);
+    self.is_leaving_unannounced.set(true);
+    info!(
+      self.log.logger, "an answer of the backend server says that it leaves";
+      "instance" => %process
+    );
+  }
+
+  /// Returns whether an answer said that the backend server leaves since this was last asked.
+  pub(super) fn take_leaving_notice(&self) -> bool {
+    self.is_leaving_unannounced.take()
+  }
+
   /// Records the limit in an answer of the health endpoint. One that names none proves nothing.
   pub fn health_named_limit(&self, notices: BackendNotices) {
     let LimitNotice::Named(rate) = notices.limit else {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -42,6 +42,8 @@
   pub(super) evacuated: RefCell<Rc<BTreeSet<DataHall>>>,
   /// When evidence on the backend server's answers was last reported.
   pub(super) evidence_at: Cell<Time>,
+  /// Whether an answer said that the backend server leaves, and the fleet was not told yet.
+  pub(super) is_leaving_unannounced: Cell<bool>,
   /// Whether a timer runs that gives slots to requests which wait for the named rate limit.
   pub(super) is_pacing: Cell<bool>,
   pub(super) key_ring: RefCell<Rc<KeyRing>>,
@@ -150,6 +152,7 @@
       heard_limits: RefCell::default(),
       evacuated: RefCell::default(),
       evidence_at: Cell::default(),
+      is_leaving_unannounced: Cell::default(),
       is_pacing: Cell::default(),
       key_ring: RefCell::default(),
       limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
