Report the end of a backend server that ran no request

The daemon beside such a server logs it now and tells the fleet with its findings, once an end; a process that may still run a cancelled request does not count as idle, and a request that was refused a connection did not run. Nothing is decided by it yet.

tests/quarantine.rs: the checks on CrashDetector::crashed follow its new result, None for an end that is known and an empty list for an idle one; what they assert of suspects is as it was. Two new tests.

--- a/src/fleet/endpoint.rs
+++ b/src/fleet/endpoint.rs
@@ -55,6 +55,10 @@
     if let RunOutcome::Survived(survivors) = &finding.outcome {
       self.forget_crashes_of(survivors);
     }
+    let is_idle = |finding: &RunFinding| finding.outcome == RunOutcome::Crashed(Vec::new());
+    if is_idle(&finding) {
+      self.findings.retain(|earlier| !is_idle(earlier));
+    }
     if self.findings.len() >= Self::FINDINGS_MAX {
       self.findings.remove(0);
     }
--- a/src/fleet/run_finding.rs
+++ b/src/fleet/run_finding.rs
@@ -15,7 +15,7 @@
 /// How requests on a backend server ended.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum RunOutcome {
-  /// The process crashed while it ran these requests.
+  /// The process crashed while it ran these requests. If it ran none, the crash had another cause.
   #[serde(rename = "c")]
   Crashed(Vec<Fingerprint>),
   /// These requests completed, although processes had crashed while running them before.
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -49,9 +49,11 @@
 
   /// Records that the backend server's process ended unannounced. The requests that it ran are suspects.
   pub fn backend_crashed(&self, how: &str) {
-    let suspects = self.crash_detector.borrow_mut().crashed(self.now().time);
-    if suspects.is_empty() {
+    let Some(suspects) = self.crash_detector.borrow_mut().crashed(self.now().time) else {
       return;
+    };
+    if suspects.is_empty() {
+      return self.backend_crashed_idle(how);
     }
     self.metrics.backend_crashes.inc();
     let fingerprints: Vec<String> = suspects.iter().map(ToString::to_string).collect();
@@ -63,6 +65,17 @@
     self.run_outcomes.borrow_mut().push(RunOutcome::Crashed(suspects));
   }
 
+  /// Reports that the process ended unannounced without a request: evidence of another cause for the crashes of
+  /// others at that time.
+  fn backend_crashed_idle(&self, how: &str) {
+    let instance = self.backend.borrow().process().map(ToString::to_string);
+    info!(
+      self.log.logger, "the backend server ended while it ran no request";
+      "noticed" => how, "instance" => instance.unwrap_or_default()
+    );
+    self.run_outcomes.borrow_mut().push(RunOutcome::Crashed(Vec::new()));
+  }
+
   /// Takes the outcomes of runs that are not reported to the fleet yet.
   pub(super) fn take_run_outcomes(&self) -> Vec<RunOutcome> {
     self.run_outcomes.take()
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -76,6 +76,7 @@
       } else {
         shared.backend_crashed("another process runs in its place");
       }
+      shared.crash_detector.borrow_mut().process_started();
       self.reset_for_new_process();
     }
     self.apply_reported_slots();
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -324,6 +324,7 @@
     shared.backend_pool.connect_replacing_idle(address).await
   };
   let client = client.map_err(|err| {
+    run.end(RunEnd::Unsent);
     if let web::Error::Unreachable { refused: true, .. } = err {
       shared.backend_unreachable("its address refuses connections");
     }
--- a/src/requests/run_end.rs
+++ b/src/requests/run_end.rs
@@ -7,4 +7,6 @@
   Completed,
   /// The connection broke before the answer was complete.
   ConnectionLost,
+  /// No connection could be opened, so the request was not sent.
+  Unsent,
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -237,13 +237,13 @@
     !detector.end(START.after(11), runs[2], RunEnd::ConnectionLost),
     "it was probed just before"
   );
-  let mut suspects = detector.crashed(START.after(12));
+  let mut suspects = detector.crashed(START.after(12)).expect("it is new");
   suspects.sort();
   let mut expected = ["b", "c", "d"].map(fingerprint);
   expected.sort();
   assert_eq!(suspects, expected);
   detector.end(START.after(13), runs[3], RunEnd::ConnectionLost);
-  assert_eq!(detector.crashed(START.after(900)), [], "a crash is reported once");
+  assert_eq!(detector.crashed(START.after(900)), None, "a crash is reported once");
 }
 
 #[test]
@@ -251,7 +251,7 @@
   let mut detector = CrashDetector::default();
   let run = detector.begin(fingerprint("a"));
   detector.end(START, run, RunEnd::ConnectionLost);
-  assert_eq!(detector.crashed(START.after(20_000)), [], "a later crash is unrelated");
+  assert_eq!(detector.crashed(START.after(20_000)), Some(vec![]), "a later crash is unrelated");
 }
 
 #[test]
@@ -261,5 +261,30 @@
   detector.end(START, runs[0], RunEnd::ConnectionLost);
   detector.record_planned_exit();
   detector.end(START.after(5), runs[1], RunEnd::ConnectionLost);
-  assert_eq!(detector.crashed(START.after(10)), []);
+  assert_eq!(detector.crashed(START.after(10)), None);
+}
+
+/// Guards against crashes of another cause that go unseen: a process that ran nothing accuses nobody, and says so once.
+#[test]
+fn the_crash_of_an_idle_process_is_reported_once() {
+  let mut detector = CrashDetector::default();
+  assert_eq!(detector.crashed(START), Some(vec![]));
+  assert_eq!(detector.crashed(START.after(1_200)), None, "another process is seen in its place");
+  detector.process_started();
+  assert_eq!(detector.crashed(START.after(2_000)), Some(vec![]), "the next one crashed too");
+}
+
+/// Guards against the crash of a guilty request that passes for one of an idle process.
+#[test]
+fn a_process_that_may_still_run_a_request_is_not_idle() {
+  let mut detector = CrashDetector::default();
+  let run = detector.begin(fingerprint("under way"));
+  assert_eq!(detector.crashed(START), None, "its connection has not broken yet");
+  detector.end(START.after(1), run, RunEnd::Cancelled);
+  assert_eq!(detector.crashed(START.after(4_000)), None, "the backend server may run it on");
+  assert_eq!(detector.crashed(START.after(9_000)), Some(vec![]));
+  detector.process_started();
+  let unsent = detector.begin(fingerprint("unsent"));
+  detector.end(START.after(9_100), unsent, RunEnd::Unsent);
+  assert_eq!(detector.crashed(START.after(9_100)), Some(vec![]), "it was refused a connection");
 }
