Try a request again soon when crashes likely had another cause

Cause: each end was evidence against what ran, whatever else ended. One end of the whole fleet counts twice, as the request is tried again at a server that ends in the same moment; and the next end hits its trial, after which it was held for 10 s without a trial. Ruled out: three separate ends while it runs.

Change: the first trial after the third end follows after a second, as after the second; only one that ends a process leads to 10 s and a minute. While as many processes end without it as with it, idle ones included, it is tried again after a second.

--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -6,14 +6,15 @@
 /// A crash makes a suspect of every request that was running, though most did not cause it.
 /// Suspects of one crash are still sent, and a completed run clears them. A request that was
 /// running in two crashes without a completed run in between is held for a second and then run
-/// alone, on one box of the fleet (a trial). From the third crash on it is held for longer each
-/// time.
-///
-/// In a test with eight real daemons, a crashing request sent every 60 ms ended 24 processes of
-/// four backend servers in the 8 s that began three seconds after the third crash; with the
-/// quarantine it ended one, in the trial after ten seconds.
+/// alone, on one box of the fleet (a trial). The first trial after the third crash follows as soon:
+/// run alone, an innocent request completes. After each further crash it is held for longer, unless
+/// as many other processes crashed at that time without it: then the trial was likely hit by
+/// another cause, and is repeated soon. Trials that begin later than the fleet takes to learn of
+/// the third crash are limited in any case.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
+  /// The last crashes, with the requests that ran, oldest first.
+  recent: VecDeque<(Time, Vec<Fingerprint>)>,
   /// Ids of the findings that each box last reported.
   reported: BTreeMap<BoxId, Vec<u64>>,
   suspects: BTreeMap<Fingerprint, Suspect>,
@@ -31,10 +32,18 @@
   pub crashes: u32,
   /// When the last crash was reported.
   pub last_crash_at: Time,
+  /// Rounds that began later than the fleet takes to learn of the third crash.
+  late_rounds: u32,
+  /// Crashes of processes that did not run it, within [`Quarantine::SPELL_MS`] of its last crash.
+  other_crashes: u32,
   /// When the current round began.
   round_began_at: Time,
   /// Rounds of crashes, counted from the third crash. Each round but the first begins with a trial.
   rounds: u32,
+  /// Its crashes since one that came longer than [`Quarantine::SPELL_MS`] after the one before it.
+  spell_crashes: u32,
+  /// When its third crash was reported.
+  third_crash_at: Option<Time>,
 }
 
 /// A change of the quarantine, for the log.
@@ -57,10 +66,20 @@
   const HOLD_FIRST_MS: u64 = 1_000;
   /// Milliseconds for which a request is held from its third crash on, by round. Each trial may
   /// cost a backend server all its running requests and some seconds.
-  const HOLDS_MS: [u64; 3] = [10_000, 60_000, 300_000];
+  const HOLDS_MS: [u64; 3] = [Self::HOLD_FIRST_MS, 10_000, 60_000];
+  /// Milliseconds after the third crash within which a trial is not a late one. The whole fleet
+  /// knows of a crash by then.
+  const EARLY_MS: u64 = 2_000;
+  /// Rounds after late trials from which a request is held until it is forgotten.
+  const LATE_ROUNDS_MAX: u32 = 3;
+  /// Most recent crashes remembered.
+  const RECENT_MAX: usize = 64;
   /// Milliseconds within which crashes count as one round: the requests were sent before the fleet
   /// knew of the first crash.
-  const ROUND_MS: u64 = 3_000;
+  const ROUND_MS: u64 = Self::HOLD_FIRST_MS;
+  /// Milliseconds within which crashes of several processes may have one cause. That an idle
+  /// process crashed is noticed when the next one runs.
+  const SPELL_MS: u64 = 3_000;
   /// Milliseconds after its last crash for which a request of two or more crashes is remembered.
   /// One that has not crashed anything for that long may run again.
   const REMEMBERED_MS: u64 = 3_600_000;
@@ -91,6 +110,7 @@
       if let RunOutcome::Crashed(suspects) = &finding.outcome {
         changes
           .extend(suspects.iter().filter_map(|suspect| self.count_crash(now, box_id, *suspect)));
+        self.record_crash(now, suspects);
       }
     }
     for (_, finding) in &fresh {
@@ -124,24 +144,30 @@
     box_id: &BoxId,
     fingerprint: Fingerprint,
   ) -> Option<QuarantineChange> {
-    let fresh =
-      Suspect { boxes: Vec::new(), crashes: 0, last_crash_at: now, round_began_at: now, rounds: 0 };
-    let suspect = self.suspects.entry(fingerprint).or_insert(fresh);
-    suspect.crashes = suspect.crashes.saturating_add(1);
-    suspect.last_crash_at = now;
-    if suspect.boxes.len() == Self::BOXES_MAX {
-      suspect.boxes.remove(0);
-    }
-    suspect.boxes.push(box_id.clone());
-    let is_in_round = suspect.rounds > 0 && now.since_ms(suspect.round_began_at) < Self::ROUND_MS;
-    if suspect.crashes > Self::HELD_CRASHES && !is_in_round {
-      suspect.round_began_at = now;
-      suspect.rounds = suspect.rounds.saturating_add(1);
-    }
+    let without = |(at, ran): &&(Time, Vec<Fingerprint>)| {
+      now.since_ms(*at) < Self::SPELL_MS && !ran.contains(&fingerprint)
+    };
+    let other_crashes = self.recent.iter().filter(without).count();
+    let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(now));
+    suspect.other_crashes = u32::try_from(other_crashes).unwrap_or(u32::MAX);
+    suspect.crash(now, box_id);
     let crashes = suspect.crashes;
     (crashes >= Self::HELD_CRASHES).then_some(QuarantineChange::Held(fingerprint, crashes))
   }
 
+  /// Records a crash of a process that ran these requests, or none.
+  fn record_crash(&mut self, now: Time, ran: &[Fingerprint]) {
+    if self.recent.len() == Self::RECENT_MAX {
+      self.recent.pop_front();
+    }
+    self.recent.push_back((now, ran.to_vec()));
+    for (fingerprint, suspect) in &mut self.suspects {
+      if now.since_ms(suspect.last_crash_at) < Self::SPELL_MS && !ran.contains(fingerprint) {
+        suspect.other_crashes = suspect.other_crashes.saturating_add(1);
+      }
+    }
+  }
+
   fn clear(&mut self, fingerprint: Fingerprint) -> Option<QuarantineChange> {
     let cleared = self.suspects.remove(&fingerprint)?;
     let was_held = cleared.crashes >= Self::HELD_CRASHES;
@@ -245,9 +271,65 @@
 }
 
 impl Suspect {
+  fn new(now: Time) -> Self {
+    Self {
+      boxes: Vec::new(),
+      crashes: 0,
+      last_crash_at: now,
+      late_rounds: 0,
+      other_crashes: 0,
+      round_began_at: now,
+      rounds: 0,
+      spell_crashes: 0,
+      third_crash_at: None,
+    }
+  }
+
+  /// Counts a crash of a process that ran it.
+  fn crash(&mut self, now: Time, box_id: &BoxId) {
+    if now.since_ms(self.last_crash_at) >= Quarantine::SPELL_MS {
+      self.spell_crashes = 0;
+    }
+    self.crashes = self.crashes.saturating_add(1);
+    self.spell_crashes = self.spell_crashes.saturating_add(1);
+    self.last_crash_at = now;
+    if self.boxes.len() == Quarantine::BOXES_MAX {
+      self.boxes.remove(0);
+    }
+    self.boxes.push(box_id.clone());
+    if self.crashes > Quarantine::HELD_CRASHES {
+      self.count_round(now);
+    }
+  }
+
+  /// Counts a round with the crash that begins it.
+  fn count_round(&mut self, now: Time) {
+    let third_crash_at = *self.third_crash_at.get_or_insert(now);
+    if self.rounds > 0 && now.since_ms(self.round_began_at) < Quarantine::ROUND_MS {
+      return;
+    }
+    self.round_began_at = now;
+    self.rounds = self.rounds.saturating_add(1);
+    if now.since_ms(third_crash_at) >= Quarantine::EARLY_MS {
+      self.late_rounds = self.late_rounds.saturating_add(1);
+    }
+  }
+
+  /// Whether as many processes crashed without it as with it, so that their cause is likely another
+  /// one.
+  fn is_likely_innocent(&self) -> bool {
+    self.other_crashes >= self.spell_crashes
+  }
+
   /// Milliseconds for which it is held after its last crash. After the last round it stays held
   /// until it is forgotten.
   fn hold_ms(&self) -> u64 {
+    if self.late_rounds >= Quarantine::LATE_ROUNDS_MAX {
+      return Quarantine::REMEMBERED_MS;
+    }
+    if self.is_likely_innocent() {
+      return Quarantine::HOLD_FIRST_MS;
+    }
     match (self.rounds as usize).checked_sub(1) {
       None => Quarantine::HOLD_FIRST_MS,
       Some(round) => Quarantine::HOLDS_MS.get(round).copied().unwrap_or(Quarantine::REMEMBERED_MS),
