Let requests wait for the end of a trial instead of refusing them

Where a busy path is on trial after servers ended by another cause, its callers got 503 while the first of them ran: 5 to 12 of 330 requests, in two of three plays of the new test (eight callers, all servers end three times), 3 s after the last.

Cause: the box of a trial runs one at a time and refused all others at once, though the trial of an innocent request takes as long as one run.

They wait there now before they take a slot, no longer than they may wait for one. A trial that did not complete bars the next for 0.5 s, until a crash of its process would be known, so that waiting requests do not run in its place.

--- a/crates/ferryyoke-soak/tests/crashing_requests.rs
+++ b/crates/ferryyoke-soak/tests/crashing_requests.rs
@@ -156,6 +156,29 @@
   });
 }
 
+/// Guards against busy paths that are held as they ran at many servers when all of them crashed.
+#[test]
+fn a_crash_by_another_cause_holds_no_busy_path() {
+  run(async {
+    let fleet = fleet().await;
+    let losing = async {
+      for _ in 0..3 {
+        monoio::time::sleep(Duration::from_secs(2)).await;
+        fleet.boxes.iter().for_each(|one| one.backend_server.lose_process());
+      }
+    };
+    let askers = || futures_util::future::join_all((0..8).map(|_| ask_beside(&fleet, 0, 6_000)));
+    let ((), meanwhile) = futures_util::future::join(losing, askers()).await;
+    let served: usize = meanwhile.iter().map(|one| one.served).sum();
+    let after = futures_util::future::join_all(
+      (0..8).map(|_| ask_beside(&fleet, CONTACT_MS, CONTACT_MS + 2_000)),
+    );
+    let after = after.await;
+    println!("{served} served meanwhile, after {after:?}");
+    assert!(after.iter().all(|one| one.held_back == 0 && one.served == one.sent), "{after:?}");
+  });
+}
+
 /// A crashing request must not affect requests on its path with another query or of another caller.
 #[test]
 fn other_requests_on_the_path_of_a_crashing_request_are_served() {
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -196,6 +196,7 @@
     Sender::Box => take_transfer_slot(shared, forwarded, &body).await?,
     Sender::Caller => None,
   };
+  run_guard::wait_for_trial(shared, forwarded).await;
   if let Some(limit) = &forwarded.known_limit {
     shared.limit_hinted(limit);
   }
--- a/src/proxy/run_guard.rs
+++ b/src/proxy/run_guard.rs
@@ -44,18 +44,46 @@
     };
     self.shared.running_requests.borrow_mut().end(&self.id);
     if self.is_on_trial {
-      self.shared.quarantine.borrow_mut().trial_ended(self.fingerprint);
+      self.end_trial(end);
     }
     self.shared.run_ended(run, self.fingerprint, end);
   }
 }
 
+impl RunGuard {
+  fn end_trial(&self, end: RunEnd) {
+    let mut quarantine = self.shared.quarantine.borrow_mut();
+    match end {
+      RunEnd::Completed | RunEnd::Unsent => quarantine.trial_ended(self.fingerprint),
+      RunEnd::Cancelled | RunEnd::ConnectionLost => {
+        quarantine.trial_failed(self.shared.now().time, self.fingerprint);
+      }
+    }
+  }
+}
+
 impl Drop for RunGuard {
   fn drop(&mut self) {
     self.end(RunEnd::Cancelled);
   }
 }
 
+/// Milliseconds between two looks whether a trial has ended.
+const TRIAL_POLL_MS: u64 = 20;
+
+/// Waits while another trial keeps a request from running, as long as it may wait for a slot: an
+/// innocent request is cleared when the trial ends.
+pub async fn wait_for_trial(shared: &Shared, forwarded: &ForwardedRequest) {
+  loop {
+    let now = shared.now().time;
+    let must_wait = shared.quarantine.borrow().awaits_trial(now, forwarded.fingerprint);
+    if !must_wait || now >= forwarded.urgency.wait_until {
+      return;
+    }
+    timer::sleep(Duration::from_millis(TRIAL_POLL_MS)).await;
+  }
+}
+
 /// Returns the box that may run a quarantined request of a service on trial, or `None` if no box of
 /// the service accepts requests.
 pub fn trial_box(
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -21,6 +21,8 @@
   swept_at: Time,
   /// The suspect that the local backend server runs on trial.
   trial: Option<Fingerprint>,
+  /// Until when no trial begins here, as the last one may have crashed the process.
+  trials_from: Time,
 }
 
 /// A request that was running when backend server processes crashed.
@@ -88,6 +90,8 @@
   const REMEMBERED_ONCE_MS: u64 = 600_000;
   /// Milliseconds after which to retry a request whose trial box is busy with another trial.
   const TRIAL_RETRY_MS: u64 = 300;
+  /// Milliseconds after a trial without a result within which its crash is noticed and reported.
+  const TRIAL_SETTLE_MS: u64 = 500;
   /// Milliseconds between two removals of expired suspects.
   const SWEEP_MS: u64 = 5_000;
   /// Maximum number of suspects, of about 200 bytes each. Above it, those with the fewest crashes
@@ -215,7 +219,7 @@
     if status != QuarantineStatus::OnTrial {
       return status;
     }
-    if self.trial.is_some() || !is_trial_box() {
+    if self.is_trial_busy(now) || !is_trial_box() {
       let crashes = self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.crashes);
       return QuarantineStatus::Held { crashes, retry_after_ms: Self::TRIAL_RETRY_MS };
     }
@@ -223,6 +227,24 @@
     status
   }
 
+  fn is_trial_busy(&self, now: Time) -> bool {
+    self.trial.is_some() || now < self.trials_from
+  }
+
+  /// Whether a request waits only for another trial at the local backend server to end.
+  pub fn awaits_trial(&self, now: Time, fingerprint: Fingerprint) -> bool {
+    self.is_trial_busy(now) && self.status(now, fingerprint) == QuarantineStatus::OnTrial
+  }
+
+  /// Ends the trial of a request that did not complete. Another begins only once a crash of the
+  /// process would be known.
+  pub fn trial_failed(&mut self, now: Time, fingerprint: Fingerprint) {
+    if self.trial == Some(fingerprint) {
+      self.trials_from = now.after(Self::TRIAL_SETTLE_MS);
+    }
+    self.trial_ended(fingerprint);
+  }
+
   /// Ends the trial of a request.
   pub fn trial_ended(&mut self, fingerprint: Fingerprint) {
     self.trial.take_if(|trial| *trial == fingerprint);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -384,3 +384,38 @@
   }
   assert!(most > 0, "an innocent request would never be tried");
 }
+
+/// Guards against innocent requests that are refused while one of them is on trial, and against a second run of a
+/// guilty one before its crash is known.
+#[test]
+fn a_request_waits_for_a_trial_of_its_kind_and_for_the_news_of_its_crash() {
+  let mut fleet = Fleet::new();
+  for index in 0..2 {
+    fleet.crashed(START, index, &["suspect"]);
+  }
+  let (suspect, now) = (fingerprint("suspect"), START.after(1_000));
+  assert!(!fleet.quarantine.awaits_trial(now, suspect), "no trial runs");
+  assert_eq!(fleet.quarantine.begin_run(now, suspect, || true), QuarantineStatus::OnTrial);
+  assert!(fleet.quarantine.awaits_trial(now, suspect));
+  assert!(!fleet.quarantine.awaits_trial(now, fingerprint("another")), "it is allowed");
+  fleet.quarantine.trial_failed(now.after(30), suspect);
+  assert!(fleet.quarantine.awaits_trial(now.after(40), suspect));
+  let again = fleet.quarantine.begin_run(now.after(40), suspect, || true);
+  assert!(matches!(again, QuarantineStatus::Held { .. }), "{again:?}");
+  fleet.crashed(now.after(60), 2, &["suspect"]);
+  assert!(!fleet.quarantine.awaits_trial(now.after(60), suspect), "it is held for longer now");
+}
+
+#[test]
+fn a_request_that_waits_for_a_trial_is_allowed_once_that_completes() {
+  let mut fleet = Fleet::new();
+  for index in 0..2 {
+    fleet.crashed(START, index, &["well"]);
+  }
+  let (well, now) = (fingerprint("well"), START.after(1_000));
+  assert_eq!(fleet.quarantine.begin_run(now, well, || true), QuarantineStatus::OnTrial);
+  fleet.quarantine.trial_ended(well);
+  assert!(!fleet.quarantine.awaits_trial(now.after(30), well));
+  fleet.survived(now.after(50), 0, "well");
+  assert_eq!(fleet.quarantine.begin_run(now.after(50), well, || true), QuarantineStatus::Allowed);
+}
