--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -31,10 +31,11 @@
 };
 
 pub use self::{
-  backend_notices::{BackendNotices, LimitNotice},
+  backend_notices::BackendNotices,
   clock::Clock,
   distribution_loop::{DistributionLoop, InquiryResult},
   header_names::HeaderNames,
+  limit_notice::LimitNotice,
   names::Names,
   node::Node,
   shared::Shared,
@@ -47,6 +48,7 @@
 mod distribution_loop;
 mod evacuation_side;
 pub mod header_names;
+mod limit_notice;
 mod names;
 #[allow(clippy::module_inception)]
 mod node;
--- a/src/requests/heard_limits.rs
+++ b/src/requests/heard_limits.rs
@@ -17,14 +17,12 @@
 
   /// Handles an answer of the backend server at a box, with the limit reported beside it.
   pub fn answered(&mut self, now: Time, box_id: &BoxId, limit: Option<LimitHint>) {
-    self.by_box.retain(|_, (_, at)| now.since_ms(*at) < Self::AGE_MAX_MS);
-    match limit {
-      Some(limit) => {
-        self.by_box.insert(box_id.clone(), (limit, now));
-      }
-      None => {
-        self.by_box.remove(box_id);
-      }
+    let Some(limit) = limit else {
+      self.by_box.remove(box_id);
+      return;
+    };
+    if self.by_box.insert(box_id.clone(), (limit, now)).is_none() {
+      self.by_box.retain(|_, (_, at)| now.since_ms(*at) < Self::AGE_MAX_MS);
     }
   }
 
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -46,7 +46,7 @@
   named_limit::NamedLimit,
   open_exchanges::{ExchangeId, OpenAnswer, OpenExchange, OpenExchanges, Sender},
   pacer::Pacer,
-  quarantine::{Quarantine, QuarantineChange, Suspect},
+  quarantine::{Quarantine, QuarantineChange},
   quarantine_status::QuarantineStatus,
   received_attempts::{AttemptStatus, ReceivedAttempts},
   request_history::RequestHistory,
@@ -61,6 +61,7 @@
   selection_criteria::SelectionCriteria,
   splitter::Splitter,
   stop_limit::StopLimit,
+  suspect::Suspect,
   ticket::Ticket,
   try_id::TryId,
   urgency::Urgency,
@@ -115,6 +116,7 @@
 mod selection_criteria;
 mod splitter;
 mod stop_limit;
+mod suspect;
 mod ticket;
 mod try_id;
 mod urgency;
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -25,29 +25,6 @@
   trials_from: Time,
 }
 
-/// A request that was running when backend server processes crashed.
-#[derive(Clone, Debug)]
-pub struct Suspect {
-  /// The boxes of the last crashes, oldest first.
-  pub boxes: Vec<BoxId>,
-  /// Crashes since its last completed run.
-  pub crashes: u32,
-  /// When the last crash was reported.
-  pub last_crash_at: Time,
-  /// Rounds that began later than the fleet takes to learn of the third crash.
-  late_rounds: u32,
-  /// Crashes of processes that did not run it, within [`Quarantine::SPELL_MS`] of its last crash.
-  other_crashes: u32,
-  /// When the current round began.
-  round_began_at: Time,
-  /// Rounds of crashes, counted from the third crash. Each round but the first begins with a trial.
-  rounds: u32,
-  /// Its crashes since one that came longer than [`Quarantine::SPELL_MS`] after the one before it.
-  spell_crashes: u32,
-  /// When its third crash was reported.
-  third_crash_at: Option<Time>,
-}
-
 /// A change of the quarantine, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineChange {
@@ -58,36 +35,8 @@
 }
 
 impl Quarantine {
-  /// Boxes remembered per suspect, enough for operators to find the log lines of the crashes.
-  const BOXES_MAX: usize = 4;
-  /// Crashes from which a request is held back. With six backend servers, one in five innocent
-  /// requests of a crash is in the next crash too, for it was retried where the cause was retried.
-  const HELD_CRASHES: u32 = 2;
-  /// Milliseconds for which a request of two crashes is held, so that the whole fleet learns of
-  /// them. Callers that wait for a few seconds still get their answer.
-  const HOLD_FIRST_MS: u64 = 1_000;
-  /// Milliseconds for which a request is held from its third crash on, by round. Each trial may
-  /// cost a backend server all its running requests and some seconds.
-  const HOLDS_MS: [u64; 3] = [Self::HOLD_FIRST_MS, 10_000, 60_000];
-  /// Milliseconds after the third crash within which a trial is not a late one. The whole fleet
-  /// knows of a crash by then.
-  const EARLY_MS: u64 = 2_000;
-  /// Rounds after late trials from which a request is held until it is forgotten.
-  const LATE_ROUNDS_MAX: u32 = 3;
   /// Most recent crashes remembered.
   const RECENT_MAX: usize = 64;
-  /// Milliseconds within which crashes count as one round: the requests were sent before the fleet
-  /// knew of the first crash.
-  const ROUND_MS: u64 = Self::HOLD_FIRST_MS;
-  /// Milliseconds within which crashes of several processes may have one cause. That an idle
-  /// process crashed is noticed when the next one runs.
-  const SPELL_MS: u64 = 3_000;
-  /// Milliseconds after its last crash for which a request of two or more crashes is remembered.
-  /// One that has not crashed anything for that long may run again.
-  const REMEMBERED_MS: u64 = 3_600_000;
-  /// Milliseconds for which a request of one crash is remembered, longer than its caller waits
-  /// before a retry.
-  const REMEMBERED_ONCE_MS: u64 = 600_000;
   /// Milliseconds after which to retry a request whose trial box is busy with another trial.
   const TRIAL_RETRY_MS: u64 = 300;
   /// Milliseconds after a trial without a result within which its crash is noticed and reported.
@@ -149,14 +98,14 @@
     fingerprint: Fingerprint,
   ) -> Option<QuarantineChange> {
     let without = |(at, ran): &&(Time, Vec<Fingerprint>)| {
-      now.since_ms(*at) < Self::SPELL_MS && !ran.contains(&fingerprint)
+      now.since_ms(*at) < Suspect::SPELL_MS && !ran.contains(&fingerprint)
     };
     let other_crashes = self.recent.iter().filter(without).count();
     let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(now));
     suspect.other_crashes = u32::try_from(other_crashes).unwrap_or(u32::MAX);
     suspect.crash(now, box_id);
     let crashes = suspect.crashes;
-    (crashes >= Self::HELD_CRASHES).then_some(QuarantineChange::Held(fingerprint, crashes))
+    (crashes >= Suspect::HELD_CRASHES).then_some(QuarantineChange::Held(fingerprint, crashes))
   }
 
   /// Records a crash of a process that ran these requests, or none.
@@ -166,7 +115,7 @@
     }
     self.recent.push_back((now, ran.to_vec()));
     for (fingerprint, suspect) in &mut self.suspects {
-      if now.since_ms(suspect.last_crash_at) < Self::SPELL_MS && !ran.contains(fingerprint) {
+      if now.since_ms(suspect.last_crash_at) < Suspect::SPELL_MS && !ran.contains(fingerprint) {
         suspect.other_crashes = suspect.other_crashes.saturating_add(1);
       }
     }
@@ -174,7 +123,7 @@
 
   fn clear(&mut self, fingerprint: Fingerprint) -> Option<QuarantineChange> {
     let cleared = self.suspects.remove(&fingerprint)?;
-    let was_held = cleared.crashes >= Self::HELD_CRASHES;
+    let was_held = cleared.crashes >= Suspect::HELD_CRASHES;
     was_held.then_some(QuarantineChange::Cleared(fingerprint))
   }
 
@@ -186,7 +135,7 @@
   /// Returns whether a request may be sent.
   pub fn status(&self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
     let suspect = self.suspects.get(&fingerprint);
-    let Some(suspect) = suspect.filter(|suspect| suspect.crashes >= Self::HELD_CRASHES) else {
+    let Some(suspect) = suspect.filter(|suspect| suspect.crashes >= Suspect::HELD_CRASHES) else {
       return QuarantineStatus::Allowed;
     };
     let left_ms = suspect.hold_ms().saturating_sub(now.since_ms(suspect.last_crash_at));
@@ -273,7 +222,7 @@
 
   /// Number of requests that are held back or on trial.
   pub fn held(&self) -> usize {
-    self.suspects.values().filter(|suspect| suspect.crashes >= Self::HELD_CRASHES).count()
+    self.suspects.values().filter(|suspect| suspect.crashes >= Suspect::HELD_CRASHES).count()
   }
 
   /// All suspects.
@@ -291,75 +240,3 @@
     self.suspects.is_empty()
   }
 }
-
-impl Suspect {
-  fn new(now: Time) -> Self {
-    Self {
-      boxes: Vec::new(),
-      crashes: 0,
-      last_crash_at: now,
-      late_rounds: 0,
-      other_crashes: 0,
-      round_began_at: now,
-      rounds: 0,
-      spell_crashes: 0,
-      third_crash_at: None,
-    }
-  }
-
-  /// Counts a crash of a process that ran it.
-  fn crash(&mut self, now: Time, box_id: &BoxId) {
-    if now.since_ms(self.last_crash_at) >= Quarantine::SPELL_MS {
-      self.spell_crashes = 0;
-    }
-    self.crashes = self.crashes.saturating_add(1);
-    self.spell_crashes = self.spell_crashes.saturating_add(1);
-    self.last_crash_at = now;
-    if self.boxes.len() == Quarantine::BOXES_MAX {
-      self.boxes.remove(0);
-    }
-    self.boxes.push(box_id.clone());
-    if self.crashes > Quarantine::HELD_CRASHES {
-      self.count_round(now);
-    }
-  }
-
-  /// Counts a round with the crash that begins it.
-  fn count_round(&mut self, now: Time) {
-    let third_crash_at = *self.third_crash_at.get_or_insert(now);
-    if self.rounds > 0 && now.since_ms(self.round_began_at) < Quarantine::ROUND_MS {
-      return;
-    }
-    self.round_began_at = now;
-    self.rounds = self.rounds.saturating_add(1);
-    if now.since_ms(third_crash_at) >= Quarantine::EARLY_MS {
-      self.late_rounds = self.late_rounds.saturating_add(1);
-    }
-  }
-
-  /// Whether as many processes crashed without it as with it, so that their cause is likely another
-  /// one.
-  fn is_likely_innocent(&self) -> bool {
-    self.other_crashes >= self.spell_crashes
-  }
-
-  /// Milliseconds for which it is held after its last crash. After the last round it stays held
-  /// until it is forgotten.
-  fn hold_ms(&self) -> u64 {
-    if self.late_rounds >= Quarantine::LATE_ROUNDS_MAX {
-      return Quarantine::REMEMBERED_MS;
-    }
-    if self.is_likely_innocent() {
-      return Quarantine::HOLD_FIRST_MS;
-    }
-    match (self.rounds as usize).checked_sub(1) {
-      None => Quarantine::HOLD_FIRST_MS,
-      Some(round) => Quarantine::HOLDS_MS.get(round).copied().unwrap_or(Quarantine::REMEMBERED_MS),
-    }
-  }
-
-  fn retention_ms(&self) -> u64 {
-    let is_held = self.crashes >= Quarantine::HELD_CRASHES;
-    if is_held { Quarantine::REMEMBERED_MS } else { Quarantine::REMEMBERED_ONCE_MS }
-  }
-}
