--- a/crates/ferryyoke-bench/tests/requests.rs
+++ b/crates/ferryyoke-bench/tests/requests.rs
@@ -207,6 +207,34 @@
   });
 }
 
+/// Guards against a limit that is heeded only in the header of the platform.
+#[test]
+fn a_backend_server_gets_no_more_than_the_limit_in_the_products_own_header() {
+  run(async {
+    let fleet = fleet().boxes(6).start()?;
+    fleet.configure().await?;
+    let limited = BackendFaults { limit_per_s: Some(2.0), ..BackendFaults::default() };
+    fleet.boxes[0].set_backend_faults(&limited).await?;
+    // At box 0 itself, the backend server beside it is chosen often, so it names its limit soon.
+    for _ in 0..30 {
+      fleet.boxes[0].get("/archive/1").await?;
+    }
+    let before = fleet.boxes[0].journal().await?.runs.len();
+    let until = std::time::Instant::now() + Duration::from_secs(4);
+    let mut sent = 0;
+    while std::time::Instant::now() < until {
+      assert_eq!(fleet.boxes[sent % 6].get("/archive/1").await?.0, 200);
+      sent += 1;
+    }
+    let passed = fleet.boxes[0].journal().await?.runs.len() - before;
+    println!("{passed} of {sent} requests in 4 s");
+    // Four seconds at the rate, a short burst, and half a second until the last answer is in.
+    assert!((4..=11).contains(&passed), "{passed} of {sent} requests in 4 s");
+    fleet.boxes[0].set_backend_faults(&BackendFaults::default()).await?;
+    Ok(())
+  });
+}
+
 #[test]
 fn a_rolling_restart_under_load_fails_no_request() {
   run(async {
--- a/src/fake/backend_faults.rs
+++ b/src/fake/backend_faults.rs
@@ -12,6 +12,8 @@
   pub draining: bool,
   /// Run every request and never answer.
   pub hang: bool,
+  /// Name this rate limit in every answer, in requests a second.
+  pub limit_per_s: Option<f64>,
   /// Answer every request with this status.
   pub status: Option<u16>,
 }
--- a/src/fake/backend_server.rs
+++ b/src/fake/backend_server.rs
@@ -84,7 +84,10 @@
     serde_json::json!({ "backend_server": name, "bytes": bytes, "digest": digest, "run": number })
   };
   let status = faults.status.and_then(|status| StatusCode::from_u16(status).ok());
-  let response = web::json(status.unwrap_or(StatusCode::OK), &answer);
+  let mut response = web::json(status.unwrap_or(StatusCode::OK), &answer);
+  if let Some(limit) = faults.limit_per_s.and_then(|limit| limit.to_string().parse().ok()) {
+    response.headers_mut().insert(crate::node::header_names::RATE_LIMIT, limit);
+  }
   if faults.cut { truncate(response) } else { response }
 }
 
