Take old crashes that a starting daemon hears of for no evidence

By reading the diff: a daemon that starts hears of the whole fleet's crashes at once. Those without a request could excuse a guilty one after its first trial, which was then tried again after a second instead of ten. Crashes heard of within 2 s of the first findings are counted as before, but excuse nothing. The new test fails without that. Requests wait for a trial before they reserve the link, not while they hold it.

--- a/crates/ferryyoke-soak/tests/crashing_requests.rs
+++ b/crates/ferryyoke-soak/tests/crashing_requests.rs
@@ -135,17 +135,20 @@
   });
 }
 
+/// Crashes all servers of the fleet three times, 2 s apart.
+async fn lose_all_processes(fleet: &Fleet) {
+  for _ in 0..3 {
+    monoio::time::sleep(Duration::from_secs(2)).await;
+    fleet.boxes.iter().for_each(|one| one.backend_server.lose_process());
+  }
+}
+
 /// All servers of the fleet crash at once, three times in a row, for a reason unrelated to any request.
 #[test]
 fn a_crash_by_another_cause_accuses_no_request() {
   run(async {
     let fleet = fleet().await;
-    let losing = async {
-      for _ in 0..3 {
-        monoio::time::sleep(Duration::from_secs(2)).await;
-        fleet.boxes.iter().for_each(|one| one.backend_server.lose_process());
-      }
-    };
+    let losing = lose_all_processes(&fleet);
     // A request that was under way in two of the crashes must be released three seconds after the last.
     let asking = ask_beside(&fleet, 0, 6_000);
     let ((), meanwhile) = futures_util::future::join(losing, asking).await;
@@ -161,12 +164,7 @@
 fn a_crash_by_another_cause_holds_no_busy_path() {
   run(async {
     let fleet = fleet().await;
-    let losing = async {
-      for _ in 0..3 {
-        monoio::time::sleep(Duration::from_secs(2)).await;
-        fleet.boxes.iter().for_each(|one| one.backend_server.lose_process());
-      }
-    };
+    let losing = lose_all_processes(&fleet);
     let askers = || futures_util::future::join_all((0..8).map(|_| ask_beside(&fleet, 0, 6_000)));
     let ((), meanwhile) = futures_util::future::join(losing, askers()).await;
     let served: usize = meanwhile.iter().map(|one| one.served).sum();
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -184,6 +184,7 @@
   if let Some(reason) = decline_reason(shared, forwarded) {
     return Err(AttemptOutcome::declined(reason, Shared::RETRY_AFTER_MS));
   }
+  run_guard::wait_for_trial(shared, forwarded).await;
   let reserved = match from {
     Sender::Box => {
       reserve_link(shared, forwarded, &body)?;
@@ -196,7 +197,6 @@
     Sender::Box => take_transfer_slot(shared, forwarded, &body).await?,
     Sender::Caller => None,
   };
-  run_guard::wait_for_trial(shared, forwarded).await;
   if let Some(limit) = &forwarded.known_limit {
     shared.limit_hinted(limit);
   }
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -17,6 +17,8 @@
   recent: VecDeque<(Time, Vec<Fingerprint>)>,
   /// Ids of the findings that each box last reported.
   reported: BTreeMap<BoxId, Vec<u64>>,
+  /// When the first findings came.
+  started_at: Option<Time>,
   suspects: BTreeMap<Fingerprint, Suspect>,
   swept_at: Time,
   /// The suspect that the local backend server runs on trial.
@@ -35,6 +37,8 @@
 }
 
 impl Quarantine {
+  /// Milliseconds after the first findings within which those of the whole fleet come, old ones too.
+  const START_MS: u64 = 2_000;
   /// Most recent crashes remembered.
   const RECENT_MAX: usize = 64;
   /// Milliseconds after which to retry a request whose trial box is busy with another trial.
@@ -54,6 +58,7 @@
     endpoints: impl Iterator<Item = &'a Endpoint>,
   ) -> Vec<QuarantineChange> {
     self.sweep(now);
+    let started_at = *self.started_at.get_or_insert(now);
     let fresh: Vec<(&BoxId, &RunFinding)> =
       endpoints.flat_map(|one| self.new_findings(one)).collect();
     let mut changes = Vec::new();
@@ -63,7 +68,9 @@
       if let RunOutcome::Crashed(suspects) = &finding.outcome {
         changes
           .extend(suspects.iter().filter_map(|suspect| self.count_crash(now, box_id, *suspect)));
-        self.record_crash(now, suspects);
+        if now.since_ms(started_at) >= Self::START_MS {
+          self.record_crash(now, suspects);
+        }
       }
     }
     for (_, finding) in &fresh {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -36,8 +36,11 @@
 
 impl Fleet {
   fn new() -> Self {
-    let boxes = (0..6).map(|index| endpoint(&format!("box-{index}"), "hall", 8)).collect();
-    Self { boxes, last_id: 0, quarantine: Quarantine::default() }
+    let boxes: Vec<Endpoint> =
+      (0..6).map(|index| endpoint(&format!("box-{index}"), "hall", 8)).collect();
+    let mut quarantine = Quarantine::default();
+    quarantine.add_findings(Time(0), boxes.iter());
+    Self { boxes, last_id: 0, quarantine }
   }
 
   fn found(&mut self, now: Time, index: usize, what: RunOutcome) -> Vec<QuarantineChange> {
@@ -419,3 +422,23 @@
   fleet.survived(now.after(50), 0, "well");
   assert_eq!(fleet.quarantine.begin_run(now.after(50), well, || true), QuarantineStatus::Allowed);
 }
+
+/// Guards against old crashes that excuse a guilty request: a daemon that starts hears of all of them at once.
+#[test]
+fn a_starting_daemon_takes_old_crashes_for_no_evidence_of_another_cause() {
+  let mut fleet = Fleet::new();
+  for index in 0..3 {
+    fleet.crashed(START.after(10_000), index, &["guilty"]);
+  }
+  fleet.crashed_idle(START.after(20_000), &[0, 1, 2, 3, 4, 5]);
+  let mut started = Quarantine::default();
+  let now = START.after(60_000);
+  started.add_findings(now, fleet.boxes.iter());
+  let at = now.after(1_100);
+  assert_eq!(started.begin_run(at, fingerprint("guilty"), || true), QuarantineStatus::OnTrial);
+  fleet.crashed(at.after(20), 0, &["guilty"]);
+  started.add_findings(at.after(20), fleet.boxes.iter());
+  started.trial_failed(at.after(20), fingerprint("guilty"));
+  let status = started.status(at.after(5_000), fingerprint("guilty"));
+  assert!(matches!(status, QuarantineStatus::Held { .. }), "{status:?}");
+}
