Limit all servers of a service in the test of the product's own header

Its lower bound was wrong: only one of two servers was limited, the other had room, and nothing says that a limited server must use its rate up then.

Replaced by one as strict: both servers are limited and six callers ask without a pause, so each must pass 4 to 11 in 4 s. The upper bound is as it was.

--- a/crates/ferryyoke-bench/tests/requests.rs
+++ b/crates/ferryyoke-bench/tests/requests.rs
@@ -8,7 +8,7 @@
     proxy::headers,
     web,
   },
-  ferryyoke_bench::{Error, Fleet, Result},
+  ferryyoke_bench::{Error, Fleet, FleetBox, Result},
   http::Request,
   std::{
     collections::BTreeMap,
@@ -207,30 +207,44 @@
   });
 }
 
+/// Sends requests to a box for `for_ms`, one after the other, whatever the answers are.
+async fn ask_for(one: &FleetBox, for_ms: u64) {
+  let until = std::time::Instant::now() + Duration::from_millis(for_ms);
+  while std::time::Instant::now() < until {
+    one.get("/archive/1").await.ok();
+  }
+}
+
 /// Guards against a limit that is heeded only in the header of the platform.
 #[test]
 fn a_backend_server_gets_no_more_than_the_limit_in_the_products_own_header() {
+  const WINDOW_MS: u64 = 4_000;
   run(async {
     let fleet = fleet().boxes(6).start()?;
     fleet.configure().await?;
+    // All servers of the service are limited, so each of them uses its limit up.
     let limited = BackendFaults { limit_per_s: Some(2.0), ..BackendFaults::default() };
-    fleet.boxes[0].set_backend_faults(&limited).await?;
-    // At box 0 itself, the backend server beside it is chosen often, so it names its limit soon.
-    for _ in 0..30 {
-      fleet.boxes[0].get("/archive/1").await?;
+    let archives: Vec<&FleetBox> =
+      fleet.boxes.iter().filter(|one| one.service == "archive").collect();
+    for one in &archives {
+      one.set_backend_faults(&limited).await?;
     }
-    let before = fleet.boxes[0].journal().await?.runs.len();
-    let until = std::time::Instant::now() + Duration::from_secs(4);
-    let mut sent = 0;
-    while std::time::Instant::now() < until {
-      assert_eq!(fleet.boxes[sent % 6].get("/archive/1").await?.0, 200);
-      sent += 1;
+    let load = |for_ms| {
+      futures_util::future::join_all(fleet.boxes.iter().map(move |one| ask_for(one, for_ms)))
+    };
+    load(2_000).await;
+    let begun_ms = ferryyoke::unix_ms();
+    load(WINDOW_MS + 1_000).await;
+    for one in archives {
+      let runs = one.journal().await?.runs;
+      let since_ms = |run: &ferryyoke::fake::Run| run.started_unix_ms.checked_sub(begun_ms);
+      let passed =
+        runs.iter().filter(|run| since_ms(run).is_some_and(|since| since < WINDOW_MS)).count();
+      println!("{passed} requests in 4 s");
+      // Four seconds at the rate, and a short burst.
+      assert!((4..=11).contains(&passed), "{passed} requests in 4 s");
+      one.set_backend_faults(&BackendFaults::default()).await?;
     }
-    let passed = fleet.boxes[0].journal().await?.runs.len() - before;
-    println!("{passed} of {sent} requests in 4 s");
-    // Four seconds at the rate, a short burst, and half a second until the last answer is in.
-    assert!((4..=11).contains(&passed), "{passed} of {sent} requests in 4 s");
-    fleet.boxes[0].set_backend_faults(&BackendFaults::default()).await?;
     Ok(())
   });
 }
