Agree on the types between run times, room, calls and links

Cause: decisions under load know one mean time a backend server, and nothing of a service's room, of calls or of links at other boxes.

Change: Slowdown, RunEstimate, RoomForecast, EntryRequest and EntryDecision; conditions and requests between daemons carry them (daemons of before ignore them); proxy::entry is the place where a request is refused before any try.

--- a/crates/ferryyoke-bench/src/commands/balance.rs
+++ b/crates/ferryyoke-bench/src/commands/balance.rs
@@ -177,6 +177,7 @@
           answer_bytes: 0,
           body_bytes: 0,
           due_ms: TARGET_MS,
+          estimate: None,
           near_box: None,
           repeatable: true,
         };
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -115,8 +115,10 @@
     let monitor = self.monitor.borrow();
     Condition {
       failures_permille: monitor.failures_permille(),
+      link_wait_ms: 0,
       load_percent: self.load_percent(),
       service_us: monitor.service_us(),
+      slowdown: None,
     }
   }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -75,6 +75,8 @@
   pub quarantine: RefCell<Quarantine>,
   /// Rate limits of organisations.
   pub rate_limits: RefCell<RateLimits<futures_channel::oneshot::Sender<Admission>>>,
+  /// The room of each service.
+  pub rooms: RefCell<Rooms>,
   /// Records of the latest requests.
   pub records: RefCell<RequestHistory>,
   pub(super) refuses_work: Cell<bool>,
@@ -170,6 +172,7 @@
       quarantine: RefCell::default(),
       rate_limits: RefCell::default(),
       records: RefCell::default(),
+      rooms: RefCell::default(),
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -60,6 +60,7 @@
       .ok_or_else(malformed)?,
     class: headers::parsed(&head.headers, headers::CALLER_CLASS).ok_or_else(malformed)?,
     deadline: shared.now().time.after(time_left_ms),
+    estimate: headers::parsed(&head.headers, headers::ESTIMATE),
     fingerprint: headers::parsed(&head.headers, headers::FINGERPRINT).ok_or_else(malformed)?,
     id: headers::parsed(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
     known_limit: headers::parsed(&head.headers, headers::BACKEND_LIMIT),
@@ -90,8 +91,10 @@
     headers::BACKEND_LIMIT,
     headers::CALLER_SERVICE,
     headers::DUE_MS,
+    headers::ESTIMATE,
     headers::FINGERPRINT,
     headers::INSISTS,
+    headers::IS_CALL,
     headers::PATIENCE_MS,
     headers::PRIORITY,
     headers::REPEATABLE,
@@ -115,6 +118,8 @@
 fn urgency(headers: &HeaderMap, now: Time) -> Option<Urgency> {
   Some(Urgency {
     due: now.after(headers::parsed(headers, headers::DUE_MS)?),
+    elapsed_ms: 0,
+    is_call: headers.contains_key(headers::IS_CALL),
     wait_until: now.after(headers::parsed(headers, headers::PATIENCE_MS)?),
     priority: headers::parsed(headers, headers::PRIORITY)?,
   })
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -145,8 +145,14 @@
   headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
   let urgency = forwarded.urgency;
   headers::set(request_headers, headers::DUE_MS, urgency.due.since_ms(now));
+  if let Some(estimate) = forwarded.estimate {
+    headers::set(request_headers, headers::ESTIMATE, estimate);
+  }
   headers::set(request_headers, headers::FINGERPRINT, forwarded.fingerprint);
   headers::set(request_headers, headers::INSISTS, forwarded.may_queue);
+  if urgency.is_call {
+    headers::set(request_headers, headers::IS_CALL, true);
+  }
   if let Some(organisation) = &forwarded.organisation {
     headers::set(request_headers, headers::ORGANISATION, organisation);
   }
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -13,6 +13,9 @@
   pub class: CallerClass,
   /// When its answer is due.
   pub deadline: Time,
+  /// How long its run is expected to take at the usual backend server of its service; `None` where
+  /// that is unknown.
+  pub estimate: Option<RunEstimate>,
   /// Identifies the request when its caller sends it again.
   pub fingerprint: Fingerprint,
   /// The head that the backend server receives.
@@ -95,6 +98,7 @@
       attempts_max: self.attempts_max,
       body_bytes: body.known_bytes(),
       deadline: self.deadline,
+      estimate: self.estimate,
       lane: self.lane,
       only_box: self.only_box.clone(),
       regions: self.regions.clone(),
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -24,6 +24,10 @@
 pub const DUE_MS: &str = "x-ferryyoke-due-ms";
 /// Milliseconds for which the request may wait for a slot.
 pub const PATIENCE_MS: &str = "x-ferryyoke-patience-ms";
+/// Between daemons: the expected run time, see [`crate::requests::RunEstimate`].
+pub const ESTIMATE: &str = "x-ferryyoke-estimate";
+/// Between daemons: set if a running request needs the request.
+pub const IS_CALL: &str = "x-ferryyoke-is-call";
 /// The caller's class, for fairness and histograms.
 pub const CALLER_CLASS: &str = "x-ferryyoke-caller-class";
 /// Depth of nested calls that led to the request.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -86,12 +86,23 @@
   let only_box = check_quarantine(shared, fingerprint, &service)?;
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
+  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms);
+  let entry = EntryRequest {
+    deadline,
+    estimate: None,
+    organisation: organisation.as_ref(),
+    route: &matched.route,
+    service: &service,
+    urgency,
+  };
+  entry::check(shared, &entry)?;
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
     caller_service: shared.own_service(),
     class,
     deadline,
+    estimate: None,
     fingerprint,
     head,
     id: incoming.id.clone(),
@@ -105,7 +116,7 @@
     route: is_watched.then(|| matched.route.clone()),
     service,
     retry_failures: handling.retry_failures,
-    urgency: Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms),
+    urgency,
     version: recorder.record.version,
   };
   let admitted = AdmittedRequest::admit(shared, member).await?;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,9 +15,10 @@
   requests::{
     Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallerClass, Claim, ClaimOutcome,
     ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchContext,
-    DispatchEvent, DispatchStep, ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer,
-    Quarantine, QuarantineStatus, RequestKey, RequestProfile, RequestRecord, RouteMatch, RunEnd,
-    RunId, Sender, Ticket, TryId, TryOrder, Urgency,
+    DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId, LimitHint,
+    LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RequestKey,
+    RequestProfile, RequestRecord, RouteMatch, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId,
+    TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -45,6 +46,7 @@
 mod attempt_result;
 mod claimed_run;
 mod egress;
+mod entry;
 mod exchange_guard;
 mod forward;
 mod forwarded_request;
--- a/src/proxy/slot_guard.rs
+++ b/src/proxy/slot_guard.rs
@@ -17,6 +17,8 @@
     let demand = Demand {
       class: forwarded.class.clone(),
       due: forwarded.urgency.due,
+      estimate: forwarded.estimate,
+      is_call: forwarded.urgency.is_call,
       wait_until: if forwarded.may_queue { forwarded.urgency.wait_until } else { now },
       priority: forwarded.urgency.priority,
     };
--- a/src/requests/demand.rs
+++ b/src/requests/demand.rs
@@ -7,6 +7,11 @@
   pub class: CallerClass,
   /// When the answer should be ready.
   pub due: Time,
+  /// How long its run is expected to take at the usual backend server of its service; `None` where
+  /// that is unknown.
+  pub estimate: Option<RunEstimate>,
+  /// Whether a running request needs it.
+  pub is_call: bool,
   /// Until when to wait for a slot.
   pub wait_until: Time,
   /// Priority; the lowest number is served first.
@@ -16,6 +21,6 @@
 impl Demand {
   /// Creates a demand of priority 0 that waits for a slot until its deadline.
   pub fn new(class: CallerClass, deadline: Time) -> Self {
-    Self { class, due: deadline, wait_until: deadline, priority: 0 }
+    Self { class, due: deadline, estimate: None, is_call: false, wait_until: deadline, priority: 0 }
   }
 }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -54,6 +54,7 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
+  room::{EntryDecision, EntryRequest, RoomForecast, Rooms},
   route_match::RouteMatch,
   router::Router,
   run_end::RunEnd,
@@ -66,6 +67,7 @@
   try_id::TryId,
   urgency::Urgency,
   verdict::Verdict,
+  work::{RunEstimate, Slowdown},
 };
 
 mod answer_budget;
@@ -109,6 +111,7 @@
 mod request_profile;
 mod request_record;
 mod retry_budget;
+mod room;
 mod route_match;
 mod router;
 mod run_end;
@@ -121,3 +124,4 @@
 mod try_id;
 mod urgency;
 mod verdict;
+mod work;
--- a/src/requests/request_profile.rs
+++ b/src/requests/request_profile.rs
@@ -11,6 +11,9 @@
   pub body_bytes: u64,
   /// When its final answer is due.
   pub deadline: Time,
+  /// How long its run is expected to take at the usual backend server of its service; `None` where
+  /// that is unknown.
+  pub estimate: Option<RunEstimate>,
   /// The version of its service that should serve it.
   pub lane: Lane,
   /// The only box to which it may be sent; `None` allows all.
@@ -34,6 +37,7 @@
       answer_bytes: self.answer_bytes,
       body_bytes: self.body_bytes,
       due_ms: self.urgency.due.since_ms(now),
+      estimate: self.estimate,
       near_box: (self.body_bytes > LinkBudget::LARGE_BYTES).then(|| own_box.clone()),
       repeatable: self.repeatable,
     }
--- a/src/requests/selection_criteria.rs
+++ b/src/requests/selection_criteria.rs
@@ -9,6 +9,9 @@
   pub body_bytes: u64,
   /// Milliseconds until its answer is due.
   pub due_ms: u64,
+  /// How long its run is expected to take at the usual backend server of its service; `None` where
+  /// that is unknown.
+  pub estimate: Option<RunEstimate>,
   /// The box that already has its large body, if any. For a backend server on any other box, the
   /// body has to cross network links.
   pub near_box: Option<BoxId>,
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -5,6 +5,10 @@
 pub struct Urgency {
   /// When the answer is due.
   pub due: Time,
+  /// Estimated milliseconds since its caller's first try; 0 for a first try.
+  pub elapsed_ms: u64,
+  /// Whether a running request needs it.
+  pub is_call: bool,
   /// The rank among the requests of a service, 0 first.
   pub priority: u32,
   /// Until when the request may wait for a slot. If this equals `due`, it waits only while its
@@ -35,10 +39,11 @@
     let target_ms = handling.target_ms.unwrap_or(left_ms);
     if is_call {
       let wait_until = now.after(fraction_of(left_ms, Self::CALL_WAIT_FRACTION));
-      return Self { due: now.after(target_ms.min(left_ms)), priority: 0, wait_until };
+      let due = now.after(target_ms.min(left_ms));
+      return Self { due, elapsed_ms, is_call, priority: 0, wait_until };
     }
     let due = now.after(target_ms.saturating_sub(elapsed_ms).min(left_ms));
-    Self { due, priority: rank, wait_until: due }
+    Self { due, elapsed_ms, is_call, priority: rank, wait_until: due }
   }
 }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -5,7 +5,7 @@
 use {
   ferryyoke::{
     fleet::Endpoint,
-    requests::{BackendMonitor, Balancer, Completion, Condition, SelectionCriteria},
+    requests::{BackendMonitor, Balancer, Completion, Condition, SelectionCriteria, Slowdown},
     values::Time,
   },
   rand::SeedableRng,
@@ -21,13 +21,14 @@
     answer_bytes: 0,
     body_bytes: 0,
     due_ms: 400,
+    estimate: None,
     near_box: None,
     repeatable: false,
   }
 }
 
 fn healthy() -> Condition {
-  Condition { failures_permille: 0, load_percent: 50, service_us: 100_000 }
+  Condition { load_percent: 50, service_us: 100_000, ..Condition::default() }
 }
 
 /// Returns how often the first of two backend servers is chosen for a caller in the data hall
@@ -83,7 +84,7 @@
 
 #[test]
 fn a_failing_backend_server_is_avoided_however_fast_it_fails() {
-  let grey = Condition { failures_permille: 400, load_percent: 0, service_us: 1_000 };
+  let grey = Condition { failures_permille: 400, service_us: 1_000, ..Condition::default() };
   assert_eq!(chosen(["near", "near"], [grey, healthy()], &criteria(), unprepared), 0);
 }
 
@@ -122,8 +123,18 @@
 
 #[test]
 fn conditions_are_parsed_from_their_text() {
-  let condition = Condition { failures_permille: 12, load_percent: 133, service_us: 98_765 };
+  let condition = Condition {
+    failures_permille: 12,
+    link_wait_ms: 30,
+    load_percent: 133,
+    service_us: 98_765,
+    slowdown: Some(Slowdown::from_percent(140)),
+  };
   assert_eq!(condition.to_string().parse(), Ok(condition));
+  let unknown = Condition { slowdown: None, ..condition };
+  assert_eq!(unknown.to_string().parse(), Ok(unknown));
+  let of_earlier_version = Condition { link_wait_ms: 0, ..unknown };
+  assert_eq!("133,98765,12".parse(), Ok(of_earlier_version));
   for text in ["", "1,2", "1,2,x", "-1,2,3"] {
     assert!(text.parse::<Condition>().is_err(), "{text}");
   }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -108,13 +108,20 @@
     attempts_max: 2,
     body_bytes: 0,
     deadline: START.after(1_200),
+    estimate: None,
     lane: Lane::InForce,
     only_box: None,
     regions: None,
     repeatable,
     retry_failures: repeatable,
     service: "service".parse().expect("a name"),
-    urgency: Urgency { due: START.after(200), priority: 1, wait_until: START.after(200) },
+    urgency: Urgency {
+      due: START.after(200),
+      elapsed_ms: 0,
+      is_call: false,
+      priority: 1,
+      wait_until: START.after(200),
+    },
   }
 }
 
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -72,7 +72,7 @@
 
 fn demand(priority: u32, due: u64) -> Demand {
   let class: CallerClass = "class".parse().expect("a name");
-  Demand { class, due: Time(due), wait_until: Time(10_000), priority }
+  Demand { priority, due: Time(due), ..Demand::new(class, Time(10_000)) }
 }
 
 #[test]
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -9,7 +9,7 @@
     fleet::{Endpoint, EndpointState, Peer},
     requests::{
       Balancer, Completion, Condition, Demand, Limiter, LimiterDecision, RetryBudget, Router,
-      SelectionCriteria, Ticket, Verdict,
+      SelectionCriteria, Slowdown, Ticket, Verdict,
     },
     values::{Incarnation, Time, Version},
   },
@@ -194,8 +194,10 @@
 fn some_condition(u: &mut Unstructured) -> Result<Option<Condition>> {
   let condition = Condition {
     failures_permille: u.int_in_range(0..=1_000)?,
+    link_wait_ms: u.int_in_range(0..=500)?,
     load_percent: u.int_in_range(0..=500)?,
     service_us: u.int_in_range(0..=90_000)?,
+    slowdown: u.arbitrary::<Option<u16>>()?.map(|one| Slowdown::from_percent(one.into())),
   };
   Ok(u.arbitrary::<bool>()?.then_some(condition))
 }
@@ -222,6 +224,7 @@
         answer_bytes: 0,
         body_bytes: u.int_in_range(0..=400_000)?,
         due_ms: u.int_in_range(0..=1_000)?,
+        estimate: None,
         near_box: None,
         repeatable: u.arbitrary()?,
       };
