Expect run times by route and by the speed of the backend server

Cause: one mean time a backend server decides who can still be in time, how long a queue is, and when a try is asked for, though routes of 55 and 550 ms share its slots, and the slowdown that it tells is read by nobody.

Change: the box that takes callers in learns the work of each route from answers; the daemon beside a backend server reads the told slowdown, infers the lasting one, and tells it. The limiter, the questions of dispatch and a decline beside the backend server use them. Nothing is learned where no slowdown is told.

--- a/src/node/backend_notices.rs
+++ b/src/node/backend_notices.rs
@@ -9,6 +9,8 @@
   pub is_leaving: bool,
   /// The rate limit that it names.
   pub limit: LimitNotice,
+  /// How long work takes there at this moment; `None` where it doesn't say so.
+  pub slowdown: Option<Slowdown>,
 }
 
 impl BackendNotices {
@@ -26,6 +28,14 @@
       Some(Ok(rate)) => LimitNotice::Named(rate),
       Some(Err(_)) => LimitNotice::Unreadable,
     };
-    Self { is_leaving: text(&names.leaving) == Some(Self::LEAVING), limit }
+    let slowdown = text(&names.reported_load).and_then(Self::read_slowdown);
+    Self { is_leaving: text(&names.leaving) == Some(Self::LEAVING), limit, slowdown }
+  }
+
+  /// Reads the fourth figure of a load. One that no working backend server can have is none.
+  fn read_slowdown(load: &str) -> Option<Slowdown> {
+    const PLAUSIBLE_PERCENT: std::ops::RangeInclusive<u32> = 10..=2_000;
+    let percent = load.split(',').nth(3)?.trim().parse().ok()?;
+    PLAUSIBLE_PERCENT.contains(&percent).then(|| Slowdown::from_percent(percent))
   }
 }
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -99,6 +99,25 @@
     reported.unwrap_or_else(|| self.settings.service.clone())
   }
 
+  /// Records a successful run at the backend server. Returns its work in microseconds at the usual backend server
+  /// of its service, where that can be told.
+  pub fn record_run(
+    &self,
+    took: Duration,
+    speed_before: Slowdown,
+    estimate: Option<RunEstimate>,
+  ) -> Option<u64> {
+    let now = self.now().time;
+    if self.backend.borrow().is_cold(now) {
+      return None;
+    }
+    let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    let mut speed = self.speed.borrow_mut();
+    let work_us = speed.record_run(now, took_us, speed_before, estimate);
+    self.metrics.backend_slowdown_percent.set(i64::from(speed.slowdown(now).percent()));
+    work_us
+  }
+
   /// Returns the expected wait for a slot of a request that arrives now, in milliseconds.
   pub fn expected_wait_ms(&self) -> u64 {
     self.limiter.borrow().expected_wait_ms(self.now().time)
@@ -118,7 +137,7 @@
       link_wait_ms: 0,
       load_percent: self.load_percent(),
       service_us: monitor.service_us(),
-      slowdown: None,
+      slowdown: self.speed.borrow().known_slowdown(self.now().time),
     }
   }
 
--- a/src/node/header_names.rs
+++ b/src/node/header_names.rs
@@ -8,6 +8,8 @@
 pub const ORGANISATION: &str = "x-ferryyoke-organisation";
 /// In answers: the requests a second that the backend server takes.
 pub const RATE_LIMIT: &str = "x-ferryyoke-rate-limit";
+/// In answers: the running requests, waiting requests, slots and the slowdown in percent.
+pub const LOAD: &str = "x-ferryyoke-load";
 /// Milliseconds left until the deadline of the answer.
 pub const TIME_LEFT_MS: &str = "x-ferryyoke-time-left-ms";
 
@@ -30,7 +32,8 @@
   pub organisation: Option<HeaderName>,
   /// In answers: the requests a second that the backend server takes, as long as it names a limit.
   pub rate_limit: Option<HeaderName>,
-  /// In answers: the load of the backend server.
+  /// In answers: the running requests, waiting requests and slots, and how long work takes at this
+  /// moment in percent of the usual time.
   pub reported_load: Option<HeaderName>,
   /// The id of the request.
   pub request_id: HeaderName,
@@ -52,7 +55,7 @@
       not_run: None,
       organisation: Some(HeaderName::from_static(ORGANISATION)),
       rate_limit: Some(HeaderName::from_static(RATE_LIMIT)),
-      reported_load: None,
+      reported_load: Some(HeaderName::from_static(LOAD)),
       request_id: HeaderName::from_static(REQUEST_ID),
       retry_after_fractions: false,
       time_left_ms: HeaderName::from_static(TIME_LEFT_MS),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -88,6 +88,7 @@
   fn reset_for_new_process(&self) {
     let shared = &self.shared;
     shared.monitor.borrow_mut().reset();
+    shared.speed.borrow_mut().reset();
     shared.named_limit.borrow_mut().reset();
     shared.apply_named_limit();
     shared.metrics.backend_limit.set(0.0);
--- a/src/node/notice_side.rs
+++ b/src/node/notice_side.rs
@@ -8,6 +8,7 @@
       return;
     }
     let now = self.now().time;
+    self.speed.borrow_mut().told(now, notices.slowdown);
     let before = self.named_limit.borrow().rate();
     let is_changed = match notices.limit {
       LimitNotice::Named(rate) => self.named_limit.borrow_mut().named(now, rate),
@@ -44,6 +45,7 @@
 
   /// Records the limit in an answer of the health endpoint. One that names none proves nothing.
   pub fn health_named_limit(&self, notices: BackendNotices) {
+    self.speed.borrow_mut().told(self.now().time, notices.slowdown);
     let LimitNotice::Named(rate) = notices.limit else {
       return;
     };
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -77,6 +77,8 @@
   pub rate_limits: RefCell<RateLimits<futures_channel::oneshot::Sender<Admission>>>,
   /// The room of each service.
   pub rooms: RefCell<Rooms>,
+  /// How long runs of each route take.
+  pub run_times: RefCell<RunTimes>,
   /// Records of the latest requests.
   pub records: RefCell<RequestHistory>,
   pub(super) refuses_work: Cell<bool>,
@@ -89,6 +91,8 @@
   pub(super) run_outcomes: RefCell<Vec<RunOutcome>>,
   /// The settings.
   pub settings: Settings,
+  /// How fast the backend server works.
+  pub speed: RefCell<SpeedMonitor>,
   /// Splits requests of a route among services.
   pub splitter: RefCell<Splitter>,
   /// Longest planned stop in milliseconds. Changes when the settings are read again.
@@ -173,6 +177,7 @@
       rate_limits: RefCell::default(),
       records: RefCell::default(),
       rooms: RefCell::default(),
+      run_times: RefCell::default(),
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -180,6 +185,7 @@
       run_outcomes: RefCell::default(),
       stop_deadline_ms: Cell::new(settings.stop_deadline_ms),
       settings,
+      speed: RefCell::default(),
       splitter: RefCell::default(),
       running_statements: Cell::default(),
       stopping: Cell::default(),
@@ -210,6 +216,10 @@
     let is_known = |route: &RouteName| configuration.routes.contains_key(route);
     self.answer_sizes.borrow_mut().retain(is_known);
     self.caller_timeouts.borrow_mut().retain(is_known);
+    let routes = configuration.routes.values().map(|route| &route.value);
+    let kinds = routes
+      .flat_map(|route| route.services().map(|service| RouteKind::of(service, &route.handling)));
+    self.run_times.borrow_mut().retain(is_known, kinds);
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
--- a/src/platform/header_names.rs
+++ b/src/platform/header_names.rs
@@ -13,7 +13,8 @@
     not_run: Some(name("x-not-executed")),
     organisation: Some(name("x-tenant-id")),
     rate_limit: Some(name("server-limit")),
-    // The running requests, waiting requests and slots, separated by commas.
+    // The running requests, waiting requests, slots and percent of the usual time, separated by
+    // commas.
     reported_load: Some(name("x-server-load")),
     request_id: name("x-request-id"),
     retry_after_fractions: true,
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -39,6 +39,7 @@
     headers::set(own_headers, headers::BACKEND_LIMIT, limit);
   }
   headers::set(own_headers, headers::REQUEST_ID, &forwarded.id);
+  RunWork::tell(&mut response);
   exchange.deliver(arrived.retain_answer(&forwarded, response).await)
 }
 
@@ -239,11 +240,22 @@
   if forwarded.may_queue {
     return None;
   }
-  let reason = shared.monitor.borrow().degraded_reason()?;
+  let degraded = shared.monitor.borrow().degraded_reason();
+  let reason = degraded.or_else(|| too_slow_reason(shared, forwarded))?;
   let is_probe = shared.rng.borrow_mut().random_bool(BackendMonitor::PROBE_SHARE);
   (!is_probe).then_some(reason)
 }
 
+/// Returns why the backend server is too slow now for this request, if another could run it in
+/// time.
+fn too_slow_reason(shared: &Shared, forwarded: &ForwardedRequest) -> Option<&'static str> {
+  let now = shared.now().time;
+  let slowdown = shared.speed.borrow().known_slowdown(now)?;
+  let left_ms = forwarded.urgency.due.since_ms(now);
+  let is_too_slow = forwarded.estimate?.is_better_elsewhere(left_ms, slowdown);
+  is_too_slow.then_some("the backend server is too slow now for the request to be in time")
+}
+
 /// Reserves capacity of the box's network link for a body from another daemon. The sender keeps the
 /// body until it is read here.
 fn reserve_link(
@@ -349,6 +361,7 @@
   let mark = value.map(|value| CorrelationHeader { name: name.clone(), value });
   let mark = mark.filter(|_| shared.settings.deployment.is_some());
   let observed = ObservedRun::begin(shared, forwarded.route.as_ref());
+  let speed_before = shared.speed.borrow().moment(shared.now().time);
   let response = shared.backend_pool.send(client, request, mark).await;
   let failed_itself = match &response {
     Ok(response) => response.status().is_server_error() && !has_failed_call(shared, forwarded),
@@ -377,6 +390,11 @@
     observed.discard();
     return Err(outcome);
   }
+  let held = stopwatch.read().filter(|_| head.status.is_success());
+  let work_us = held.and_then(|held| shared.record_run(held, speed_before, forwarded.estimate));
+  if let Some(work_us) = work_us {
+    head.extensions.insert(RunWork(work_us));
+  }
   if failed_itself || head.status.is_success() {
     observed.end(failed_itself);
   } else {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -192,6 +192,7 @@
 ) -> AttemptResult {
   let (mut head, body) = response.into_parts();
   *notices = PeerNotices::take(&mut head.headers);
+  RunWork::take(&mut head);
   if let Some(outcome) = headers::text(&head.headers, headers::OUTCOME) {
     return Err(read_refusal(outcome, &head.headers, body).await);
   }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -52,6 +52,9 @@
 pub const ROUTE: &str = "x-ferryyoke-route";
 /// On a refusal: milliseconds after which to retry.
 pub const RETRY_AFTER_MS: &str = "x-ferryyoke-retry-after-ms";
+/// Between daemons: the work of the run that an answer came from, in microseconds at the usual
+/// backend server of its service.
+pub const RUN_WORK_US: &str = "x-ferryyoke-run-work-us";
 /// Between daemons: seal made with the fleet key, which proves that the sender is a daemon of the
 /// fleet.
 pub const SEAL: &str = "x-ferryyoke-seal";
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -87,9 +87,11 @@
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
   let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms);
+  let kind = RouteKind::of(&service, handling);
+  let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
   let entry = EntryRequest {
     deadline,
-    estimate: None,
+    estimate,
     organisation: organisation.as_ref(),
     route: &matched.route,
     service: &service,
@@ -102,7 +104,7 @@
     caller_service: shared.own_service(),
     class,
     deadline,
-    estimate: None,
+    estimate,
     fingerprint,
     head,
     id: incoming.id.clone(),
@@ -127,6 +129,7 @@
   let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
   if let Ok(answer) = &answer {
     record_answer_size(shared, &matched.route, answer);
+    RunWork::learn(shared, &matched.route, &kind, answer);
   }
   if answer.as_ref().map_or_else(AttemptOutcome::arrived, |_| true) {
     admitted.spend_token();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,8 +17,8 @@
     ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch, DispatchContext,
     DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId, LimitHint,
     LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RequestKey,
-    RequestProfile, RequestRecord, RouteMatch, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId,
-    TryOrder, Urgency,
+    RequestProfile, RequestRecord, RouteKind, RouteMatch, RunEnd, RunEstimate, RunId, Sender,
+    Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -37,7 +37,7 @@
   incoming_request::IncomingRequest, observed_run::ObservedRun, on_end_body::OnEndBody,
   organisation_admission::AdmittedRequest, peer_notices::PeerNotices, refusal::Refusal,
   request_body::RequestBody, returnable_body::ReturnableBody, run_guard::RunGuard,
-  slot_guard::SlotGuard, tracked_body::TrackedBody, transfer_body::TransferBody,
+  run_work::RunWork, slot_guard::SlotGuard, tracked_body::TrackedBody, transfer_body::TransferBody,
   transfer_slot::TransferSlot, tries::Tries,
 };
 
@@ -61,6 +61,7 @@
 mod request_body;
 mod returnable_body;
 mod run_guard;
+mod run_work;
 mod slot_guard;
 mod tracked_body;
 mod transfer_body;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -344,6 +344,8 @@
       fraction_of(if due_ms > 0 { due_ms } else { deadline_ms }, Self::CHECK_FRACTION);
     let latest_ms = latest_ms.max(Self::CHECK_MIN_MS);
     let usual_ms = context.balancer.service_ms(box_id).filter(|_| !may_queue);
+    let expected_ms = self.profile.estimate.map(RunEstimate::mean_ms_rounded);
+    let usual_ms = usual_ms.map(|usual_ms| usual_ms.max(expected_ms.unwrap_or_default()));
     let interval_ms = usual_ms.map_or(latest_ms, |usual_ms| usual_ms * Self::CHECK_FACTOR);
     interval_ms.clamp(Self::CHECK_MIN_MS, latest_ms)
   }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -67,7 +67,7 @@
   try_id::TryId,
   urgency::Urgency,
   verdict::Verdict,
-  work::{RunEstimate, Slowdown},
+  work::{LogAverage, RouteKind, RunEstimate, RunTimes, Slowdown, SpeedMonitor},
 };
 
 mod answer_budget;
--- a/src/requests/work/slowdown.rs
+++ b/src/requests/work/slowdown.rs
@@ -24,6 +24,22 @@
   pub fn apply(self, usual_us: u64) -> u64 {
     usual_us.saturating_mul(u64::from(self.0)) / 100
   }
+
+  /// Returns how long something usually takes that takes `took_us` microseconds here.
+  pub fn remove(self, took_us: u64) -> u64 {
+    took_us.saturating_mul(100) / u64::from(self.0)
+  }
+
+  /// Returns the natural logarithm of the factor; 0 is as long as usual.
+  pub fn ln(self) -> f64 {
+    (f64::from(self.0) / 100.0).ln()
+  }
+
+  /// Creates a slowdown from the natural logarithm of its factor.
+  #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  pub fn from_ln(ln: f64) -> Self {
+    Self::from_percent((ln.exp() * 100.0).round() as u32)
+  }
 }
 
 impl Default for Slowdown {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -23,6 +23,8 @@
   pub backend_crashes: Counter,
   /// The requests a second that the backend server's answers name as its limit; 0 without a limit.
   pub backend_limit: Gauge<f64, AtomicU64>,
+  /// How long work takes at the backend server, in percent of the usual time of its service.
+  pub backend_slowdown_percent: Gauge,
   /// Requests passed to the backend server.
   pub backend_requests: Counter,
   /// Configurations of the store that were refused.
@@ -87,6 +89,11 @@
         "Requests a second that the backend server names as its limit, 0 without a limit",
       ),
       backend_requests: registered(of, "backend_requests", "Requests passed to the backend server"),
+      backend_slowdown_percent: registered(
+        of,
+        "backend_slowdown_percent",
+        "How long work takes at the backend server, in percent of the usual time of its service",
+      ),
       configurations_refused: registered(
         of,
         "configurations_refused",
--- a/tests/named_limit.rs
+++ b/tests/named_limit.rs
@@ -48,7 +48,7 @@
     let headers = values.iter().map(|(key, value)| (name(key), HeaderValue::from_static(value)));
     BackendNotices::read(&names, &headers.collect::<HeaderMap>())
   };
-  let none = BackendNotices { is_leaving: false, limit: LimitNotice::NotNamed };
+  let none = BackendNotices { is_leaving: false, limit: LimitNotice::NotNamed, slowdown: None };
   assert_eq!(read(&[]), none);
   let named = LimitNotice::Named(rate(22.3));
   assert_eq!(read(&[("limit", "22.3")]), BackendNotices { limit: named, ..none });
