--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -171,6 +171,8 @@
       "instance" => self.process.as_ref().map_or("none".into(), ToString::to_string),
       "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
       "took_us" => now_us - self.slot_us.unwrap_or(now_us),
+      "estimate" => forwarded.estimate.map_or("none".into(), |one| one.to_string()),
+      "slowdown_percent" => shared.speed.borrow().slowdown(shared.now().time).percent(),
       "time_left_ms" => forwarded.deadline.since_ms(shared.now().time),
       "priority" => forwarded.urgency.priority, "running" => running, "waiting" => waiting
     );
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -124,7 +124,9 @@
   let admitted = AdmittedRequest::admit(shared, member).await?;
   if is_claimed {
     admitted.spend_token();
-    return handle_claimed(shared, recorder, incoming, forwarded, body).await;
+    let answer = handle_claimed(shared, recorder, incoming, forwarded, body).await?;
+    RunWork::learn(shared, &matched.route, &kind, &answer);
+    return Ok(answer);
   }
   let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
   if let Ok(answer) = &answer {
