Accept an allowance of retries that is no whole number

Cause: the setting `retry_extra` was read as a whole number; small twins of large deployments give a fractional one (36.96), and no daemon of them starts. Change: any number up to the same bound is read, rounded down, so the allowance is not exceeded.

--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -128,6 +128,18 @@
     self.text("a duration such as \"1500ms\" or \"1.5s\"").map(|duration: DurationMs| duration.0)
   }
 
+  /// A number from 0 to `to`, rounded down.
+  pub(super) fn whole_part(&self, to: u32) -> Option<u64> {
+    let is_allowed = |number: &f64| (0.0..=f64::from(to)).contains(number);
+    let number = self.value.and_then(Value::as_f64).filter(is_allowed);
+    if number.is_none() {
+      self.fault(format!("a number from 0 to {to}"));
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = number.map(|number| number as u64);
+    whole
+  }
+
   /// A number above 0.
   pub(super) fn positive(&self) -> Option<f64> {
     let number = self.value.and_then(Value::as_f64).filter(|number| *number > 0.0);
