--- a/tests/check.rs
+++ b/tests/check.rs
@@ -96,6 +96,27 @@
     .run();
 }
 
+/// Guards against a daemon that does not start where the bounds of its deployment are no whole numbers.
+#[test]
+fn an_allowance_of_retries_that_is_no_whole_number() {
+  let deployment = |retry_extra: f64| {
+    json!({
+      "apply": "2s", "control": "127.0.0.1:7105", "link_mbps": 15.0, "metrics": "127.0.0.1:7106",
+      "readiness": "127.0.0.1:7107", "retry_extra": retry_extra, "retry_ratio": 0.2,
+      "retry_window": "10s",
+    })
+  };
+  Test::new()
+    .check_with("/deployment", deployment(36.957))
+    .stdout_contains("the settings are good")
+    .run();
+  Test::new()
+    .check_with("/deployment", deployment(-0.5))
+    .status(2)
+    .stderr_contains("$.deployment.retry_extra: found -0.5, allowed is a number from 0 to 1000000")
+    .run();
+}
+
 #[test]
 fn a_name_for_an_address() {
   Test::new()
--- a/tests/outbound_turns.rs
+++ b/tests/outbound_turns.rs
@@ -39,6 +39,11 @@
 /// Length of a play in milliseconds.
 const PLAY_MS: u64 = 20_000;
 
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(count: u64) -> f64 {
+  count as f64
+}
+
 /// How a reader takes its answer.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Reader {
@@ -117,7 +122,7 @@
   fn send_small(&mut self, now: Time) {
     self.small_wait_most_ms = self.small_wait_most_ms.max(self.queued_bytes / BYTES_PER_MS);
     self.schedule.count_small(now, SMALL_BYTES);
-    self.queued_bytes += SMALL_BYTES as f64;
+    self.queued_bytes += to_f64(SMALL_BYTES);
   }
 
   /// Lets the bodies take their turns of one millisecond, and the link carry what it carries in it.
@@ -134,7 +139,7 @@
       let export = self.exports.get_mut(&ticket).expect("a body that asked");
       export.sent_bytes += granted;
       self.sent_bytes += granted;
-      self.queued_bytes += granted as f64;
+      self.queued_bytes += to_f64(granted);
       if export.is_over() {
         let export = self.exports.remove(&ticket).expect("it is there");
         self.schedule.leave(ticket);
@@ -160,7 +165,7 @@
 fn play(percent: u64, seed: u64, reader: impl Fn(u64) -> Reader) -> Play {
   let mut rng = ChaCha8Rng::seed_from_u64(seed);
   let mut play = Play::new();
-  let chance = BYTES_PER_MS * percent as f64 / 100.0 / mean_bytes();
+  let chance = BYTES_PER_MS * to_f64(percent) / 100.0 / mean_bytes();
   for now in (0..PLAY_MS).map(Time) {
     if rng.random_bool(chance) {
       let bytes = export_bytes(&mut rng);
@@ -181,7 +186,7 @@
 }
 
 fn mean_bytes() -> f64 {
-  0.95 * EXPORT_BYTES as f64 + 0.05 * EXPORT_BYTES_MAX as f64
+  0.95 * to_f64(EXPORT_BYTES) + 0.05 * to_f64(EXPORT_BYTES_MAX)
 }
 
 /// Guards against small answers that wait behind large ones, from light load to overload.
@@ -201,8 +206,8 @@
 fn a_link_in_overload_is_used() {
   for seed in 0..5 {
     let play = play(130, seed, |_| Reader::Steady);
-    let carried = BYTES_PER_MS * PLAY_MS as f64;
-    assert!(play.sent_bytes as f64 >= 0.9 * carried, "seed {seed}: {}", play.sent_bytes);
+    let carried = BYTES_PER_MS * to_f64(PLAY_MS);
+    assert!(to_f64(play.sent_bytes) >= 0.9 * carried, "seed {seed}: {}", play.sent_bytes);
   }
 }
 
@@ -262,7 +267,7 @@
   play.pass_ms(Time(0));
   let mut now = Time(1);
   while play.exports.contains_key(&Ticket(1)) && now < Time(5_000) {
-    if now.0 % 20 == 0 {
+    if now.0.is_multiple_of(20) {
       play.arrive(now, EXPORT_BYTES, now.after(100), Reader::Steady);
     }
     play.pass_ms(now);
@@ -270,8 +275,8 @@
   }
   // It shares the link with one other at a time, so it takes at most twice its own time, and one
   // piece of each more.
-  let own_ms = EXPORT_BYTES_MAX as f64 / (BYTES_PER_MS * 0.95);
-  assert!(now.0 as f64 <= 2.0 * own_ms + 2.0 * SMALL_WAIT_MAX_MS, "{now}, {own_ms} ms alone");
+  let own_ms = to_f64(EXPORT_BYTES_MAX) / (BYTES_PER_MS * 0.95);
+  assert!(to_f64(now.0) <= 2.0 * own_ms + 2.0 * SMALL_WAIT_MAX_MS, "{now}, {own_ms} ms alone");
 }
 
 /// Guards against an answer that can still be in time behind ones that cannot.
@@ -297,13 +302,13 @@
     play.arrive(Time(0), EXPORT_BYTES, Time(DUE_MS), Reader::Steady);
   }
   let owed_ms = play.schedule.owed_ms(Time(0));
-  assert!(owed_ms >= 10.0 * EXPORT_BYTES as f64 / BYTES_PER_MS, "{owed_ms} ms");
+  assert!(owed_ms >= 10.0 * to_f64(EXPORT_BYTES) / BYTES_PER_MS, "{owed_ms} ms");
   let mut now = Time(0);
   while !play.exports.is_empty() && now < Time(5_000) {
     play.pass_ms(now);
     now = now.after(1);
   }
   assert_eq!(play.whole, 10);
-  assert!(now.0 as f64 <= owed_ms + SMALL_WAIT_MAX_MS, "{now} of {owed_ms} ms");
+  assert!(to_f64(now.0) <= owed_ms + SMALL_WAIT_MAX_MS, "{now} of {owed_ms} ms");
   assert_eq!(play.schedule.counts(), (0, 0));
 }
