Tell the answer budget what the link owes

Cause: the budget counts an answer from the start of its run; since bodies are read ahead of their turns, slots are free earlier and more answers queue than it meant to. Change: what the schedule owes raises the budget's queue before each decision and report.

--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -155,9 +155,18 @@
     }
   }
 
+  /// Tells the answer budget what the box's network link owes.
+  pub fn note_owed(&self) {
+    let (now, link) = (self.now().time, self.outbound_link.borrow());
+    if let (Some(link), Some(answers)) = (link.as_ref(), self.answer_budget.borrow_mut().as_mut()) {
+      answers.note_owed(now, link.schedule.owed_ms(now));
+    }
+  }
+
   /// Returns the milliseconds that a large answer to another box waits for the network link. Small
   /// ones do not wait.
   pub fn link_wait_ms(&self) -> u64 {
+    self.note_owed();
     let answers = self.answer_budget.borrow();
     answers.as_ref().map_or(0, |answers| answers.wait_ms(self.now().time))
   }
--- a/src/proxy/answer_reservation.rs
+++ b/src/proxy/answer_reservation.rs
@@ -16,6 +16,7 @@
   ) -> std::result::Result<Self, AttemptOutcome> {
     let (now, expected_bytes) = (shared.now().time, forwarded.answer_bytes);
     let wait_max_ms = forwarded.urgency.wait_until.since_ms(now);
+    shared.note_owed();
     if let Some(budget) = shared.answer_budget.borrow_mut().as_mut() {
       let reserved = budget.reserve(now, expected_bytes, wait_max_ms, forwarded.may_queue);
       reserved.map_err(|retry_after_ms| {
@@ -54,6 +55,7 @@
   let expected_bytes = shared.answer_sizes.borrow().expected_bytes(route);
   let inbound_ms =
     shared.link_budget.borrow().as_ref().map_or(0.0, |link| link.answer_wait_ms(now));
+  shared.note_owed();
   let refused = shared
     .answer_budget
     .borrow()
--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -79,6 +79,12 @@
     is_refused.then_some(back_ms)
   }
 
+  /// Takes over what the link owes in fact, in milliseconds, where that is more than expected: answers
+  /// are counted from the start of their runs, and may be ready all together later.
+  pub fn note_owed(&mut self, now: Time, owed_ms: f64) {
+    self.queue.raise(now, owed_ms);
+  }
+
   /// Counts an answer of `bytes` that is sent without a reservation: one to a caller of this box.
   pub fn count_unreserved(&mut self, now: Time, bytes: u64) {
     self.queue.add(now, to_f64(bytes));
--- a/src/requests/links/link_queue.rs
+++ b/src/requests/links/link_queue.rs
@@ -28,6 +28,11 @@
     self.free_at_ms = to_ms(now) + self.delay_ms(now) + bytes / self.bytes_per_ms;
   }
 
+  /// Lengthens the queue to `delay_ms`, if it is shorter.
+  pub fn raise(&mut self, now: Time, delay_ms: f64) {
+    self.free_at_ms = self.free_at_ms.max(to_ms(now) + delay_ms);
+  }
+
   /// Removes bytes that were counted but not handed to the link.
   pub fn remove(&mut self, bytes: f64) {
     self.free_at_ms -= bytes / self.bytes_per_ms;
--- a/tests/answer_budget.rs
+++ b/tests/answer_budget.rs
@@ -104,3 +104,16 @@
   let again = Time(back_ms);
   assert_eq!(budget.refuses_caller(again, PHOTO_BYTES, 0.0, again.after(800)), None, "true time");
 }
+
+/// Guards against a link that owes more than was expected of it: answers counted from the start of
+/// their runs are ready all together, after the expected queue has drained.
+#[test]
+fn what_is_owed_in_fact_refuses_further_answers() {
+  let mut budget = AnswerBudget::new(LINK_MBPS);
+  budget.note_owed(Time(0), 300.0);
+  assert!(budget.reserve(Time(0), PHOTO_BYTES, MAX_WAIT_MS, true).is_err());
+  assert!(budget.reserve(Time(0), 1_500, MAX_WAIT_MS, false).is_ok(), "small ones pass");
+  assert!(budget.reserve(Time(60), PHOTO_BYTES, MAX_WAIT_MS, true).is_ok(), "it drains");
+  budget.note_owed(Time(60), 10.0);
+  assert!(budget.wait_ms(Time(60)) > 200, "less than expected changes nothing");
+}
