Fill the link with turns, so that no answer waits for a rate below it

Cause: turns at 0.95 of the link's rate and two at once made the last of six answers of 60 KB on a link of 1 Mbit/s miss the second past its deadline: `slow_answers` `an_answer_queued_at_a_full_link_is_not_counted_as_lost` failed with two 502 of six (one run). Change: turns fill the whole link; packet headers are held up by the small send buffers of the two connections under way.

--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -14,7 +14,7 @@
 
 impl AnswerBudget {
   /// Share of the link that answers may fill. The rest is for packet headers and control messages.
-  pub(super) const ANSWER_PART: f64 = 0.95;
+  const ANSWER_PART: f64 = 0.95;
   /// Longest queue, in milliseconds, at which a large answer is accepted that another box could
   /// give as well.
   const QUEUE_OPTIONAL_MAX_MS: f64 = 100.0;
--- a/src/requests/links/outbound_schedule.rs
+++ b/src/requests/links/outbound_schedule.rs
@@ -43,8 +43,9 @@
 impl OutboundSchedule {
   /// Bodies under way at once. With the second, a pause of one connection leaves no gap.
   const BODIES_MAX: usize = 2;
-  /// Share of the link that answers may fill. The rest is for packet headers and control messages.
-  const PART: f64 = AnswerBudget::ANSWER_PART;
+  /// Share of the link that turns may fill. What packet headers take of it queues at the connections
+  /// of the few bodies under way, whose small send buffers hold up their next pieces.
+  const PART: f64 = 1.0;
   /// Link time of a piece in milliseconds: several times the precision of a timer.
   const PIECE_MS: f64 = 4.0;
   /// Smallest piece in bytes: below, heads of packets and calls of the kernel weigh too much.
