--- a/src/requests/links/outbound_schedule.rs
+++ b/src/requests/links/outbound_schedule.rs
@@ -4,8 +4,7 @@
 /// heads, which pass at once, find a queue of a few milliseconds in front of the link.
 ///
 /// Without it, the kernel takes tens of KB of each large answer, and all of that queues in front of
-/// whatever is sent next. Bodies get one piece at a time, a few bodies at once, at slightly less
-/// than the link's rate.
+/// whatever is sent next. Bodies get one piece at a time, a few bodies at once, at the link's rate.
 #[derive(Clone, Debug)]
 pub struct OutboundSchedule {
   bodies: BTreeMap<Ticket, OutboundBody>,
