Learn run times without deciding the queue by them

Change: limiter and declines are as before; what is learned stays for operators, for the timing of questions and for the work of a rank's requests.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -244,22 +244,11 @@
   if forwarded.may_queue {
     return None;
   }
-  let degraded = shared.monitor.borrow().degraded_reason();
-  let reason = degraded.or_else(|| too_slow_reason(shared, forwarded))?;
+  let reason = shared.monitor.borrow().degraded_reason()?;
   let is_probe = shared.rng.borrow_mut().random_bool(BackendMonitor::PROBE_SHARE);
   (!is_probe).then_some(reason)
 }
 
-/// Returns why the backend server is too slow now for this request, if another could run it in
-/// time.
-fn too_slow_reason(shared: &Shared, forwarded: &ForwardedRequest) -> Option<&'static str> {
-  let now = shared.now().time;
-  let slowdown = shared.speed.borrow().known_slowdown(now)?;
-  let left_ms = forwarded.urgency.due.since_ms(now);
-  let is_too_slow = forwarded.estimate?.is_better_elsewhere(left_ms, slowdown);
-  is_too_slow.then_some("the backend server is too slow now for the request to be in time")
-}
-
 /// Reserves capacity of the box's network link for a body from another daemon. The sender keeps the
 /// body until it is read here.
 fn reserve_link(
--- a/src/proxy/slot_guard.rs
+++ b/src/proxy/slot_guard.rs
@@ -17,7 +17,7 @@
     let demand = Demand {
       class: forwarded.class.clone(),
       due: forwarded.urgency.due,
-      estimate: forwarded.estimate.map(|one| one.at(shared.speed.borrow().slowdown(now))),
+      estimate: forwarded.estimate,
       is_call: forwarded.urgency.is_call,
       wait_until: if forwarded.may_queue { forwarded.urgency.wait_until } else { now },
       priority: forwarded.urgency.priority,
--- a/src/requests/demand.rs
+++ b/src/requests/demand.rs
@@ -7,7 +7,8 @@
   pub class: CallerClass,
   /// When the answer should be ready.
   pub due: Time,
-  /// How long its run is expected to take at this backend server now; `None` where that is unknown.
+  /// How long its run is expected to take at the usual backend server of its service; `None` where
+  /// that is unknown.
   pub estimate: Option<RunEstimate>,
   /// Whether a running request needs it.
   pub is_call: bool,
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -13,8 +13,8 @@
   pacer: Option<Pacer>,
   /// Maximum queue length.
   queue_max: usize,
-  /// Running requests. Exceeds `slots` only after these were reduced.
-  running: BTreeMap<Ticket, Running>,
+  /// Running requests with their class and start. Exceeds `slots` only after these were reduced.
+  running: BTreeMap<Ticket, (CallerClass, Time)>,
   /// At least 1.
   slots: usize,
   /// By rank, the ratio of recent waits to expected ones, at least 1: later requests of a higher
@@ -24,21 +24,11 @@
   waiting: Vec<Waiting>,
 }
 
-#[derive(Clone, Debug)]
-struct Running {
-  class: CallerClass,
-  /// How long it is expected to run; `None` where that is unknown.
-  estimate: Option<RunEstimate>,
-  since: Time,
-}
-
 #[derive(Clone, Debug)]
 struct Waiting {
   class: CallerClass,
   /// When its answer should be there.
   due: Time,
-  /// How long it is expected to run; `None` where that is unknown.
-  estimate: Option<RunEstimate>,
   /// Expected wait in milliseconds when it was queued, without later arrivals.
   expected_ms: u64,
   priority: u32,
@@ -75,11 +65,12 @@
   /// Admits, queues or sheds a request that arrives.
   pub fn arrive(&mut self, now: Time, ticket: Ticket, demand: Demand) -> LimiterDecision {
     if self.has_room(now) && self.waiting.is_empty() {
-      self.run(now, ticket, demand.class, demand.estimate);
+      self.run(now, ticket, demand.class);
       return LimiterDecision::Admitted;
     }
     let max_wait_ms = self.max_wait_ms(now, &demand);
-    let expected_ms = self.wait_behind_ms(now, |one| one.priority <= demand.priority);
+    let ahead = self.waiting.iter().filter(|one| one.priority <= demand.priority).count();
+    let expected_ms = self.wait_behind_ms(now, ahead);
     let wait_ms = self.corrected_wait_ms(demand.priority, expected_ms);
     if self.waiting.len() >= self.queue_max || wait_ms > max_wait_ms {
       // A request that may not wait would not have updated the ratio.
@@ -88,9 +79,8 @@
       }
       return LimiterDecision::Shed { retry_after_ms: wait_ms.max(1) };
     }
-    let Demand { class, due, estimate, priority, .. } = demand;
-    let since = now;
-    self.waiting.push(Waiting { class, due, estimate, expected_ms, priority, since, ticket });
+    let Demand { class, due, priority, .. } = demand;
+    self.waiting.push(Waiting { class, due, expected_ms, priority, since: now, ticket });
     LimiterDecision::Queued { max_wait_ms }
   }
 
@@ -102,20 +92,10 @@
       return max_wait_ms;
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let needed_ms = self.needed_ms(demand.estimate) as u64;
+    let needed_ms = (self.hold_ms * Self::IN_TIME_FRACTION) as u64;
     max_wait_ms.min(demand.due.since_ms(now).saturating_sub(needed_ms))
   }
 
-  /// Milliseconds that must be left until an answer is due for it to be in time.
-  fn needed_ms(&self, estimate: Option<RunEstimate>) -> f64 {
-    estimate.map_or(self.hold_ms * Self::IN_TIME_FRACTION, RunEstimate::needed_ms)
-  }
-
-  /// Milliseconds for which a request is expected to hold a slot.
-  fn mean_ms(&self, estimate: Option<RunEstimate>) -> f64 {
-    estimate.map_or(self.hold_ms, RunEstimate::mean_ms).max(1.0)
-  }
-
   /// Whether a request may run now.
   fn has_room(&self, now: Time) -> bool {
     self.running.len() < self.slots && !self.is_rate_reached(now)
@@ -126,8 +106,8 @@
     self.pacer.as_ref().is_some_and(|pacer| pacer.wait_ms(now, 0) > 0)
   }
 
-  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass, estimate: Option<RunEstimate>) {
-    self.running.insert(ticket, Running { class, estimate, since: now });
+  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass) {
+    self.running.insert(ticket, (class, now));
     if let Some(pacer) = &mut self.pacer {
       pacer.pass(now);
     }
@@ -135,34 +115,23 @@
 
   /// Milliseconds until a request that arrives now would get a slot.
   pub fn expected_wait_ms(&self, now: Time) -> u64 {
-    self.wait_behind_ms(now, |_| true)
+    self.wait_behind_ms(now, self.waiting.len())
   }
 
-  fn wait_behind_ms(&self, now: Time, is_ahead: impl Fn(&Waiting) -> bool) -> u64 {
-    let ahead: Vec<&Waiting> = self.waiting.iter().filter(|one| is_ahead(one)).collect();
+  fn wait_behind_ms(&self, now: Time, ahead: usize) -> u64 {
     let Some(pacer) = &self.pacer else {
-      return self.wait_for_slot_ms(&ahead);
+      return self.wait_for_slot_ms(ahead);
     };
-    let has_slot = self.running.len() + ahead.len() < self.slots;
-    let for_slot_ms = if has_slot { 0 } else { self.wait_for_slot_ms(&ahead) };
-    for_slot_ms.max(pacer.wait_ms(now, ahead.len()))
+    let has_slot = self.running.len() + ahead < self.slots;
+    let for_slot_ms = if has_slot { 0 } else { self.wait_for_slot_ms(ahead) };
+    for_slot_ms.max(pacer.wait_ms(now, ahead))
   }
 
-  /// Milliseconds until the first of the running requests ends, and those ahead had their time in
-  /// the slots.
-  fn wait_for_slot_ms(&self, ahead: &[&Waiting]) -> u64 {
+  fn wait_for_slot_ms(&self, ahead: usize) -> u64 {
     #[allow(clippy::cast_precision_loss)]
-    let slots = self.slots as f64;
-    let is_known = |one: &Running| one.estimate.is_some();
-    let first_ms = if self.running.values().any(is_known) {
-      let ends_per_ms = self.running.values().map(|one| 1.0 / self.mean_ms(one.estimate));
-      1.0 / ends_per_ms.sum::<f64>()
-    } else {
-      self.hold_ms / slots
-    };
-    let ahead_ms: f64 = ahead.iter().map(|one| self.mean_ms(one.estimate)).sum();
+    let rounds = (ahead + 1) as f64 / self.slots as f64;
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let wait_ms = (first_ms + ahead_ms / slots).ceil() as u64;
+    let wait_ms = (rounds * self.hold_ms).ceil() as u64;
     wait_ms
   }
 
@@ -190,8 +159,8 @@
   /// Excludes a pause of the process, in milliseconds, from the times of running and queued
   /// requests.
   pub fn exclude_pause(&mut self, for_ms: u64) {
-    for one in self.running.values_mut() {
-      one.since = one.since.after(for_ms);
+    for (_, since) in self.running.values_mut() {
+      *since = since.after(for_ms);
     }
     for one in &mut self.waiting {
       one.since = one.since.after(for_ms);
@@ -200,7 +169,7 @@
 
   /// Removes a request that ended or stopped waiting. Returns the requests that get a slot.
   pub fn leave(&mut self, now: Time, ticket: Ticket) -> Vec<Ticket> {
-    if let Some(Running { since, .. }) = self.running.remove(&ticket) {
+    if let Some((_, since)) = self.running.remove(&ticket) {
       #[allow(clippy::cast_precision_loss)]
       let held_ms = now.since_ms(since) as f64;
       self.hold_ms += Self::HOLD_WEIGHT * (held_ms - self.hold_ms);
@@ -221,7 +190,7 @@
       };
       let waiting = self.waiting.swap_remove(next);
       self.record_wait(now, &waiting);
-      self.run(now, waiting.ticket, waiting.class, waiting.estimate);
+      self.run(now, waiting.ticket, waiting.class);
       admitted.push(waiting.ticket);
     }
     admitted
@@ -232,18 +201,18 @@
   /// requests are late in any order, and newest first makes the fewest late.
   fn next(&self, now: Time) -> Option<usize> {
     let running_of =
-      |class: &CallerClass| self.running.values().filter(|running| running.class == *class).count();
+      |class: &CallerClass| self.running.values().filter(|(running, _)| running == class).count();
     let order = |one: &Waiting| {
-      let is_late = self.is_late(now, one);
+      let is_late = self.is_late(now, one.due);
       (one.priority, running_of(&one.class), is_late, Reverse((one.since, one.ticket)))
     };
     (0..self.waiting.len()).min_by_key(|index| order(&self.waiting[*index]))
   }
 
-  /// Whether the answer to a queued request is unlikely to be in time.
+  /// Whether an answer that is due at `due` is unlikely to be in time.
   #[allow(clippy::cast_precision_loss)]
-  fn is_late(&self, now: Time, one: &Waiting) -> bool {
-    (one.due.since_ms(now) as f64) < self.needed_ms(one.estimate)
+  fn is_late(&self, now: Time, due: Time) -> bool {
+    (due.since_ms(now) as f64) < self.hold_ms * Self::IN_TIME_FRACTION
   }
 
   /// When a queued request may run that only waits for the rate limit.
--- a/src/requests/work/run_estimate.rs
+++ b/src/requests/work/run_estimate.rs
@@ -12,10 +12,6 @@
 }
 
 impl RunEstimate {
-  /// Chance to be in time below which a run is not expected to be.
-  const IN_TIME_CHANCE: f64 = 0.3;
-  /// Standard deviations from the median at which [`Self::IN_TIME_CHANCE`] of the runs have ended.
-  const IN_TIME_DEVIATIONS: f64 = -0.52;
   /// Largest spread: runs of a route then differ by more than any target can take account of.
   const SPREAD_MAX_PERCENT: u32 = 200;
   /// Longest run that is assumed, in microseconds.
@@ -40,23 +36,6 @@
     normal_share((left_us as f64 / self.usual_us as f64).ln() / self.deviation())
   }
 
-  /// Returns whether a run with `left_ms` milliseconds to go is unlikely to be in time at this
-  /// slowdown, and would be likelier by half at the usual backend server.
-  #[must_use]
-  pub fn is_better_elsewhere(self, left_ms: u64, slowdown: Slowdown) -> bool {
-    const BETTER: f64 = 1.5;
-    let left_us = left_ms.saturating_mul(1_000);
-    let here = self.at(slowdown).chance_within(left_us);
-    here < Self::IN_TIME_CHANCE && self.chance_within(left_us) > here * BETTER
-  }
-
-  /// Returns the milliseconds that must be left for a run that starts now to be in time with
-  /// reasonable chance.
-  #[must_use]
-  pub fn needed_ms(self) -> f64 {
-    self.ms_at(Self::IN_TIME_DEVIATIONS)
-  }
-
   /// Returns the mean run time in milliseconds, which exceeds the median.
   #[must_use]
   #[allow(clippy::cast_precision_loss)]
@@ -71,19 +50,12 @@
     self.mean_ms().ceil() as u64
   }
 
-  /// Returns the milliseconds within which a run ends that is `deviations` standard deviations
-  /// longer than usual.
-  #[must_use]
-  #[allow(clippy::cast_precision_loss)]
-  pub fn ms_at(self, deviations: f64) -> f64 {
-    self.usual_us as f64 / 1_000.0 * (deviations * self.deviation()).exp()
-  }
-
   /// Standard deviation of the logarithm. Equal runs still differ by what the daemons add.
   fn deviation(self) -> f64 {
     const DEVIATION_MIN: f64 = 0.05;
     (f64::from(self.spread_percent) / 100.0).max(DEVIATION_MIN)
   }
+
   /// Returns the estimate for a backend server that is slower or faster than usual.
   #[must_use]
   pub fn at(self, slowdown: Slowdown) -> Self {
