Save running requests by their calls

Cause: calls of find-bikes waited for long runs of another route (75 ms at the median beside 42 ms at light load) or were rejected, and each loss took the work of its parent along; 0.4 of the retries allowed were used, by whoever came first.

Change: the daemon beside a backend server leaves slots free for the calls that usually come, and tells the calls of a run with its answer; the box that took the request in learns them by route, charges retries for the calls that they repeat, and refuses before any try where nearly all runs fail for a call. Retries go to calls first, the later ones before the first.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,7 +17,7 @@
   links::{self, Credentials, IncomingFrames, Outgoing},
   organisations::{Admission, KeyRing, RateLimits},
   requests::{
-    AnswerBudget, AnswerSizes, BackendMonitor, Balancer, BodyQueue, CallerTimeouts,
+    AnswerBudget, AnswerSizes, BackendMonitor, Balancer, BodyQueue, CallTrees, CallerTimeouts,
     ColdStartLimiter, Condition, CrashDetector, HeardLimits, LimitHint, Limiter, LinkBudget,
     NamedLimit, OpenExchanges, Quarantine, QuarantineChange, ReceivedAttempts, RequestHistory,
     RequestRecord, RetryBudget, RetryLimits, Rooms, Router, RunEnd, RunId, RunningRequests,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -20,6 +20,8 @@
   pub balancer: RefCell<Balancer>,
   /// Limits retries.
   pub retry_budget: RefCell<RetryBudget>,
+  /// The calls that runs of each route make.
+  pub call_trees: RefCell<CallTrees>,
   /// The timeouts that callers usually have.
   pub caller_timeouts: RefCell<CallerTimeouts>,
   /// Limits on what callers may send.
@@ -142,6 +144,7 @@
       balancer: RefCell::default(),
       body_queue: RefCell::new(BodyQueue::new(link_mbps.unwrap_or(f64::INFINITY))),
       retry_budget: RefCell::default(),
+      call_trees: RefCell::default(),
       caller_limits: Rc::default(),
       caller_timeouts: RefCell::default(),
       cold_start_limiter: RefCell::default(),
@@ -209,6 +212,7 @@
     }
     let is_known = |route: &RouteName| configuration.routes.contains_key(route);
     self.answer_sizes.borrow_mut().retain(is_known);
+    self.call_trees.borrow_mut().retain(is_known);
     self.caller_timeouts.borrow_mut().retain(is_known);
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -56,6 +56,7 @@
   let mut forwarded = ForwardedRequest {
     answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).unwrap_or_default(),
     attempts_max: 1,
+    calls: Vec::new(),
     caller_service: headers::parsed(&head.headers, headers::CALLER_SERVICE)
       .ok_or_else(malformed)?,
     class: headers::parsed(&head.headers, headers::CALLER_CLASS).ok_or_else(malformed)?,
@@ -216,6 +217,7 @@
     return Err(AttemptOutcome::declined("the backend server is cold", cold_wait_ms));
   }
   let run = RunGuard::begin(shared, &forwarded.id, forwarded.fingerprint)?;
+  shared.running_requests.borrow_mut().set_deadline(&forwarded.id, forwarded.deadline);
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
   let exchange = exchange(shared, forwarded, body, transfer_slot, slot, run);
@@ -384,6 +386,9 @@
   }
   headers::remove_connection_headers(&mut head.headers);
   headers::remove_mesh_headers(&mut head.headers);
+  if let Some(calls) = shared.running_requests.borrow().calls_of(&forwarded.id) {
+    headers::set(&mut head.headers, headers::CALLS, calls);
+  }
   let guarded = OnEndBody::new(body, move |end| {
     run.end(end);
     drop(slot);
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -27,7 +27,10 @@
   body: RequestBody,
   attempts: &mut Vec<Attempt>,
 ) -> AttemptResult {
-  let mut dispatch = Dispatch::new(forwarded.profile(&body));
+  let calls_done = shared.running_requests.borrow().calls_done(&forwarded.id);
+  let retry_weight = RetryWeight::of(forwarded.urgency.is_call, calls_done);
+  let dispatch = Dispatch::new(forwarded.profile(&body));
+  let mut dispatch = dispatch.with_calls(retry_weight, forwarded.calls.clone());
   let mut tries = Tries::default();
   let mut event = DispatchEvent::Started;
   loop {
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -33,6 +33,7 @@
     recorder.record.refusal = Some(format!("{}: {}", refusal.outcome(), refusal.reason));
     refusal.response(&id, shared.header_names.retry_after_fractions)
   });
+  learn_calls(&shared, &recorder, &id, &mut response);
   let version = recorder.record.version;
   let own_headers = response.headers_mut();
   headers::set(own_headers, headers::REQUEST_ID, &id);
@@ -86,7 +87,9 @@
   let only_box = check_quarantine(shared, fingerprint, &service)?;
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
-  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms);
+  let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
+  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms)
+    .within_parent(deadline, parent_due, 0);
   let entry = EntryRequest {
     deadline,
     estimate: None,
@@ -99,6 +102,7 @@
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
+    calls: shared.call_trees.borrow().calls_of(&matched.route),
     caller_service: shared.own_service(),
     class,
     deadline,
@@ -134,6 +138,27 @@
   answer.map_err(Refusal::from)
 }
 
+/// Learns from an answer which calls the run made, and records the request as a call if a running
+/// request made it.
+fn learn_calls(
+  shared: &Shared,
+  recorder: &Recorder,
+  id: &RequestId,
+  response: &mut Response<AnyBody>,
+) {
+  let calls = headers::parsed::<RunCalls>(response.headers(), headers::CALLS);
+  response.headers_mut().remove(headers::CALLS);
+  let Some((route, service)) = &recorder.record.route else {
+    return;
+  };
+  if let Some(calls) = calls {
+    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls);
+  }
+  let (now_us, failed) = (shared.elapsed_us(), !response.status().is_success());
+  let took_us = now_us - recorder.arrived_us;
+  shared.running_requests.borrow_mut().record_call(now_us, id, service, took_us, failed);
+}
+
 /// Refuses a request that arrives too shortly before the end of the planned stop of this box.
 pub(super) fn too_late() -> Refusal {
   let reason = "this box stops before an answer could be there";
--- /dev/null
+++ b/src/requests/calls/call_reserve.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+/// Decides how many slots of a backend server other requests leave free for calls of running
+/// requests, by the calls that came lately.
+///
+/// A call that finds all slots taken waits for the run of another request, while its own parent
+/// holds a slot elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct CallReserve {
+  /// Moving sum of the milliseconds for which calls held slots, which halves each
+  /// [`Self::HALF_LIFE_MS`].
+  held_ms: f64,
+  /// Calls that hold a slot.
+  running: BTreeSet<Ticket>,
+  seen_at: Time,
+}
+
+impl CallReserve {
+  /// Time in milliseconds over which past calls lose half of their weight: long against a call,
+  /// short against a change of the load.
+  const HALF_LIFE_MS: f64 = 1_000.0;
+  /// The largest fraction of the slots that may be held for calls.
+  const SLOTS_FRACTION: usize = 3;
+
+  /// Records that a call gets a slot.
+  pub fn begin(&mut self, ticket: Ticket) {
+    self.running.insert(ticket);
+  }
+
+  /// Records that a request gives its slot back after `held_ms`, if it is a call.
+  pub fn end(&mut self, now: Time, ticket: Ticket, held_ms: f64) {
+    if self.running.remove(&ticket) {
+      self.held_ms = self.decayed_ms(now) + held_ms;
+      self.seen_at = now;
+    }
+  }
+
+  /// Returns how many of `slots` slots requests other than calls leave free.
+  pub fn free_slots(&self, now: Time, slots: usize) -> usize {
+    let usual = self.usual_slots(now);
+    // Arrivals vary by the square root of their mean.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let needed = (usual + usual.sqrt()).round() as usize;
+    needed.saturating_sub(self.running.len()).min(slots / Self::SLOTS_FRACTION)
+  }
+
+  /// Returns the slots that calls usually hold at once.
+  pub fn usual_slots(&self, now: Time) -> f64 {
+    self.decayed_ms(now) * std::f64::consts::LN_2 / Self::HALF_LIFE_MS
+  }
+
+  #[allow(clippy::cast_precision_loss)]
+  fn decayed_ms(&self, now: Time) -> f64 {
+    let age_ms = now.since_ms(self.seen_at) as f64;
+    self.held_ms * (-age_ms / Self::HALF_LIFE_MS).exp2()
+  }
+}
--- /dev/null
+++ b/src/requests/calls/call_trees.rs
@@ -0,0 +1,190 @@
+use super::*;
+
+/// The calls that runs of each route make, as the box learns them from answers, and the decision
+/// whether a request is tried whose calls hardly succeed.
+#[derive(Clone, Debug, Default)]
+pub struct CallTrees {
+  routes: BTreeMap<RouteName, CallTree>,
+}
+
+/// The calls that runs of one route make.
+#[derive(Clone, Debug, Default)]
+struct CallTree {
+  /// Weight of the runs behind the averages; halves each [`CallTrees::HALF_LIFE_MS`].
+  runs: f64,
+  /// Runs of that weight that failed for a call.
+  failed: f64,
+  /// Requests that were refused since the last one that was tried.
+  refused: u32,
+  seen_at: Time,
+  services: Vec<CalledService>,
+}
+
+/// Calls of a route to one service.
+#[derive(Clone, Debug)]
+struct CalledService {
+  calls: f64,
+  service: ServiceName,
+  together: f64,
+  took_us: f64,
+}
+
+impl CallTrees {
+  /// Services kept for each route.
+  const SERVICES_MAX: usize = 4;
+  /// Time in milliseconds over which past runs lose half of their weight.
+  const HALF_LIFE_MS: f64 = 1_000.0;
+  /// Weight of runs from which their share of failures counts.
+  const RUNS_MIN: f64 = 10.0;
+  /// The share of runs that fail for a call above which a request is refused. Most of what is tried
+  /// above it is lost after it held a slot.
+  const FAILED_MAX: f64 = 0.8;
+  /// One of so many refused requests is tried, which shows when calls succeed again.
+  const PROBE_EVERY: u32 = 5;
+  /// Milliseconds after which a refused caller returns: what fails calls may have ended by then.
+  const RETRY_AFTER_MS: u64 = 500;
+
+  /// Records a run of a route and the calls that it made.
+  pub fn record(&mut self, now: Time, route: &RouteName, calls: &RunCalls) {
+    if !self.routes.contains_key(route) {
+      if calls.services().is_empty() {
+        return;
+      }
+      self.routes.insert(route.clone(), CallTree::default());
+    }
+    if let Some(tree) = self.routes.get_mut(route) {
+      tree.record(now, calls);
+    }
+  }
+
+  /// Returns the thousandths of a call that a run of the route makes to each service.
+  pub fn calls_of(&self, route: &RouteName) -> Vec<(ServiceName, u32)> {
+    let Some(tree) = self.routes.get(route).filter(|tree| tree.runs > 0.0) else {
+      return Vec::new();
+    };
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let permille = |calls: f64| (calls / tree.runs * 1_000.0) as u32;
+    tree.services.iter().map(|one| (one.service.clone(), permille(one.calls))).collect()
+  }
+
+  /// Decides whether a request is tried. `wait_ms` returns the milliseconds until a service has a
+  /// slot for a call, where this box knows.
+  pub fn decide(
+    &mut self,
+    now: Time,
+    request: &EntryRequest,
+    wait_ms: impl Fn(&ServiceName) -> Option<u64>,
+  ) -> EntryDecision {
+    let Some(tree) = self.routes.get_mut(request.route) else {
+      return EntryDecision::Admit;
+    };
+    if request.urgency.is_call {
+      return EntryDecision::Admit;
+    }
+    let left_ms = request.deadline.since_ms(now);
+    let refusal = tree.full_service(now, left_ms, wait_ms).or_else(|| tree.failing(now));
+    let Some((reason, retry_after_ms)) = refusal else {
+      tree.refused = 0;
+      return EntryDecision::Admit;
+    };
+    tree.refused += 1;
+    if tree.refused >= Self::PROBE_EVERY {
+      tree.refused = 0;
+      return EntryDecision::Admit;
+    }
+    EntryDecision::Refuse { reason, retry_after_ms }
+  }
+
+  /// Drops routes that no longer exist.
+  pub fn retain(&mut self, is_known: impl Fn(&RouteName) -> bool) {
+    self.routes.retain(|route, _| is_known(route));
+  }
+
+  /// Describes the calls of a route and how they end, for the log.
+  pub fn describe(&self, now: Time, route: &RouteName) -> String {
+    self.routes.get(route).map_or_else(String::new, |tree| tree.describe(now))
+  }
+}
+
+impl CallTree {
+  fn record(&mut self, now: Time, calls: &RunCalls) {
+    let kept = self.kept(now);
+    self.runs = self.runs * kept + 1.0;
+    self.failed = self.failed * kept + f64::from(u8::from(calls.has_failed()));
+    for one in &mut self.services {
+      one.calls *= kept;
+      one.together *= kept;
+      one.took_us *= kept;
+    }
+    self.seen_at = now;
+    for made in calls.services() {
+      self.add(made);
+    }
+  }
+
+  #[allow(clippy::cast_precision_loss)]
+  fn add(&mut self, made: &ServiceCalls) {
+    let known = self.services.iter().position(|one| one.service == made.service);
+    let index = known.unwrap_or(self.services.len());
+    if index >= CallTrees::SERVICES_MAX {
+      return;
+    }
+    if known.is_none() {
+      let service = made.service.clone();
+      self.services.push(CalledService { calls: 0.0, service, together: 0.0, took_us: 0.0 });
+    }
+    let called = &mut self.services[index];
+    called.calls += f64::from(made.count);
+    called.together += f64::from(made.together);
+    called.took_us += made.took_us as f64;
+  }
+
+  /// Returns the fraction of their weight that past runs still have.
+  #[allow(clippy::cast_precision_loss)]
+  fn kept(&self, now: Time) -> f64 {
+    (-(now.since_ms(self.seen_at) as f64) / CallTrees::HALF_LIFE_MS).exp2()
+  }
+
+  /// Returns why no call can be in time, if a service that is called has no slot before `left_ms`.
+  fn full_service(
+    &self,
+    now: Time,
+    left_ms: u64,
+    wait_ms: impl Fn(&ServiceName) -> Option<u64>,
+  ) -> Option<(&'static str, u64)> {
+    // Only what most runs need.
+    let needed = self.services.iter().filter(|one| one.calls * 2.0 > self.runs);
+    let longest_ms = needed.filter_map(|one| wait_ms(&one.service)).max()?;
+    let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
+    let reason = "a service that its run calls has no room in time";
+    (is_known && longest_ms > left_ms).then_some((reason, longest_ms))
+  }
+
+  /// Returns why the request would hardly be served, if calls of the route's runs fail.
+  fn failing(&self, now: Time) -> Option<(&'static str, u64)> {
+    let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
+    let is_failing = is_known && self.failed > self.runs * CallTrees::FAILED_MAX;
+    let reason = "calls that its run needs fail at present";
+    is_failing.then_some((reason, CallTrees::RETRY_AFTER_MS))
+  }
+
+  fn describe(&self, now: Time) -> String {
+    let runs = self.runs.max(f64::MIN_POSITIVE);
+    let described = self.services.iter().map(|one| {
+      let calls = one.calls.max(f64::MIN_POSITIVE);
+      format!(
+        "; {:.2} calls a run to {}, {:.1} ms each, {:.0}% together",
+        one.calls / runs,
+        one.service,
+        one.took_us / calls / 1_000.0,
+        one.together / calls * 100.0
+      )
+    });
+    format!(
+      "{:.0} recent runs, {:.0}% failed for a call{}",
+      self.runs * self.kept(now),
+      self.failed / runs * 100.0,
+      described.collect::<String>()
+    )
+  }
+}
--- /dev/null
+++ b/src/requests/calls/mod.rs
@@ -0,0 +1,15 @@
+//! The calls that backend servers make while they run a request: which ones a route needs, whether
+//! they find room, and what they keep free.
+
+use super::*;
+
+pub use self::{
+  call_reserve::CallReserve, call_trees::CallTrees, retry_weight::RetryWeight, run_calls::RunCalls,
+  service_calls::ServiceCalls,
+};
+
+mod call_reserve;
+mod call_trees;
+mod retry_weight;
+mod run_calls;
+mod service_calls;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -6,6 +6,8 @@
 /// A state machine without I/O: each event returns one step, which the proxy carries out.
 #[derive(Debug)]
 pub struct Dispatch {
+  /// Thousandths of a call that a run of the request makes to each service.
+  calls: Vec<(ServiceName, u32)>,
   /// Finished tries, in order.
   ended: Vec<EndedTry>,
   /// A failure that a backend server answered, returned to the caller if no other try is answered.
@@ -18,6 +20,8 @@
   /// Tries that never reached their box.
   lost: usize,
   profile: RequestProfile,
+  /// How much a retry of the request saves.
+  retry_weight: RetryWeight,
   /// Tries in flight, two at most.
   running: Vec<RunningTry>,
 }
@@ -79,6 +83,7 @@
   /// Creates the state of a request of which no try has started.
   pub fn new(profile: RequestProfile) -> Self {
     Self {
+      calls: Vec::new(),
       ended: Vec::new(),
       fallback_answer: None,
       full_queues: 0,
@@ -86,10 +91,23 @@
       last_id: 0,
       lost: 0,
       profile,
+      retry_weight: RetryWeight::default(),
       running: Vec::new(),
     }
   }
 
+  /// Sets how much a retry of the request saves, and which calls its run makes, in thousandths of a
+  /// call to each service.
+  #[must_use]
+  pub fn with_calls(self, retry_weight: RetryWeight, calls: Vec<(ServiceName, u32)>) -> Self {
+    Self { calls, retry_weight, ..self }
+  }
+
+  /// Spends a retry of the request, if one is left.
+  fn spend_retry(&self, context: &mut DispatchContext) -> bool {
+    context.budget.spend_for(&self.profile.service, self.retry_weight, &self.calls)
+  }
+
   /// Returns when to send [`DispatchEvent::Woken`], if no other event comes before.
   pub fn wake_at(&self) -> Option<Time> {
     let hedge_at = self.hedge_at.filter(|_| !self.running.is_empty());
@@ -213,7 +231,7 @@
     safe
       && context.now < self.profile.deadline
       // A try that reached no backend server costs no retry budget.
-      && (!outcome.arrived() || context.budget.spend(&self.profile.service))
+      && (!outcome.arrived() || self.spend_retry(context))
   }
 
   /// Ends the request with a backend server's failure answer if there is one, else with a refusal.
@@ -382,7 +400,7 @@
     let Some((endpoint, choice)) = self.choose_hedge_box(context) else {
       return DispatchStep::Wait;
     };
-    if choice.is_full || !context.budget.spend(&self.profile.service) {
+    if choice.is_full || !self.spend_retry(context) {
       return DispatchStep::Wait;
     }
     self.hedge_at = None;
@@ -396,7 +414,8 @@
       return DispatchStep::Wait;
     };
     let has_room = context.balancer.has_room(context.now, &endpoint.peer.box_id);
-    if !has_room || !context.budget.spend_spare(&self.profile.service) {
+    let has_spare = context.budget.has_spare(&self.profile.service);
+    if !has_room || !has_spare || !self.spend_retry(context) {
       return DispatchStep::Wait;
     }
     self.start(endpoint, true, choice, context)
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -7,6 +7,8 @@
 /// limit holds whichever daemons send.
 #[derive(Clone, Debug)]
 pub struct Limiter {
+  /// Slots left free for calls of running requests.
+  call_reserve: CallReserve,
   /// Moving average of the milliseconds for which a request holds a slot.
   hold_ms: f64,
   /// Spaces the requests; `None` without a rate limit.
@@ -31,6 +33,8 @@
   due: Time,
   /// Expected wait in milliseconds when it was queued, without later arrivals.
   expected_ms: u64,
+  /// Whether a running request needs it.
+  is_call: bool,
   priority: u32,
   since: Time,
   ticket: Ticket,
@@ -52,6 +56,7 @@
   /// Creates a limiter of `slots` concurrent and `queue_max` queued requests.
   pub fn new(slots: usize, queue_max: usize) -> Self {
     Self {
+      call_reserve: CallReserve::default(),
       hold_ms: 1.0,
       pacer: None,
       queue_max,
@@ -64,8 +69,9 @@
 
   /// Admits, queues or sheds a request that arrives.
   pub fn arrive(&mut self, now: Time, ticket: Ticket, demand: Demand) -> LimiterDecision {
-    if self.has_room(now) && self.waiting.is_empty() {
-      self.run(now, ticket, demand.class);
+    let is_behind = self.waiting.iter().any(|one| one.is_call || !demand.is_call);
+    if self.has_room_for(now, demand.is_call) && !is_behind {
+      self.run(now, ticket, demand.class, demand.is_call);
       return LimiterDecision::Admitted;
     }
     let max_wait_ms = self.max_wait_ms(now, &demand);
@@ -79,8 +85,9 @@
       }
       return LimiterDecision::Shed { retry_after_ms: wait_ms.max(1) };
     }
-    let Demand { class, due, priority, .. } = demand;
-    self.waiting.push(Waiting { class, due, expected_ms, priority, since: now, ticket });
+    let Demand { class, due, is_call, priority, .. } = demand;
+    let since = now;
+    self.waiting.push(Waiting { class, due, expected_ms, is_call, priority, since, ticket });
     LimiterDecision::Queued { max_wait_ms }
   }
 
@@ -101,12 +108,22 @@
     self.running.len() < self.slots && !self.is_rate_reached(now)
   }
 
+  /// Whether a request may run now that is a call of a running one, or is not.
+  fn has_room_for(&self, now: Time, is_call: bool) -> bool {
+    let free = self.slots.saturating_sub(self.running.len());
+    let is_left = is_call || free > self.call_reserve.free_slots(now, self.slots);
+    self.has_room(now) && is_left
+  }
+
   /// Whether the rate limit of the backend server keeps requests from running now.
   pub fn is_rate_reached(&self, now: Time) -> bool {
     self.pacer.as_ref().is_some_and(|pacer| pacer.wait_ms(now, 0) > 0)
   }
 
-  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass) {
+  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass, is_call: bool) {
+    if is_call {
+      self.call_reserve.begin(ticket);
+    }
     self.running.insert(ticket, (class, now));
     if let Some(pacer) = &mut self.pacer {
       pacer.pass(now);
@@ -173,6 +190,7 @@
       #[allow(clippy::cast_precision_loss)]
       let held_ms = now.since_ms(since) as f64;
       self.hold_ms += Self::HOLD_WEIGHT * (held_ms - self.hold_ms);
+      self.call_reserve.end(now, ticket, held_ms);
     }
     if let Some(index) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) {
       let gave_up = self.waiting.swap_remove(index);
@@ -190,7 +208,7 @@
       };
       let waiting = self.waiting.swap_remove(next);
       self.record_wait(now, &waiting);
-      self.run(now, waiting.ticket, waiting.class);
+      self.run(now, waiting.ticket, waiting.class, waiting.is_call);
       admitted.push(waiting.ticket);
     }
     admitted
@@ -206,7 +224,9 @@
       let is_late = self.is_late(now, one.due);
       (one.priority, running_of(&one.class), is_late, Reverse((one.since, one.ticket)))
     };
-    (0..self.waiting.len()).min_by_key(|index| order(&self.waiting[*index]))
+    let takes_others = self.has_room_for(now, false);
+    let may_run = |index: &usize| takes_others || self.waiting[*index].is_call;
+    (0..self.waiting.len()).filter(may_run).min_by_key(|index| order(&self.waiting[*index]))
   }
 
   /// Whether an answer that is due at `due` is unlikely to be in time.
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -22,6 +22,7 @@
   body_queue::BodyQueue,
   caller_class::CallerClass,
   caller_timeouts::CallerTimeouts,
+  calls::{CallReserve, CallTrees, RetryWeight, RunCalls, ServiceCalls},
   claim::Claim,
   claim_outcome::ClaimOutcome,
   claim_record::ClaimRecord,
@@ -79,6 +80,7 @@
 mod body_queue;
 mod caller_class;
 mod caller_timeouts;
+mod calls;
 mod claim;
 mod claim_outcome;
 mod claim_record;
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -6,9 +6,20 @@
 /// all callers above, so that a chain of calls doesn't multiply retries.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
-  /// Thousandths of a retry that each service has left.
-  credit: BTreeMap<ServiceName, u32>,
   limits: RetryLimits,
+  services: BTreeMap<ServiceName, ServiceCredit>,
+}
+
+/// What a daemon may still retry at one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceCredit {
+  /// Thousandths of a retry that are left. Negative after a retry whose run makes more calls here
+  /// than were left.
+  credit: i64,
+  /// The heaviest retries that were asked for lately.
+  wanted: RetryWeight,
+  /// Requests that the service has yet to get until lighter retries are allowed again.
+  wanted_for: u32,
 }
 
 /// A daemon's limits on the retries of each service, in thousandths of a retry.
@@ -27,9 +38,9 @@
 }
 
 impl RetryLimits {
-  /// The fraction of the fleet's ratio that daemons may spend. The rest is for the calls that a
-  /// retried run makes, which count as retries too.
-  const RATIO_FRACTION: f64 = 0.4;
+  /// The fraction of the fleet's ratio that daemons may spend. Calls that a retried run makes count
+  /// as retries too, and are charged as the route's usual ones; the rest is for runs that make more.
+  const RATIO_FRACTION: f64 = 0.8;
   /// The fraction of the fleet's fixed allowance that daemons may save.
   const EXTRA_FRACTION: f64 = 0.5;
 
@@ -49,8 +60,13 @@
 }
 
 impl RetryBudget {
+  /// Thousandths of a retry that one retry costs.
+  const RETRY_COST: i64 = 1_000;
   /// Maximum initial savings of a service, in thousandths of a retry.
   const START_MAX: u32 = 3_000;
+  /// Requests of a service for which lighter retries wait after a heavier one was asked for. At the
+  /// usual ratio they earn two retries.
+  const WANTED_FOR: u32 = 20;
 
   /// Sets the limits.
   pub fn set_limits(&mut self, limits: RetryLimits) {
@@ -59,26 +75,69 @@
 
   /// Adds what one request earns.
   pub fn earn(&mut self, service: &ServiceName) {
-    if let Some(credit) = self.credit.get_mut(service) {
-      *credit = (*credit + self.limits.earned).min(self.limits.saved_max);
+    let limits = self.limits;
+    if let Some(known) = self.services.get_mut(service) {
+      let saved_max = i64::from(limits.saved_max);
+      known.credit = (known.credit + i64::from(limits.earned)).min(saved_max);
+      known.wanted_for = known.wanted_for.saturating_sub(1);
       return;
     }
-    let start = Self::START_MAX.min(self.limits.saved_max) + self.limits.earned;
-    self.credit.insert(service.clone(), start);
+    let credit = i64::from(Self::START_MAX.min(limits.saved_max) + limits.earned);
+    self.services.insert(service.clone(), ServiceCredit { credit, ..ServiceCredit::default() });
   }
 
   /// Spends one retry and returns true, if one is left.
   pub fn spend(&mut self, service: &ServiceName) -> bool {
-    let Some(credit) = self.credit.get_mut(service).filter(|credit| **credit >= 1_000) else {
+    let known = self.services.get_mut(service);
+    let Some(known) = known.filter(|known| known.credit >= Self::RETRY_COST) else {
       return false;
     };
-    *credit -= 1_000;
+    known.credit -= Self::RETRY_COST;
     true
   }
 
+  /// Spends one retry and what the run's `calls`, in thousandths of a call to each service, cost
+  /// there. Returns false where nothing is left for one of them, or where heavier retries were
+  /// asked for lately.
+  pub fn spend_for(
+    &mut self,
+    service: &ServiceName,
+    weight: RetryWeight,
+    calls: &[(ServiceName, u32)],
+  ) -> bool {
+    if !self.is_wanted(service, weight) || !self.can_call(calls) || !self.spend(service) {
+      return false;
+    }
+    for (called, permille) in calls {
+      // Services to which this daemon sent nothing have earned nothing.
+      self.services.entry(called.clone()).or_default().credit -= i64::from(*permille);
+    }
+    true
+  }
+
+  /// Returns whether no heavier retries were asked for lately. Notes this one.
+  fn is_wanted(&mut self, service: &ServiceName, weight: RetryWeight) -> bool {
+    let Some(known) = self.services.get_mut(service) else {
+      return false;
+    };
+    if known.wanted_for > 0 && known.wanted > weight {
+      return false;
+    }
+    (known.wanted, known.wanted_for) = (weight, Self::WANTED_FOR);
+    true
+  }
+
+  /// Whether the calls of a run can be paid, as far as savings reach.
+  fn can_call(&self, calls: &[(ServiceName, u32)]) -> bool {
+    calls.iter().all(|(called, permille)| {
+      let credit = self.services.get(called).map_or(0, |known| known.credit);
+      credit >= i64::from((*permille).min(self.limits.saved_max))
+    })
+  }
+
   /// Whether at least two retries are left.
   pub fn has_spare(&self, service: &ServiceName) -> bool {
-    self.credit.get(service).is_some_and(|credit| *credit >= 2_000)
+    self.services.get(service).is_some_and(|known| known.credit >= 2 * Self::RETRY_COST)
   }
 
   /// Spends one retry on a hedged try, if at least two are left: retries of failures have
--- a/src/requests/running_requests.rs
+++ b/src/requests/running_requests.rs
@@ -6,14 +6,20 @@
 /// The id of such a call is the id of the request that needs it, followed by a suffix of its own.
 #[derive(Clone, Debug, Default)]
 pub struct RunningRequests {
+  /// Whether the backend server has made a call.
+  makes_calls: bool,
   running: BTreeMap<String, RunningRequest>,
 }
 
 /// A running request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct RunningRequest {
   /// Whether a call that it needs failed.
   call_failed: bool,
+  /// The calls that it made.
+  calls: RunCalls,
+  /// When its answer is due at the latest; `None` where that is unknown.
+  deadline: Option<Time>,
   /// Runs under way; at least 1.
   runs: u32,
 }
@@ -24,6 +30,13 @@
     self.running.entry(id.as_str().into()).or_default().runs += 1;
   }
 
+  /// Records when the answer of a running request is due at the latest.
+  pub fn set_deadline(&mut self, id: &RequestId, deadline: Time) {
+    if let Some(request) = self.running.get_mut(id.as_str()) {
+      request.deadline = request.deadline.max(Some(deadline));
+    }
+  }
+
   /// Records that a run of a request ended.
   pub fn end(&mut self, id: &RequestId) {
     let Some(request) = self.running.get_mut(id.as_str()) else {
@@ -40,6 +53,17 @@
     self.parent_of(id).is_some()
   }
 
+  /// Returns when the request that needs this call is due at the latest, if that is known.
+  pub fn parent_deadline(&self, id: &RequestId) -> Option<Time> {
+    self.parent_of(id).and_then(|parent| self.running.get(parent)).and_then(|one| one.deadline)
+  }
+
+  /// Returns how many calls of the request that needs this one ended well.
+  pub fn calls_done(&self, id: &RequestId) -> u32 {
+    let parent = self.parent_of(id).and_then(|parent| self.running.get(parent));
+    parent.map_or(0, |one| one.calls.succeeded())
+  }
+
   /// Records that a call failed, so that a failure of the request that needs it is not its own
   /// fault.
   pub fn record_failed_call(&mut self, id: &RequestId) {
@@ -49,11 +73,33 @@
     }
   }
 
+  /// Records a call that ended now, for [`RunningRequests::calls_of`].
+  pub fn record_call(
+    &mut self,
+    now_us: u64,
+    id: &RequestId,
+    service: &ServiceName,
+    took_us: u64,
+    failed: bool,
+  ) {
+    let parent = self.parent_of(id).map(ToString::to_string);
+    if let Some(request) = parent.and_then(|parent| self.running.get_mut(&parent)) {
+      request.calls.add(now_us, service, took_us, failed);
+      self.makes_calls = true;
+    }
+  }
+
   /// Returns whether a call made for a running request failed.
   pub fn has_failed_call(&self, id: &RequestId) -> bool {
     self.running.get(id.as_str()).is_some_and(|request| request.call_failed)
   }
 
+  /// Returns the calls made for a running request; `None` as long as the backend server makes none.
+  pub fn calls_of(&self, id: &RequestId) -> Option<&RunCalls> {
+    let request = self.running.get(id.as_str()).filter(|_| self.makes_calls);
+    request.map(|request| &request.calls)
+  }
+
   fn parent_of<'a>(&self, id: &'a RequestId) -> Option<&'a str> {
     let text = id.as_str();
     let mut starts = text.match_indices(['.', '-', '_']).map(|(end, _)| &text[..end]);
--- a/src/settings/deployment.rs
+++ b/src/settings/deployment.rs
@@ -57,7 +57,7 @@
     let link_mbps = node.field("link_mbps").positive();
     let metrics = node.field("metrics").address();
     let readiness = node.field("readiness").address();
-    let retry_extra = node.field("retry_extra").number(0, 1_000_000);
+    let retry_extra = node.field("retry_extra").whole_part(1_000_000);
     let retry_ratio = node.field("retry_ratio").ratio();
     let retry_window_ms = duration(node, "retry_window");
     let revoke_field = node.field("revoke");
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -137,6 +137,17 @@
     number
   }
 
+  /// A number from 0 to `most`, without its fraction.
+  pub(super) fn whole_part(&self, most: u32) -> Option<u64> {
+    let range = 0.0..=f64::from(most);
+    let number = self.value.and_then(Value::as_f64).filter(|number| range.contains(number));
+    if number.is_none() {
+      self.fault(format!("a number from 0 to {most}"));
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    number.map(|number| number as u64)
+  }
+
   /// A number from 0 to 1.
   pub(super) fn ratio(&self) -> Option<f64> {
     let ratio = self.value.and_then(Value::as_f64).filter(|ratio| (0.0..=1.0).contains(ratio));
--- /dev/null
+++ b/tests/calls.rs
@@ -0,0 +1,243 @@
+//! Tests the decisions about calls behind a request without sockets.
+
+use {
+  ferryyoke::{
+    requests::{
+      CallReserve, CallTrees, CallerClass, Demand, EntryDecision, EntryRequest, Limiter,
+      LimiterDecision, RetryBudget, RetryLimits, RetryWeight, RunCalls, RunningRequests, Ticket,
+      Urgency,
+    },
+    values::{RequestId, RouteName, ServiceName, Time},
+  },
+  rand::{Rng, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+};
+
+fn service(name: &str) -> ServiceName {
+  name.parse().expect("a name")
+}
+
+fn route() -> RouteName {
+  "lookup".parse().expect("a name")
+}
+
+fn id(text: &str) -> RequestId {
+  text.parse().expect("an id")
+}
+
+fn demand(is_call: bool, due: u64) -> Demand {
+  let class = CallerClass::unnamed();
+  let priority = if is_call { 0 } else { 2 };
+  Demand { is_call, priority, ..Demand::new(class, Time(due)) }
+}
+
+fn urgency(now: Time, is_call: bool) -> Urgency {
+  let due = now.after(1_000);
+  Urgency { due, elapsed_ms: 0, is_call, priority: 0, wait_until: due }
+}
+
+fn run(failed: bool) -> RunCalls {
+  let mut calls = RunCalls::default();
+  calls.add(100_000, &service("records"), 50_000, false);
+  calls.add(200_000, &service("records"), 60_000, failed);
+  calls
+}
+
+/// Guards against short calls that wait for long runs of another route, while their parents hold
+/// slots.
+#[test]
+fn calls_find_a_slot_beside_long_runs() {
+  let mut rng = ChaCha8Rng::seed_from_u64(5);
+  let mut limiter = Limiter::new(9, 36);
+  let (mut ends, mut at_once, mut calls) = (Vec::<(u64, Ticket)>::new(), 0, 0);
+  let mut admitted: Vec<Ticket> = Vec::new();
+  for now in 0..20_000_u64 {
+    let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
+    ends = running;
+    for (_, ticket) in ended {
+      admitted.extend(limiter.leave(Time(now), ticket));
+    }
+    // Runs of 550 ms for more than all slots, and calls of 55 ms for two of nine.
+    for (is_call, share) in [(false, 0.02), (true, 0.036)] {
+      if !rng.random_bool(share) {
+        continue;
+      }
+      let ticket = Ticket(now * 2 + u64::from(is_call));
+      let decision = limiter.arrive(Time(now), ticket, demand(is_call, now + 3_000));
+      if is_call && now > 5_000 {
+        calls += 1;
+        at_once += u32::from(decision == LimiterDecision::Admitted);
+      }
+      if decision == LimiterDecision::Admitted {
+        admitted.push(ticket);
+      }
+    }
+    for ticket in admitted.drain(..) {
+      let took_ms = if ticket.0 % 2 == 1 { 55 } else { 550 };
+      ends.push((now + took_ms, ticket));
+    }
+  }
+  assert!(at_once * 2 > calls, "{at_once} of {calls} calls ran at once");
+}
+
+/// Guards against slots that stay empty when a service isn't called any more.
+#[test]
+fn slots_left_free_for_calls_are_used_once_calls_stop() {
+  let mut reserve = CallReserve::default();
+  for index in 0..400 {
+    let now = Time(index * 10);
+    reserve.begin(Ticket(index));
+    reserve.end(now, Ticket(index), 30.0);
+  }
+  let end = Time(4_000);
+  assert_eq!(reserve.free_slots(end, 9), 3, "a third at most");
+  assert_eq!(reserve.free_slots(end, 2), 0);
+  assert_eq!(reserve.free_slots(end.after(10_000), 9), 0);
+}
+
+/// Guards against calls that outlive the request that needs them.
+#[test]
+fn a_call_waits_no_longer_than_it_can_save_its_parent() {
+  let now = Time(1_000);
+  let mut running = RunningRequests::default();
+  running.begin(&id("5cbe2b43"));
+  running.set_deadline(&id("5cbe2b43"), now.after(200));
+  let parent_due = running.parent_deadline(&id("5cbe2b43.77"));
+  assert_eq!(parent_due, Some(now.after(200)));
+  let bound = urgency(now, true).within_parent(now.after(600), parent_due, 50);
+  assert_eq!((bound.wait_until, bound.due), (now.after(150), now.after(200)));
+  let other = urgency(now, false);
+  assert_eq!(other.within_parent(now.after(600), parent_due, 50), other);
+}
+
+/// Guards against a malformed or oversized header from another box.
+#[test]
+fn calls_of_a_run_pass_between_daemons() {
+  let calls = run(true);
+  let read: RunCalls = calls.to_string().parse().expect("calls");
+  assert_eq!(read.services(), calls.services());
+  assert_eq!((read.succeeded(), read.has_failed()), (1, true));
+  assert_eq!("".parse::<RunCalls>().expect("no calls").services().len(), 0);
+  assert!("records:1:2".parse::<RunCalls>().is_err());
+  let excess: RunCalls = "records:1:7:0:5".parse().expect("calls");
+  assert_eq!(excess.succeeded(), 0);
+}
+
+/// Guards against requests that begin and are lost while all calls of their runs fail.
+#[test]
+fn a_request_is_refused_while_nearly_all_runs_fail_for_a_call() {
+  let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
+  let entry = |now: Time| EntryRequest {
+    deadline: now.after(2_000),
+    estimate: None,
+    organisation: None,
+    route: &route,
+    service: &records,
+    urgency: urgency(now, false),
+  };
+  let refused = |trees: &mut CallTrees, now: Time| {
+    let asked = (0..100).map(|_| trees.decide(now, &entry(now), |_| None));
+    asked.filter(|decision| *decision != EntryDecision::Admit).count()
+  };
+  // Half of the runs fail: what is tried is more likely than not to be served some other time.
+  for index in 0..100 {
+    trees.record(Time(index * 10), &route, &run(index % 2 == 0));
+  }
+  assert_eq!(refused(&mut trees, Time(1_000)), 0);
+  for index in 100..500 {
+    trees.record(Time(index * 10), &route, &run(true));
+  }
+  let during = refused(&mut trees, Time(5_000));
+  assert!((70..100).contains(&during), "{during} of 100, and some are tried");
+  assert_eq!(refused(&mut trees, Time(15_000)), 0, "what was seen is old");
+}
+
+/// Guards against a cascade: work begins whose call finds no room at the second service.
+#[test]
+fn a_request_is_refused_where_a_service_that_it_calls_has_no_room_in_time() {
+  let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
+  let now = Time(1_000);
+  for _ in 0..50 {
+    trees.record(now, &route, &run(false));
+  }
+  assert_eq!(trees.calls_of(&route), [(records.clone(), 2_000)]);
+  let entry = EntryRequest {
+    deadline: now.after(500),
+    estimate: None,
+    organisation: None,
+    route: &route,
+    service: &records,
+    urgency: urgency(now, false),
+  };
+  assert_eq!(trees.decide(now, &entry, |_| Some(400)), EntryDecision::Admit);
+  let decision = trees.decide(now, &entry, |_| Some(900));
+  assert!(matches!(decision, EntryDecision::Refuse { retry_after_ms: 900, .. }), "{decision:?}");
+}
+
+/// Guards against retries of cheap requests that leave none for calls whose loss costs whole runs.
+#[test]
+fn retries_of_calls_go_before_those_of_fresh_requests() {
+  let name = service("records");
+  let mut budget = RetryBudget::default();
+  budget.set_limits(RetryLimits { earned: 100, saved_max: 2_000 });
+  let mut granted = [0, 0, 0];
+  let weights = [RetryWeight::Fresh, RetryWeight::Call, RetryWeight::LaterCall];
+  for index in 0..6_000 {
+    budget.earn(&name);
+    // Each kind fails once in ten requests, so that a third of what is asked for can be granted.
+    if index % 10 < 3 {
+      granted[index % 10] += u32::from(budget.spend_for(&name, weights[index % 10], &[]));
+    }
+  }
+  let [fresh, call, later] = granted;
+  assert!(later > 9 * (fresh + call), "{fresh}, {call}, {later}");
+  // Without the heavier ones, the lighter ones get all.
+  let before = (0..600).filter(|_| {
+    (0..10).for_each(|_| budget.earn(&name));
+    budget.spend_for(&name, RetryWeight::Fresh, &[])
+  });
+  assert!(before.count() > 590);
+}
+
+/// Guards the fleet's bound on repeats against fleets and mixes of any size, whose runs make calls.
+#[test]
+fn repeats_of_random_fleets_stay_within_the_bound_at_the_called_service_too() {
+  for seed in 0..200 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let daemons: u64 = rng.random_range(1..100);
+    let (ratio, extra) = (0.2, 2 * daemons.max(50));
+    let (outer, inner) = (service("outer"), service("inner"));
+    let calls_permille = rng.random_range(0..3_000);
+    let failing = rng.random_range(0.05..1.0);
+    let [mut outer_sent, mut inner_sent, mut outer_again, mut inner_again] = [0.0; 4];
+    for _ in 0..daemons {
+      let mut budget = RetryBudget::default();
+      let daemons = usize::try_from(daemons).expect("a small number");
+      budget.set_limits(RetryLimits::share(ratio, extra, daemons));
+      let calls = [(inner.clone(), calls_permille)];
+      for _ in 0..rng.random_range(0..2_000) {
+        let is_inner = rng.random_bool(0.6);
+        let name = if is_inner { &inner } else { &outer };
+        budget.earn(name);
+        *(if is_inner { &mut inner_sent } else { &mut outer_sent }) += 1.0;
+        while rng.random_bool(failing) {
+          let made: &[(ServiceName, u32)] = if is_inner { &[] } else { &calls };
+          if !budget.spend_for(name, RetryWeight::Fresh, made) {
+            break;
+          }
+          if is_inner {
+            inner_again += 1.0;
+          } else {
+            outer_again += 1.0;
+            inner_again += f64::from(calls_permille) / 1_000.0;
+          }
+        }
+      }
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let extra = extra as f64;
+    let (outer_most, inner_most) = (ratio * outer_sent + extra, ratio * inner_sent + extra);
+    assert!(outer_again <= outer_most, "seed {seed}: {outer_again} of {outer_most}");
+    assert!(inner_again <= inner_most, "seed {seed}: {inner_again} of {inner_most}");
+  }
+}
