Refuse early returns at once, and let those who waited go first

Change: the box that refused a request remembers when its caller may be back, and refuses it before that with the rest of the time. Within rank and class, of what can be in time, who came back goes first. Retry-After follows the forecast of room where there is one.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -22,6 +22,8 @@
   pub retry_budget: RefCell<RetryBudget>,
   /// The calls that runs of each route make.
   pub call_trees: RefCell<CallTrees>,
+  /// Refused callers that are yet to come back.
+  pub early_returns: RefCell<EarlyReturns>,
   /// The timeouts that callers usually have.
   pub caller_timeouts: RefCell<CallerTimeouts>,
   /// Limits on what callers may send.
@@ -150,6 +152,7 @@
       cold_start_limiter: RefCell::default(),
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
+      early_returns: RefCell::default(),
       endpoints: RefCell::default(),
       clock,
       crash_detector: RefCell::default(),
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -92,6 +92,7 @@
     headers::BACKEND_LIMIT,
     headers::CALLER_SERVICE,
     headers::DUE_MS,
+    headers::ELAPSED_MS,
     headers::ESTIMATE,
     headers::FINGERPRINT,
     headers::INSISTS,
@@ -119,7 +120,7 @@
 fn urgency(headers: &HeaderMap, now: Time) -> Option<Urgency> {
   Some(Urgency {
     due: now.after(headers::parsed(headers, headers::DUE_MS)?),
-    elapsed_ms: 0,
+    elapsed_ms: headers::parsed(headers, headers::ELAPSED_MS).unwrap_or_default(),
     is_call: headers.contains_key(headers::IS_CALL),
     wait_until: now.after(headers::parsed(headers, headers::PATIENCE_MS)?),
     priority: headers::parsed(headers, headers::PRIORITY)?,
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -37,7 +37,7 @@
     match decide(shared, &mut dispatch, &forwarded.service, event) {
       DispatchStep::Answer { id } => return tries.finish(id, attempts),
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
-      DispatchStep::Refuse(outcome) => return Err(outcome),
+      DispatchStep::Refuse(outcome) => return Err(at_return_time(shared, forwarded, outcome)),
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
     }
@@ -45,6 +45,25 @@
   }
 }
 
+/// Tells the caller of a full service to come back when this box expects room there.
+fn at_return_time(
+  shared: &Shared,
+  forwarded: &ForwardedRequest,
+  outcome: AttemptOutcome,
+) -> AttemptOutcome {
+  let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
+    return outcome;
+  };
+  let now = shared.now().time;
+  let forecast =
+    shared.rooms.borrow().forecast(now, &forwarded.service, forwarded.urgency.priority);
+  let left_ms = forwarded.deadline.since_ms(now);
+  let time = ReturnTime { left_ms, wait_ms: forecast.map(|room| room.wait_ms) };
+  let at = shared.rng.borrow_mut().random_range(0.0..1.0);
+  let retry_after_ms = time.retry_after_ms(retry_after_ms, at);
+  AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
+}
+
 fn decide(
   shared: &Shared,
   dispatch: &mut Dispatch,
@@ -148,6 +167,9 @@
   headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
   let urgency = forwarded.urgency;
   headers::set(request_headers, headers::DUE_MS, urgency.due.since_ms(now));
+  if urgency.elapsed_ms > 0 {
+    headers::set(request_headers, headers::ELAPSED_MS, urgency.elapsed_ms);
+  }
   if let Some(estimate) = forwarded.estimate {
     headers::set(request_headers, headers::ESTIMATE, estimate);
   }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -26,6 +26,8 @@
 pub const DUE_MS: &str = "x-ferryyoke-due-ms";
 /// Milliseconds for which the request may wait for a slot.
 pub const PATIENCE_MS: &str = "x-ferryyoke-patience-ms";
+/// Between daemons: milliseconds since the first try of the caller, if it came back.
+pub const ELAPSED_MS: &str = "x-ferryyoke-elapsed-ms";
 /// Between daemons: the expected run time, see [`crate::requests::RunEstimate`].
 pub const ESTIMATE: &str = "x-ferryyoke-estimate";
 /// Between daemons: set if a running request needs the request.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -31,6 +31,7 @@
   let outcome = handle(&shared, &mut recorder, incoming, head, body).await;
   let mut response = outcome.unwrap_or_else(|refusal| {
     recorder.record.refusal = Some(format!("{}: {}", refusal.outcome(), refusal.reason));
+    note_told(&shared, &recorder, &refusal);
     refusal.response(&id, shared.header_names.retry_after_fractions)
   });
   learn_calls(&shared, &recorder, &id, &mut response);
@@ -98,6 +99,9 @@
     service: &service,
     urgency,
   };
+  recorder.fingerprint = Some(fingerprint);
+  recorder.deadline = deadline;
+  check_early_return(shared, fingerprint, urgency)?;
   entry::check(shared, &entry)?;
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
@@ -138,6 +142,35 @@
   answer.map_err(Refusal::from)
 }
 
+/// Refuses a request whose caller was told to come back later, before any try.
+fn check_early_return(
+  shared: &Shared,
+  fingerprint: Fingerprint,
+  urgency: Urgency,
+) -> std::result::Result<(), Refusal> {
+  let now = shared.now().time;
+  let early_ms = shared.early_returns.borrow().early_ms(now, fingerprint, urgency.elapsed_ms);
+  let Some(early_ms) = early_ms.filter(|_| !urgency.is_call) else {
+    return Ok(());
+  };
+  shared.metrics.requests_early.inc();
+  let reason = "its caller was told to come back later";
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, early_ms))
+}
+
+/// Remembers when a refused caller was told to come back.
+fn note_told(shared: &Shared, recorder: &Recorder, refusal: &Refusal) {
+  let now = shared.now().time;
+  let (Some(fingerprint), Some(retry_after_ms)) = (recorder.fingerprint, refusal.retry_after_ms)
+  else {
+    return;
+  };
+  if refusal.status == StatusCode::SERVICE_UNAVAILABLE {
+    let left_ms = recorder.deadline.since_ms(now);
+    shared.early_returns.borrow_mut().told(now, fingerprint, retry_after_ms, left_ms);
+  }
+}
+
 /// Learns from an answer which calls the run made, and records the request as a call if a running
 /// request made it.
 fn learn_calls(
@@ -359,6 +392,10 @@
 /// Writes the record of a request when dropped, also if the caller disconnects before the answer.
 struct Recorder {
   arrived_us: u64,
+  /// When its answer is due at the latest.
+  deadline: Time,
+  /// Identifies the request when its caller sends it again; `None` before its body is known.
+  fingerprint: Option<Fingerprint>,
   is_finished: bool,
   record: RequestRecord,
   shared: Rc<Shared>,
@@ -381,7 +418,9 @@
       version: shared.router().version(),
     };
     let arrived_us = shared.elapsed_us();
-    Self { arrived_us, is_finished: false, record, shared: shared.clone() }
+    let deadline = shared.now().time;
+    let shared = shared.clone();
+    Self { arrived_us, deadline, fingerprint: None, is_finished: false, record, shared }
   }
 
   fn finish(mut self, status: StatusCode) {
--- a/src/proxy/slot_guard.rs
+++ b/src/proxy/slot_guard.rs
@@ -17,6 +17,7 @@
     let demand = Demand {
       class: forwarded.class.clone(),
       due: forwarded.urgency.due,
+      elapsed_ms: forwarded.urgency.elapsed_ms,
       estimate: forwarded.estimate,
       is_call: forwarded.urgency.is_call,
       wait_until: if forwarded.may_queue { forwarded.urgency.wait_until } else { now },
--- a/src/requests/demand.rs
+++ b/src/requests/demand.rs
@@ -7,6 +7,8 @@
   pub class: CallerClass,
   /// When the answer should be ready.
   pub due: Time,
+  /// Estimated milliseconds since its caller's first try; 0 for a first try.
+  pub elapsed_ms: u64,
   /// How long its run is expected to take at the usual backend server of its service; `None` where
   /// that is unknown.
   pub estimate: Option<RunEstimate>,
@@ -21,6 +23,14 @@
 impl Demand {
   /// Creates a demand of priority 0 that waits for a slot until its deadline.
   pub fn new(class: CallerClass, deadline: Time) -> Self {
-    Self { class, due: deadline, estimate: None, is_call: false, wait_until: deadline, priority: 0 }
+    Self {
+      class,
+      due: deadline,
+      elapsed_ms: 0,
+      estimate: None,
+      is_call: false,
+      wait_until: deadline,
+      priority: 0,
+    }
   }
 }
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -35,6 +35,8 @@
   expected_ms: u64,
   /// Whether a running request needs it.
   is_call: bool,
+  /// Whether its caller was refused and came back.
+  is_return: bool,
   priority: u32,
   since: Time,
   ticket: Ticket,
@@ -85,9 +87,19 @@
       }
       return LimiterDecision::Shed { retry_after_ms: wait_ms.max(1) };
     }
-    let Demand { class, due, is_call, priority, .. } = demand;
+    let Demand { class, due, elapsed_ms, is_call, priority, .. } = demand;
+    let is_return = elapsed_ms > 0;
     let since = now;
-    self.waiting.push(Waiting { class, due, expected_ms, is_call, priority, since, ticket });
+    self.waiting.push(Waiting {
+      class,
+      due,
+      expected_ms,
+      is_call,
+      is_return,
+      priority,
+      since,
+      ticket,
+    });
     LimiterDecision::Queued { max_wait_ms }
   }
 
@@ -215,14 +227,15 @@
   }
 
   /// Returns the index of the next request: by rank, then the class with the fewest running
-  /// requests, then requests that can still be in time, then the newest. Under overload some
+  /// requests, then requests that can still be in time, then those that came back, then the newest. Under overload some
   /// requests are late in any order, and newest first makes the fewest late.
   fn next(&self, now: Time) -> Option<usize> {
     let running_of =
       |class: &CallerClass| self.running.values().filter(|(running, _)| running == class).count();
     let order = |one: &Waiting| {
       let is_late = self.is_late(now, one.due);
-      (one.priority, running_of(&one.class), is_late, Reverse((one.since, one.ticket)))
+      let newest = Reverse((one.since, one.ticket));
+      (one.priority, running_of(&one.class), is_late, !one.is_return, newest)
     };
     let takes_others = self.has_room_for(now, false);
     let may_run = |index: &usize| takes_others || self.waiting[*index].is_call;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -55,6 +55,7 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
+  returns::{EarlyReturns, ReturnTime},
   room::{EntryDecision, EntryRequest, RoomForecast, Rooms},
   route_match::RouteMatch,
   router::Router,
@@ -113,6 +114,7 @@
 mod request_profile;
 mod request_record;
 mod retry_budget;
+mod returns;
 mod room;
 mod route_match;
 mod router;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -46,6 +46,8 @@
   request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram>,
   /// Requests refused here because they are quarantined: backend servers crashed while they ran them.
   pub requests_held_back: Counter,
+  /// Requests refused here before any try because their callers were told to come back later.
+  pub requests_early: Counter,
   /// Requests refused here before any try because calls that their run needs would fail.
   pub requests_refused_for_calls: Counter,
   /// Requests refused here because their organisation exceeded its rate limit.
@@ -128,6 +130,11 @@
         "requests_held_back",
         "Requests refused because processes of backend servers had ended while they ran them",
       ),
+      requests_early: registered(
+        of,
+        "requests_early",
+        "Requests refused before any try because their callers were told to come back later",
+      ),
       requests_refused_for_calls: registered(
         of,
         "requests_refused_for_calls",
--- /dev/null
+++ b/tests/returns.rs
@@ -0,0 +1,87 @@
+//! Tests when refused callers come back and which come too early, without sockets.
+
+use ferryyoke::{
+  requests::{CallerClass, Demand, EarlyReturns, Limiter, LimiterDecision, ReturnTime, Ticket},
+  values::{Digest, Fingerprint, Time},
+};
+
+fn fingerprint(number: u64) -> Fingerprint {
+  Fingerprint::of(&Digest::of(&number.to_be_bytes()))
+}
+
+/// Guards against callers in series that cost each full box a question, and against taking one that
+/// returns as told for one of them.
+#[test]
+fn only_callers_that_return_before_they_were_told_are_early() {
+  let mut returns = EarlyReturns::default();
+  let (asked, now) = (fingerprint(1), Time(1_000));
+  returns.told(now, asked, 600, 3_000);
+  assert_eq!(returns.early_ms(now.after(10), asked, 10), Some(470));
+  assert_eq!(returns.early_ms(now.after(10), asked, 0), None, "another caller's first try");
+  assert_eq!(returns.early_ms(now.after(10), fingerprint(2), 10), None);
+  assert_eq!(returns.early_ms(now.after(600), asked, 600), None, "as told");
+  // A caller comes back after a third of its time, whatever it was told.
+  returns.told(now.after(1_000), asked, 5_000, 900);
+  assert_eq!(returns.early_ms(now.after(1_300), asked, 300), None);
+  // Of two callers with the same request, the one told first is back first.
+  returns.told(now.after(2_000), asked, 200, 3_000);
+  returns.told(now.after(2_100), asked, 900, 3_000);
+  assert_eq!(returns.early_ms(now.after(2_200), asked, 200), None);
+}
+
+/// Guards the memory of a box against a flood of different requests.
+#[test]
+fn the_oldest_refusals_are_forgotten() {
+  let mut returns = EarlyReturns::default();
+  for number in 0..10_000 {
+    returns.told(Time(1_000), fingerprint(number), 600, 3_000);
+  }
+  assert_eq!(returns.early_ms(Time(1_010), fingerprint(0), 10), None);
+  assert!(returns.early_ms(Time(1_010), fingerprint(9_999), 10).is_some());
+}
+
+/// Guards against a wave of refused callers that comes back at one moment, too early or too late.
+#[test]
+fn callers_return_when_there_is_room_and_not_together() {
+  let expected = ReturnTime { left_ms: 3_000, wait_ms: Some(300) };
+  let told: Vec<u64> =
+    [0.0, 0.25, 0.5, 0.75, 0.99].map(|at| expected.retry_after_ms(900, at)).to_vec();
+  assert!(told.iter().all(|ms| (300..=990).contains(ms)), "{told:?}");
+  assert!(told.windows(2).all(|pair| pair[0] + 20 <= pair[1]), "{told:?}");
+  let late = ReturnTime { left_ms: 300, wait_ms: Some(5_000) };
+  assert!(late.retry_after_ms(0, 0.5) <= 100, "callers wait for a third of their time at most");
+  assert_eq!(ReturnTime { left_ms: 300, wait_ms: None }.retry_after_ms(77, 0.5), 77);
+}
+
+/// Guards against callers that returned as told and are refused again behind fresh ones.
+#[test]
+fn who_came_back_goes_before_fresh_requests_of_its_rank_while_it_can_be_in_time() {
+  let demand =
+    |elapsed_ms, due| Demand { elapsed_ms, ..Demand::new(CallerClass::unnamed(), Time(due)) };
+  let mut limiter = Limiter::new(1, 10);
+  let queued = |decision| matches!(decision, LimiterDecision::Queued { .. });
+  limiter.arrive(Time(0), Ticket(1), demand(0, 3_000));
+  assert!(queued(limiter.arrive(Time(1), Ticket(2), demand(900, 2_000))));
+  assert!(queued(limiter.arrive(Time(2), Ticket(3), demand(0, 3_000))));
+  // One that is due before its run can end goes last.
+  assert!(queued(limiter.arrive(Time(3), Ticket(4), demand(900, 101))));
+  assert_eq!(limiter.leave(Time(100), Ticket(1)), [Ticket(2)]);
+  assert_eq!(limiter.leave(Time(150), Ticket(2)), [Ticket(3)]);
+  assert_eq!(limiter.leave(Time(200), Ticket(3)), [Ticket(4)]);
+}
+
+/// Guards against queues that hold requests whose callers are gone.
+#[test]
+fn a_request_whose_caller_is_gone_leaves_the_queue_and_holds_nothing() {
+  let mut limiter = Limiter::new(1, 2);
+  let demand = || Demand::new(CallerClass::unnamed(), Time(10_000));
+  limiter.arrive(Time(0), Ticket(1), demand());
+  limiter.arrive(Time(1), Ticket(2), demand());
+  limiter.arrive(Time(2), Ticket(3), demand());
+  assert_eq!((limiter.running(), limiter.waiting()), (1, 2));
+  assert!(limiter.leave(Time(3), Ticket(3)).is_empty(), "it waited for its slot");
+  assert!(limiter.leave(Time(4), Ticket(2)).is_empty());
+  assert_eq!((limiter.running(), limiter.waiting()), (1, 0));
+  assert!(limiter.leave(Time(5), Ticket(1)).is_empty(), "nobody is left to take the slot");
+  assert_eq!(limiter.running(), 0);
+}
--- a/tests/standing_still.rs
+++ b/tests/standing_still.rs
@@ -126,6 +126,7 @@
   let demand = || Demand {
     class: "caller".parse().expect("a name"),
     due: Time(60_000),
+    elapsed_ms: 0,
     estimate: None,
     is_call: false,
     wait_until: Time(60_000),
