--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -135,14 +135,8 @@
     })
   }
 
-  /// Whether at least two retries are left.
+  /// Whether at least two retries are left: retries of failures have precedence over hedged tries.
   pub fn has_spare(&self, service: &ServiceName) -> bool {
     self.services.get(service).is_some_and(|known| known.credit >= 2 * Self::RETRY_COST)
   }
-
-  /// Spends one retry on a hedged try, if at least two are left: retries of failures have
-  /// precedence.
-  pub fn spend_spare(&mut self, service: &ServiceName) -> bool {
-    self.has_spare(service) && self.spend(service)
-  }
 }
