--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -45,9 +45,11 @@
   if !response.status().is_success() {
     shared.running_requests.borrow_mut().record_failed_call(&id);
   }
+  let due = recorder.due;
   recorder.finish(response.status());
   if origin == Some(ClientLocation::Remote) {
     charge_answer_budget(&shared, &response);
+    response = PacedBody::pace(&shared, &id, due, response);
   }
   exchange.deliver(response)
 }
@@ -59,6 +61,7 @@
   head: http::request::Parts,
   body: Incoming,
 ) -> std::result::Result<Response<AnyBody>, Refusal> {
+  let origin = head.extensions.get::<ClientLocation>().copied();
   let matched = find_route(shared, &incoming, &head)?;
   let member = organisation_admission::identify(shared, &matched, &head.headers)?;
   let member = member.as_deref();
@@ -91,6 +94,10 @@
   let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
   let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms)
     .within_parent(deadline, parent_due, 0);
+  recorder.due = urgency.due;
+  if origin == Some(ClientLocation::Remote) {
+    answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
+  }
   let entry = EntryRequest {
     deadline,
     estimate: None,
@@ -396,6 +403,8 @@
   deadline: Time,
   /// Identifies the request when its caller sends it again; `None` before its body is known.
   fingerprint: Option<Fingerprint>,
+  /// When the answer is due.
+  due: Time,
   is_finished: bool,
   record: RequestRecord,
   shared: Rc<Shared>,
@@ -419,8 +428,8 @@
     };
     let arrived_us = shared.elapsed_us();
     let deadline = shared.now().time;
-    let shared = shared.clone();
-    Self { arrived_us, deadline, fingerprint: None, is_finished: false, record, shared }
+    let (due, shared) = (deadline, shared.clone());
+    Self { arrived_us, deadline, due, fingerprint: None, is_finished: false, record, shared }
   }
 
   fn finish(mut self, status: StatusCode) {
--- a/src/requests/link_queue.rs
+++ b/src/requests/links/link_queue.rs
@@ -18,11 +18,21 @@
     Self { bytes_per_ms: link_mbps * Self::BYTES_PER_MS_OF_MBPS * fraction, free_at_ms: 0.0 }
   }
 
+  /// Returns the rate in bytes a millisecond.
+  pub fn bytes_per_ms(&self) -> f64 {
+    self.bytes_per_ms
+  }
+
   /// Adds bytes that were handed to the link.
   pub fn add(&mut self, now: Time, bytes: f64) {
     self.free_at_ms = to_ms(now) + self.delay_ms(now) + bytes / self.bytes_per_ms;
   }
 
+  /// Lengthens the queue to `delay_ms`, if it is shorter.
+  pub fn raise(&mut self, now: Time, delay_ms: f64) {
+    self.free_at_ms = self.free_at_ms.max(to_ms(now) + delay_ms);
+  }
+
   /// Removes bytes that were counted but not handed to the link.
   pub fn remove(&mut self, bytes: f64) {
     self.free_at_ms -= bytes / self.bytes_per_ms;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -13,13 +13,10 @@
 };
 
 pub use self::{
-  answer_budget::AnswerBudget,
-  answer_sizes::AnswerSizes,
   attempt::Attempt,
   attempt_outcome::AttemptOutcome,
   backend_monitor::BackendMonitor,
   balancer::{Balancer, Choice},
-  body_queue::BodyQueue,
   caller_class::CallerClass,
   caller_timeouts::CallerTimeouts,
   calls::{CallReserve, CallTrees, RetryWeight, RunCalls, ServiceCalls},
@@ -42,8 +39,9 @@
   limit_hint::LimitHint,
   limiter::Limiter,
   limiter_decision::LimiterDecision,
-  link_budget::LinkBudget,
-  link_queue::LinkQueue,
+  links::{
+    AnswerBudget, AnswerSizes, BodyQueue, LinkBudget, LinkQueue, OutboundSchedule, OutboundTurn,
+  },
   named_limit::NamedLimit,
   open_exchanges::{ExchangeId, OpenAnswer, OpenExchange, OpenExchanges, Sender},
   pacer::Pacer,
@@ -72,13 +70,10 @@
   work::{RunEstimate, Slowdown},
 };
 
-mod answer_budget;
-mod answer_sizes;
 mod attempt;
 mod attempt_outcome;
 mod backend_monitor;
 mod balancer;
-mod body_queue;
 mod caller_class;
 mod caller_timeouts;
 mod calls;
@@ -101,8 +96,7 @@
 mod limit_hint;
 mod limiter;
 mod limiter_decision;
-mod link_budget;
-mod link_queue;
+mod links;
 mod named_limit;
 mod open_exchanges;
 mod pacer;
