--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -20,6 +20,10 @@
   pub balancer: RefCell<Balancer>,
   /// Limits retries.
   pub retry_budget: RefCell<RetryBudget>,
+  /// The calls that runs of each route make.
+  pub call_trees: RefCell<CallTrees>,
+  /// Refused callers that are yet to come back.
+  pub early_returns: RefCell<EarlyReturns>,
   /// The timeouts that callers usually have.
   pub caller_timeouts: RefCell<CallerTimeouts>,
   /// Limits on what callers may send.
@@ -148,11 +152,13 @@
       balancer: RefCell::default(),
       body_queue: RefCell::new(BodyQueue::new(link_mbps.unwrap_or(f64::INFINITY))),
       retry_budget: RefCell::default(),
+      call_trees: RefCell::default(),
       caller_limits: Rc::default(),
       caller_timeouts: RefCell::default(),
       cold_start_limiter: RefCell::default(),
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
+      early_returns: RefCell::default(),
       endpoints: RefCell::default(),
       clock,
       crash_detector: RefCell::default(),
@@ -218,6 +224,7 @@
     }
     let is_known = |route: &RouteName| configuration.routes.contains_key(route);
     self.answer_sizes.borrow_mut().retain(is_known);
+    self.call_trees.borrow_mut().retain(is_known);
     self.caller_timeouts.borrow_mut().retain(is_known);
     let routes = configuration.routes.values().map(|route| &route.value);
     let kinds = routes
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -59,6 +59,7 @@
   let mut forwarded = ForwardedRequest {
     answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).unwrap_or_default(),
     attempts_max: 1,
+    calls: Vec::new(),
     caller_service: headers::parsed(&head.headers, headers::CALLER_SERVICE)
       .ok_or_else(malformed)?,
     class: headers::parsed(&head.headers, headers::CALLER_CLASS).ok_or_else(malformed)?,
@@ -94,6 +95,7 @@
     headers::BACKEND_LIMIT,
     headers::CALLER_SERVICE,
     headers::DUE_MS,
+    headers::ELAPSED_MS,
     headers::ESTIMATE,
     headers::FINGERPRINT,
     headers::INSISTS,
@@ -121,7 +123,7 @@
 fn urgency(headers: &HeaderMap, now: Time) -> Option<Urgency> {
   Some(Urgency {
     due: now.after(headers::parsed(headers, headers::DUE_MS)?),
-    elapsed_ms: 0,
+    elapsed_ms: headers::parsed(headers, headers::ELAPSED_MS).unwrap_or_default(),
     is_call: headers.contains_key(headers::IS_CALL),
     wait_until: now.after(headers::parsed(headers, headers::PATIENCE_MS)?),
     priority: headers::parsed(headers, headers::PRIORITY)?,
@@ -221,6 +223,7 @@
     return Err(AttemptOutcome::declined("the backend server is cold", cold_wait_ms));
   }
   let run = RunGuard::begin(shared, &forwarded.id, forwarded.fingerprint)?;
+  shared.running_requests.borrow_mut().set_deadline(&forwarded.id, forwarded.deadline);
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
   let exchange = exchange(shared, forwarded, body, transfer_slot, slot, run);
@@ -396,6 +399,9 @@
   }
   headers::remove_connection_headers(&mut head.headers);
   headers::remove_mesh_headers(&mut head.headers);
+  if let Some(calls) = shared.running_requests.borrow().calls_of(&forwarded.id) {
+    headers::set(&mut head.headers, headers::CALLS, calls);
+  }
   let guarded = OnEndBody::new(body, move |end| {
     run.end(end);
     drop(slot);
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -16,6 +16,8 @@
 /// On a refusal between daemons: set if the request reached a backend server, which rejected
 /// it, or may have reached one.
 pub const ARRIVED: &str = "x-ferryyoke-arrived";
+/// Between daemons: on an answer, the calls that the run made, see [`crate::requests::RunCalls`].
+pub const CALLS: &str = "x-ferryyoke-calls";
 /// The service of the caller.
 pub const CALLER_SERVICE: &str = "x-ferryyoke-caller-service";
 /// Priority of a request among those for its service.
@@ -24,6 +26,8 @@
 pub const DUE_MS: &str = "x-ferryyoke-due-ms";
 /// Milliseconds for which the request may wait for a slot.
 pub const PATIENCE_MS: &str = "x-ferryyoke-patience-ms";
+/// Between daemons: milliseconds since the first try of the caller, if it came back.
+pub const ELAPSED_MS: &str = "x-ferryyoke-elapsed-ms";
 /// Between daemons: the expected run time, see [`crate::requests::RunEstimate`].
 pub const ESTIMATE: &str = "x-ferryyoke-estimate";
 /// Between daemons: set if a running request needs the request.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -31,8 +31,10 @@
   let outcome = handle(&shared, &mut recorder, incoming, head, body).await;
   let mut response = outcome.unwrap_or_else(|refusal| {
     recorder.record.refusal = Some(format!("{}: {}", refusal.outcome(), refusal.reason));
+    note_told(&shared, &recorder, &refusal);
     refusal.response(&id, shared.header_names.retry_after_fractions)
   });
+  learn_calls(&shared, &recorder, &id, &mut response);
   let version = recorder.record.version;
   let own_headers = response.headers_mut();
   headers::set(own_headers, headers::REQUEST_ID, &id);
@@ -89,7 +91,9 @@
   let only_box = check_quarantine(shared, fingerprint, &service)?;
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
-  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms);
+  let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
+  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms)
+    .within_parent(deadline, parent_due, 0);
   recorder.due = urgency.due;
   if origin == Some(ClientLocation::Remote) {
     answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
@@ -104,10 +108,14 @@
     service: &service,
     urgency,
   };
+  recorder.fingerprint = Some(fingerprint);
+  recorder.deadline = deadline;
+  check_early_return(shared, fingerprint, urgency)?;
   entry::check(shared, &entry)?;
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
+    calls: shared.call_trees.borrow().calls_of(&matched.route),
     caller_service: shared.own_service(),
     class,
     deadline,
@@ -146,6 +154,56 @@
   answer.map_err(Refusal::from)
 }
 
+/// Refuses a request whose caller was told to come back later, before any try.
+fn check_early_return(
+  shared: &Shared,
+  fingerprint: Fingerprint,
+  urgency: Urgency,
+) -> std::result::Result<(), Refusal> {
+  let now = shared.now().time;
+  let early_ms = shared.early_returns.borrow().early_ms(now, fingerprint, urgency.elapsed_ms);
+  let Some(early_ms) = early_ms.filter(|_| !urgency.is_call) else {
+    return Ok(());
+  };
+  shared.metrics.requests_early.inc();
+  let reason = "its caller was told to come back later";
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, early_ms))
+}
+
+/// Remembers when a refused caller was told to come back.
+fn note_told(shared: &Shared, recorder: &Recorder, refusal: &Refusal) {
+  let now = shared.now().time;
+  let (Some(fingerprint), Some(retry_after_ms)) = (recorder.fingerprint, refusal.retry_after_ms)
+  else {
+    return;
+  };
+  if refusal.status == StatusCode::SERVICE_UNAVAILABLE {
+    let left_ms = recorder.deadline.since_ms(now);
+    shared.early_returns.borrow_mut().told(now, fingerprint, retry_after_ms, left_ms);
+  }
+}
+
+/// Learns from an answer which calls the run made, and records the request as a call if a running
+/// request made it.
+fn learn_calls(
+  shared: &Shared,
+  recorder: &Recorder,
+  id: &RequestId,
+  response: &mut Response<AnyBody>,
+) {
+  let calls = headers::parsed::<RunCalls>(response.headers(), headers::CALLS);
+  response.headers_mut().remove(headers::CALLS);
+  let Some((route, service)) = &recorder.record.route else {
+    return;
+  };
+  if let Some(calls) = calls {
+    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls);
+  }
+  let (now_us, failed) = (shared.elapsed_us(), !response.status().is_success());
+  let took_us = now_us - recorder.arrived_us;
+  shared.running_requests.borrow_mut().record_call(now_us, id, service, took_us, failed);
+}
+
 /// Refuses a request that arrives too shortly before the end of the planned stop of this box.
 pub(super) fn too_late() -> Refusal {
   let reason = "this box stops before an answer could be there";
@@ -346,6 +404,10 @@
 /// Writes the record of a request when dropped, also if the caller disconnects before the answer.
 struct Recorder {
   arrived_us: u64,
+  /// When its answer is due at the latest.
+  deadline: Time,
+  /// Identifies the request when its caller sends it again; `None` before its body is known.
+  fingerprint: Option<Fingerprint>,
   /// When the answer is due.
   due: Time,
   is_finished: bool,
@@ -370,8 +432,9 @@
       version: shared.router().version(),
     };
     let arrived_us = shared.elapsed_us();
-    let due = shared.now().time;
-    Self { arrived_us, due, is_finished: false, record, shared: shared.clone() }
+    let deadline = shared.now().time;
+    let (due, shared) = (deadline, shared.clone());
+    Self { arrived_us, deadline, due, fingerprint: None, is_finished: false, record, shared }
   }
 
   fn finish(mut self, status: StatusCode) {
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -19,6 +19,7 @@
   balancer::{Balancer, Choice},
   caller_class::CallerClass,
   caller_timeouts::CallerTimeouts,
+  calls::{CallReserve, CallTrees, RetryWeight, RunCalls, ServiceCalls},
   claim::Claim,
   claim_outcome::ClaimOutcome,
   claim_record::ClaimRecord,
@@ -52,6 +53,7 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
+  returns::{EarlyReturns, ReturnTime},
   room::{EntryDecision, EntryRequest, RoomForecast, Rooms},
   route_match::RouteMatch,
   router::Router,
@@ -74,6 +76,7 @@
 mod balancer;
 mod caller_class;
 mod caller_timeouts;
+mod calls;
 mod claim;
 mod claim_outcome;
 mod claim_record;
@@ -105,6 +108,7 @@
 mod request_profile;
 mod request_record;
 mod retry_budget;
+mod returns;
 mod room;
 mod route_match;
 mod router;
