Decide at the box that takes requests in by the room of a service

Cause: room was found by asking up to four boxes and waiting at four more, and ranks and organisations held in one queue only. Change: rooms read the conditions that come with answers; a request enters while room is free or unknown, else by a level that each box adapts, by rank with a floor and by organisation. Dispatch asks no box to run at once while the service is full.

--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -27,6 +27,7 @@
     Question::SoftwareRollout(service) => software_rollout(node, service),
     Question::Show(kind, filters) => show(node, *kind, filters),
     Question::ShowObject(name) => show_object(node, name),
+    Question::Room(service) => room(node, service),
     Question::Status => Ok(status(node)),
     Question::Suspects => Ok(suspects(node)),
     Question::WhyBox(box_id, route) => why::route_on_box(node, box_id, route).await,
@@ -218,6 +219,36 @@
   Answer::table("", table)
 }
 
+/// Shows by rank what this box knows of a service's room, and how many requests entered here.
+fn room(node: &Node, service: &ServiceName) -> Result<Answer> {
+  let rooms = node.shared.rooms.borrow();
+  let unknown = || Error::NotFound {
+    what: format!("no requests of several ranks or organisations came here for {service}"),
+  };
+  let level_percent = rooms.level_percent(service).ok_or_else(unknown)?;
+  let mut table =
+    Table::new(&["rank", "free_percent", "wait_ms", "enter_percent", "tried", "refused"]);
+  for row in rooms.rows(node.shared.now().time, service) {
+    table.add_row([
+      json!(row.priority),
+      json!(row.forecast.map(|forecast| forecast.free_percent)),
+      json!(row.forecast.map(|forecast| forecast.wait_ms)),
+      json!(row.admitted_percent),
+      json!(row.admitted),
+      json!(row.refused),
+    ]);
+  }
+  let largest = rooms.largest_organisations(service).into_iter();
+  let largest: Vec<String> = largest.map(|(name, percent)| format!("{name} {percent}%")).collect();
+  let asked = if largest.is_empty() {
+    String::new()
+  } else {
+    format!("; asked most: {}", largest.join(", "))
+  };
+  let message = format!("while it is full, {level_percent}% of its demand enters here{asked}");
+  Ok(Answer::table(message, table))
+}
+
 /// Lists the requests during which backend servers crashed, most crashes first, with their status
 /// in the quarantine.
 fn suspects(node: &Node) -> Answer {
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -30,6 +30,8 @@
   Show(Kind, Vec<(String, String)>),
   /// One object.
   ShowObject(ObjectName),
+  /// The room of a service as this box knows it, and who gets it.
+  Room(ServiceName),
   /// The progress of the rollout of a service's software.
   SoftwareRollout(ServiceName),
   /// The status of the daemon that answers.
@@ -85,7 +87,7 @@
   }
 
   fn parse_show(cursor: &mut Cursor) -> Result<Self> {
-    const KEYWORDS: [&str; 12] = [
+    const KEYWORDS: [&str; 13] = [
       "change",
       "drain",
       "drains",
@@ -93,6 +95,7 @@
       "organisations",
       "policies",
       "policy",
+      "room",
       "route",
       "routes",
       "service",
@@ -103,6 +106,10 @@
     if keyword == "suspects" {
       return Ok(Self::Suspects);
     }
+    if keyword == "room" {
+      cursor.expect_keyword("of")?;
+      return Ok(Self::Room(cursor.parse_value("the name of a service")?));
+    }
     if keyword == "change" {
       return Ok(Self::Change(cursor.parse_value("the id of a change")?));
     }
@@ -147,6 +154,7 @@
       Self::History(count) => write!(f, "history {count}"),
       Self::Rollout(None) => write!(f, "rollout"),
       Self::Rollout(Some(version)) => write!(f, "rollout {version}"),
+      Self::Room(service) => write!(f, "show room of {service}"),
       Self::SoftwareRollout(service) => write!(f, "rollout service {service}"),
       Self::Show(kind, filters) => {
         write!(f, "show {}", kind.plural())?;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -216,6 +216,7 @@
     self.splitter.borrow_mut().retain(|route| configuration.routes.contains_key(route));
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
+    self.rooms.borrow_mut().configure(configuration.clone());
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -31,10 +31,16 @@
   let mut tries = Tries::default();
   let mut event = DispatchEvent::Started;
   loop {
-    match decide(shared, &mut dispatch, &forwarded.service, event) {
-      DispatchStep::Answer { id } => return tries.finish(id, attempts),
+    match decide(shared, &mut dispatch, forwarded, event) {
+      DispatchStep::Answer { id } => {
+        note_ended(shared, &forwarded.service, false);
+        return tries.finish(id, attempts);
+      }
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
-      DispatchStep::Refuse(outcome) => return Err(outcome),
+      DispatchStep::Refuse(outcome) => {
+        note_ended(shared, &forwarded.service, outcome.is_declined());
+        return Err(outcome);
+      }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
     }
@@ -42,12 +48,18 @@
   }
 }
 
+/// Records whether a request of a service found room.
+fn note_ended(shared: &Shared, service: &ServiceName, is_refused: bool) {
+  shared.rooms.borrow_mut().note_ended(shared.now().time, service, is_refused);
+}
+
 fn decide(
   shared: &Shared,
   dispatch: &mut Dispatch,
-  service: &ServiceName,
+  forwarded: &ForwardedRequest,
   event: DispatchEvent,
 ) -> DispatchStep {
+  let (service, now) = (&forwarded.service, shared.now().time);
   let configuration = shared.configuration();
   let is_drained = |box_id: &BoxId| {
     configuration.as_ref().is_some_and(|configuration| configuration.drains.contains_key(box_id))
@@ -59,8 +71,9 @@
     data_hall: &shared.settings.data_hall,
     evacuated: &shared.evacuated(),
     is_drained: &is_drained,
-    now: shared.now().time,
+    now,
     own_box: &shared.settings.box_id,
+    room: shared.rooms.borrow().forecast(now, service, forwarded.urgency.priority),
     rng: &mut shared.rng.borrow_mut(),
     traffic: &shared.traffic.borrow().of(service),
   };
@@ -103,6 +116,11 @@
     }
     other => other,
   };
+  if let Some(condition) = condition {
+    let is_refusal = answer.as_ref().is_err_and(AttemptOutcome::is_declined);
+    let now = shared.now().time;
+    shared.rooms.borrow_mut().note_report(now, &order.endpoint, condition, is_refusal);
+  }
   let latency_us = stopwatch.read().map(|took| u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
   let completion = match &answer {
     Ok(_) => Completion::Served { condition, latency_us },
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -55,6 +55,8 @@
   const IMMEDIATE_TRIES_MAX: usize = 4;
   /// Full queues after which a request is refused: the next box is likely to be full too.
   const FULL_QUEUES_MAX: usize = 4;
+  /// The same where the service as a whole is known to be full.
+  const FULL_QUEUES_MAX_KNOWN: usize = 2;
   /// The fraction of the time until the answer is due that a new connection may take, so that a
   /// request to a box that crashed or is partitioned can still go elsewhere in time.
   const CONNECT_FRACTION: f64 = 0.25;
@@ -144,7 +146,7 @@
       return DispatchStep::Wait;
     }
     let outcome = AttemptOutcome::not_run("the connection to its box was dead", 0);
-    if self.is_last(&outcome, body_resendable, context.now) || !self.may_retry(&outcome, context) {
+    if self.is_last(&outcome, body_resendable, context) || !self.may_retry(&outcome, context) {
       return self.give_up(outcome, context);
     }
     self.hedge_at = None;
@@ -174,7 +176,7 @@
     if is_hedged {
       return DispatchStep::Wait;
     }
-    if self.is_last(&outcome, body_resendable, context.now) || !self.may_retry(&outcome, context) {
+    if self.is_last(&outcome, body_resendable, context) || !self.may_retry(&outcome, context) {
       return if is_answer { DispatchStep::Answer { id } } else { self.give_up(outcome, context) };
     }
     if is_answer {
@@ -187,11 +189,18 @@
   }
 
   /// Whether a limit on tries or time rules out another try, whatever the last outcome was.
-  fn is_last(&self, outcome: &AttemptOutcome, body_resendable: bool, now: Time) -> bool {
-    let is_late = outcome.is_declined() && now >= self.profile.urgency.wait_until;
+  fn is_last(
+    &self,
+    outcome: &AttemptOutcome,
+    body_resendable: bool,
+    context: &DispatchContext,
+  ) -> bool {
+    let is_full = context.room.is_some_and(|room| room.is_full());
+    let full_queues_max = if is_full { Self::FULL_QUEUES_MAX_KNOWN } else { Self::FULL_QUEUES_MAX };
+    let is_late = outcome.is_declined() && context.now >= self.profile.urgency.wait_until;
     self.arrived() >= self.profile.attempts_max as usize
       || self.ended.len() + self.lost >= Self::TRIES_MAX
-      || self.full_queues >= Self::FULL_QUEUES_MAX
+      || self.full_queues >= full_queues_max
       || is_late
       || !body_resendable
   }
@@ -254,7 +263,8 @@
 
   fn choose_next(&self, context: &mut DispatchContext) -> (bool, Choice) {
     let asked = self.ended.iter().filter(|one| one.outcome.is_declined()).count();
-    if asked < Self::IMMEDIATE_TRIES_MAX {
+    let is_full = context.room.is_some_and(|room| room.is_full());
+    if asked < Self::IMMEDIATE_TRIES_MAX && !is_full {
       let tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
       let choice = self.choose_except(&tried, context);
       let usable = choice.verdicts.iter().filter(|(_, verdict)| verdict.is_usable()).count();
--- a/src/requests/dispatch_context.rs
+++ b/src/requests/dispatch_context.rs
@@ -18,6 +18,8 @@
   pub now: Time,
   /// The box of this daemon.
   pub own_box: &'a BoxId,
+  /// What a request of this rank may expect of the service, if that is known.
+  pub room: Option<RoomForecast>,
   /// Source of randomness.
   pub rng: &'a mut ChaCha8Rng,
   /// The split of requests among the versions of the service.
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -52,7 +52,7 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
-  room::{EntryDecision, EntryRequest, RoomForecast, Rooms},
+  room::{EntryDecision, EntryRequest, RoomForecast, RoomRow, Rooms},
   route_match::RouteMatch,
   router::Router,
   run_end::RunEnd,
--- /dev/null
+++ b/src/requests/room/admission_level.rs
@@ -0,0 +1,84 @@
+use super::*;
+
+/// The share of a service's demand that this box admits.
+///
+/// In each window it falls in proportion to the overload that answers and refusals show, or rises
+/// slowly without overload. Each box adapts its own level: all of them hear of the same backend
+/// servers, so the levels agree without messages.
+#[derive(Clone, Debug)]
+pub(super) struct AdmissionLevel {
+  /// Requests of the window that ended.
+  ended: u32,
+  /// Sum over the window's reports of waiting requests as a share of the slots.
+  excess: f64,
+  /// Requests of the window that found no room.
+  refused: u32,
+  /// Reports in the window.
+  reports: u32,
+  /// From [`Self::SHARE_MIN`] to 1.
+  share: f64,
+  window_start: Time,
+}
+
+impl AdmissionLevel {
+  /// Waiting requests as a share of the slots that the level aims at: enough to keep slots busy,
+  /// and few enough that the most urgent wait for a small part of a run.
+  const EXCESS_AIM: f64 = 0.25;
+  /// The part of the overload by which the level falls in one window. Answers show the effect of a
+  /// change only after about a run, which is longer than a window.
+  const GAIN: f64 = 0.3;
+  /// Largest fall in one window.
+  const FALL_MAX: f64 = 0.1;
+  /// Largest rise in one window.
+  const RISE_MAX: f64 = 0.03;
+  /// Fewest reports that close a window before [`Self::WINDOW_MAX_MS`].
+  const REPORTS_MIN: u32 = 4;
+  /// The lowest level, below which every kind of request is at its floor.
+  const SHARE_MIN: f64 = DemandMix::FLOOR;
+  /// Shortest window in milliseconds.
+  const WINDOW_MIN_MS: u64 = 250;
+  /// Longest window in milliseconds, at a box that takes few requests.
+  const WINDOW_MAX_MS: u64 = 1_000;
+
+  pub fn new(now: Time) -> Self {
+    Self { ended: 0, excess: 0.0, refused: 0, reports: 0, share: 1.0, window_start: now }
+  }
+
+  /// Returns the admitted share of the demand.
+  pub fn share(&self) -> f64 {
+    self.share
+  }
+
+  /// Adds the load that a backend server reported, in percent of its slots.
+  pub fn add_report(&mut self, load_percent: u32) {
+    self.excess += f64::from(load_percent.saturating_sub(100)) / 100.0;
+    self.reports += 1;
+  }
+
+  /// Adds a request that ended, and whether it found no room.
+  pub fn add_ended(&mut self, is_refused: bool) {
+    self.ended += 1;
+    self.refused += u32::from(is_refused);
+  }
+
+  /// Adapts the level once the window is long enough. Returns whether it did.
+  pub fn close_window(&mut self, now: Time) -> bool {
+    let age_ms = now.since_ms(self.window_start);
+    let is_complete = self.reports >= Self::REPORTS_MIN && age_ms >= Self::WINDOW_MIN_MS;
+    if !is_complete && age_ms < Self::WINDOW_MAX_MS {
+      return false;
+    }
+    let fall = (Self::GAIN * self.overload()).clamp(-Self::RISE_MAX, Self::FALL_MAX);
+    self.share = (self.share * (1.0 - fall)).clamp(Self::SHARE_MIN, 1.0);
+    *self = Self { share: self.share, ..Self::new(now) };
+    true
+  }
+
+  /// Returns by how much the demand of the window exceeds the room, as a share; negative where
+  /// there was room.
+  fn overload(&self) -> f64 {
+    let excess = self.excess / f64::from(self.reports.max(1));
+    let refused = f64::from(self.refused) / f64::from(self.ended.max(1));
+    excess - Self::EXCESS_AIM + refused
+  }
+}
--- a/src/requests/room/mod.rs
+++ b/src/requests/room/mod.rs
@@ -2,12 +2,26 @@
 
 use super::*;
 
+use self::{
+  admission_level::AdmissionLevel,
+  backend_room::BackendRoom,
+  demand_mix::{DemandMix, RequestKind},
+  organisation_shares::OrganisationShares,
+  service_room::ServiceRoom,
+};
+
 pub use self::{
   entry_decision::EntryDecision, entry_request::EntryRequest, room_forecast::RoomForecast,
-  rooms::Rooms,
+  room_row::RoomRow, rooms::Rooms,
 };
 
+mod admission_level;
+mod backend_room;
+mod demand_mix;
 mod entry_decision;
 mod entry_request;
+mod organisation_shares;
 mod room_forecast;
+mod room_row;
 mod rooms;
+mod service_room;
--- a/src/requests/room/room_forecast.rs
+++ b/src/requests/room/room_forecast.rs
@@ -1,3 +1,5 @@
+use super::*;
+
 /// What a request may expect that asks a service for a slot now, as this box knows the service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RoomForecast {
@@ -7,3 +9,19 @@
   /// free now.
   pub wait_ms: u64,
 }
+
+impl RoomForecast {
+  /// Free slots in percent below which the next backend server is likely to be full.
+  const FULL_PERCENT: u32 = 5;
+
+  /// Whether a request would hardly find a free slot.
+  pub fn is_full(&self) -> bool {
+    self.free_percent < Self::FULL_PERCENT
+  }
+}
+
+impl Display for RoomForecast {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    write!(f, "{}% of its slots free, {} ms to wait", self.free_percent, self.wait_ms)
+  }
+}
--- a/src/requests/room/rooms.rs
+++ b/src/requests/room/rooms.rs
@@ -1,23 +1,118 @@
 use super::*;
 
 /// What this box knows of the room of each service, and decides by it on requests that enter.
+///
+/// It acts for a service only where requests of several ranks or organisations compete for it.
 #[derive(Clone, Debug, Default)]
-pub struct Rooms {}
+pub struct Rooms {
+  configuration: Option<Arc<Configuration>>,
+  /// The services for which requests of several ranks or organisations compete.
+  contested: BTreeSet<ServiceName>,
+  /// Sum of the weights of all organisations.
+  organisations_weight: f64,
+  /// The weight of an organisation without a rate limit: the mean of the others.
+  organisation_weight: f64,
+  services: BTreeMap<ServiceName, ServiceRoom>,
+}
 
 impl Rooms {
+  /// Organisations that operators see of a service.
+  const LARGEST_SHOWN: usize = 5;
+
+  /// Takes ranks, routes and organisations from a configuration.
+  pub fn configure(&mut self, configuration: Arc<Configuration>) {
+    let mut ranks: BTreeMap<&ServiceName, BTreeSet<u32>> = BTreeMap::new();
+    for route in configuration.routes.values() {
+      let split = route.value.handling.split.iter().map(|one| &one.service);
+      for service in split.chain([&route.value.service]) {
+        ranks.entry(service).or_default().insert(route.value.handling.priority);
+      }
+    }
+    let has_organisations = configuration.organisations.len() > 1;
+    let is_contested = |ranks: &BTreeSet<u32>| has_organisations || ranks.len() > 1;
+    let contested = ranks.iter().filter(|(_, ranks)| is_contested(ranks));
+    self.contested = contested.map(|(service, _)| (*service).clone()).collect();
+    self.services.retain(|service, _| self.contested.contains(service));
+    let rates = || {
+      let all = configuration.organisations.values();
+      all.filter_map(|one| one.value.rate_limit).map(|limit| limit.rate.requests_per_s())
+    };
+    #[allow(clippy::cast_precision_loss)]
+    let (limited, all) = (rates().count() as f64, configuration.organisations.len() as f64);
+    self.organisation_weight = if limited > 0.0 { rates().sum::<f64>() / limited } else { 1.0 };
+    self.organisations_weight = all * self.organisation_weight;
+    self.configuration = Some(configuration);
+  }
+
   /// Returns what a request of rank `priority` may expect of a service; `None` where this box does
   /// not know enough.
-  pub fn forecast(
-    &self,
-    _now: Time,
-    _service: &ServiceName,
-    _priority: u32,
-  ) -> Option<RoomForecast> {
-    None
+  pub fn forecast(&self, now: Time, service: &ServiceName, priority: u32) -> Option<RoomForecast> {
+    self.services.get(service)?.forecast(now, priority)
+  }
+
+  /// Records what the backend server of a box told with an answer or with a refusal for lack of
+  /// room.
+  pub fn note_report(
+    &mut self,
+    now: Time,
+    endpoint: &Endpoint,
+    condition: Condition,
+    is_refusal: bool,
+  ) {
+    let room = BackendRoom::read(now, endpoint.slots, condition, is_refusal);
+    if let Some(service) = self.service(now, &endpoint.service) {
+      service.note_report(&endpoint.peer.box_id, room);
+    }
+  }
+
+  /// Records the end of a request that was tried, and whether it was refused for lack of room.
+  pub fn note_ended(&mut self, now: Time, service: &ServiceName, is_refused: bool) {
+    if let Some(service) = self.service(now, service) {
+      service.note_ended(is_refused);
+    }
   }
 
   /// Decides whether a request is tried.
-  pub fn decide(&mut self, _now: Time, _request: &EntryRequest) -> EntryDecision {
-    EntryDecision::Admit
+  pub fn decide(&mut self, now: Time, request: &EntryRequest) -> EntryDecision {
+    let configuration = self.configuration.clone();
+    let (weight, total) = (self.organisation_weight, self.organisations_weight);
+    let Some(service) = self.service(now, request.service) else {
+      return EntryDecision::Admit;
+    };
+    let entitlement_of = |name: &OrganisationName| {
+      let organisation = configuration.as_ref().and_then(|all| all.organisations.get(name));
+      let limit = organisation.and_then(|one| one.value.rate_limit);
+      limit.map_or(weight, |limit| limit.rate.requests_per_s()) / total
+    };
+    service.decide(now, request, entitlement_of)
+  }
+
+  /// Returns the state of a service where requests compete for it, created on first use.
+  fn service(&mut self, now: Time, service: &ServiceName) -> Option<&mut ServiceRoom> {
+    if !self.contested.contains(service) {
+      return None;
+    }
+    if !self.services.contains_key(service) {
+      self.services.insert(service.clone(), ServiceRoom::new(now));
+    }
+    self.services.get_mut(service)
+  }
+
+  /// Returns the admitted share of the demand of a service in percent; `None` where this box does
+  /// not decide on its requests.
+  pub fn level_percent(&self, service: &ServiceName) -> Option<u32> {
+    self.services.get(service).map(ServiceRoom::level_percent)
+  }
+
+  /// Returns what is known of a service by rank.
+  pub fn rows(&self, now: Time, service: &ServiceName) -> Vec<RoomRow> {
+    self.services.get(service).map(|room| room.rows(now)).unwrap_or_default()
+  }
+
+  /// Returns the organisations that asked for most of a service, with their part of its requests in
+  /// percent.
+  pub fn largest_organisations(&self, service: &ServiceName) -> Vec<(OrganisationName, u32)> {
+    let room = self.services.get(service);
+    room.map(|room| room.largest_organisations(Self::LARGEST_SHOWN)).unwrap_or_default()
   }
 }
--- a/src/telemetry/labels.rs
+++ b/src/telemetry/labels.rs
@@ -20,6 +20,17 @@
   pub state: &'static str,
 }
 
+/// Labels of requests on their entry.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct EntryLabels {
+  /// `tried` or `refused`.
+  pub decision: &'static str,
+  /// The rank; 0 is served first.
+  pub rank: u32,
+  /// The service.
+  pub service: String,
+}
+
 /// Labels of bytes sent and received on links.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ByteLabels {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use {
-  self::labels::{BodyLabels, ByteLabels, LinkLabels, RequestLabels, StoreLabels},
+  self::labels::{BodyLabels, ByteLabels, EntryLabels, LinkLabels, RequestLabels, StoreLabels},
   prometheus_client::{
     metrics::{
       counter::Counter,
@@ -29,6 +29,8 @@
   pub configurations_refused: Counter,
   /// Entries of the directory that could not be read. Each counts once.
   pub entries_unreadable: Counter,
+  /// Callers' requests that were tried or refused before any try.
+  entries: Family<EntryLabels, Counter>,
   /// Fingerprints of quarantined requests that this daemon knows.
   pub fingerprints_held: Gauge,
   /// Caller classes and services that have a label value of their own so far.
@@ -65,6 +67,9 @@
   /// Largest number of caller classes and services with a label value of their own; others count as `other`.
   const LABELS_MAX: usize = 256;
 
+  /// Largest rank with a label value of its own; lower ranks count as this one.
+  const RANK_MAX: u32 = 15;
+
   /// Creates the metrics, all at zero.
   pub fn new() -> Self {
     let mut registry = Registry::with_prefix("ferryyoke");
@@ -103,6 +108,11 @@
         "entries_unreadable",
         "Entries of the directory that could not be read",
       ),
+      entries: registered(
+        of,
+        "entries",
+        "Requests that were tried or refused before any try, by service and rank",
+      ),
       fingerprints_held: registered(
         of,
         "fingerprints_held",
@@ -159,6 +169,16 @@
     }
   }
 
+  /// Counts a request that is tried, or refused before any try.
+  pub fn count_entry(&self, service: &str, priority: u32, is_admitted: bool) {
+    let labels = EntryLabels {
+      decision: if is_admitted { "tried" } else { "refused" },
+      rank: priority.min(Self::RANK_MAX),
+      service: self.bounded(service),
+    };
+    self.entries.get_or_create(&labels).inc();
+  }
+
   /// Records the duration of a request to the head of its answer, in seconds.
   pub fn record_request(&self, service: &str, class: &str, outcome: &str, seconds: f64) {
     let labels = RequestLabels {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -9,7 +9,8 @@
     fleet::{Endpoint, EndpointState},
     requests::{
       AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchContext, DispatchEvent,
-      DispatchStep, RequestProfile, RetryBudget, RetryLimits, TryId, TryOrder, Urgency,
+      DispatchStep, RequestProfile, RetryBudget, RetryLimits, RoomForecast, TryId, TryOrder,
+      Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, DataHall, Time},
@@ -33,6 +34,7 @@
   endpoints: Vec<Endpoint>,
   now: Time,
   rng: ChaCha8Rng,
+  room: Option<RoomForecast>,
   traffic: Traffic,
 }
 
@@ -49,6 +51,7 @@
         .collect(),
       now: START,
       rng: ChaCha8Rng::seed_from_u64(7),
+      room: None,
       traffic: Traffic::default(),
     }
   }
@@ -65,6 +68,7 @@
       now: self.now,
       own_box: &"own-box".parse().expect("a name"),
       rng: &mut self.rng,
+      room: self.room,
       traffic: &self.traffic,
     };
     dispatch.handle(event, &mut context)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod oracle;
 pub mod plain_source;
 pub mod rollout_world;
+pub mod room_world;
 pub mod scripted_store;
 pub mod world;
 
