Keep an overdue request from a full service, and steer the level by its queue

Cause: in virtual time the level fell to where most were at their floor, and overdue requests of callers that returned were admitted only to be declined at each queue. Change: the level aims at a queue of half the slots; an overdue request is refused at once while the service is full; the room is known from three fresh reports on.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -53,6 +53,8 @@
   /// Boxes that are asked to run a request at once before it queues at one. With half of the boxes
   /// full, 15 of 16 requests find a free slot by then.
   const IMMEDIATE_TRIES_MAX: usize = 4;
+  /// The same where the service as a whole is known to be full: a free slot is a matter of chance.
+  const IMMEDIATE_TRIES_MAX_KNOWN: usize = 1;
   /// Full queues after which a request is refused: the next box is likely to be full too.
   const FULL_QUEUES_MAX: usize = 4;
   /// The same where the service as a whole is known to be full.
@@ -264,7 +266,9 @@
   fn choose_next(&self, context: &mut DispatchContext) -> (bool, Choice) {
     let asked = self.ended.iter().filter(|one| one.outcome.is_declined()).count();
     let is_full = context.room.is_some_and(|room| room.is_full());
-    if asked < Self::IMMEDIATE_TRIES_MAX && !is_full {
+    let asked_max =
+      if is_full { Self::IMMEDIATE_TRIES_MAX_KNOWN } else { Self::IMMEDIATE_TRIES_MAX };
+    if asked < asked_max {
       let tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
       let choice = self.choose_except(&tried, context);
       let usable = choice.verdicts.iter().filter(|(_, verdict)| verdict.is_usable()).count();
--- a/src/requests/room/admission_level.rs
+++ b/src/requests/room/admission_level.rs
@@ -23,10 +23,13 @@
 impl AdmissionLevel {
   /// Waiting requests as a share of the slots that the level aims at: enough to keep slots busy,
   /// and few enough that the most urgent wait for a small part of a run.
-  const EXCESS_AIM: f64 = 0.25;
+  const EXCESS_AIM: f64 = 0.5;
   /// The part of the overload by which the level falls in one window. Answers show the effect of a
   /// change only after about a run, which is longer than a window.
-  const GAIN: f64 = 0.3;
+  const GAIN: f64 = 0.15;
+  /// Weight of the share of requests that found no room after tries: some of them had too little
+  /// time left for any queue.
+  const REFUSED_WEIGHT: f64 = 0.5;
   /// Largest fall in one window.
   const FALL_MAX: f64 = 0.1;
   /// Largest rise in one window.
@@ -79,6 +82,6 @@
   fn overload(&self) -> f64 {
     let excess = self.excess / f64::from(self.reports.max(1));
     let refused = f64::from(self.refused) / f64::from(self.ended.max(1));
-    excess - Self::EXCESS_AIM + refused
+    excess - Self::EXCESS_AIM + refused * Self::REFUSED_WEIGHT
   }
 }
--- a/src/requests/room/backend_room.rs
+++ b/src/requests/room/backend_room.rs
@@ -32,11 +32,11 @@
     }
   }
 
-  /// Returns the weight of this report, from 0 to the weighted slots, by its age.
+  /// Returns how much this report still tells, from 1 to 0 by its age.
   #[allow(clippy::cast_precision_loss)]
-  pub fn weight(&self, now: Time) -> f64 {
+  pub fn freshness(&self, now: Time) -> f64 {
     let age_ms = now.since_ms(self.told_at).min(Self::AGE_MAX_MS);
-    self.speed_slots * (1.0 - age_ms as f64 / Self::AGE_MAX_MS as f64)
+    1.0 - age_ms as f64 / Self::AGE_MAX_MS as f64
   }
 
   /// Returns the free slots as a share of all.
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -22,8 +22,9 @@
   const RETRY_FRACTION: f64 = 0.33;
   /// The part of that time over which the returns of refused callers are spread.
   const RETRY_SPREAD: f64 = 0.4;
-  /// Sum of weighted and aged slots from which the reports tell of the service as a whole.
-  const WEIGHT_MIN: f64 = 8.0;
+  /// Reports, each weighted from 1 to 0 by age, that tell of the service as a whole. Of fewer
+  /// backend servers all may be full while others have room.
+  const REPORTS_MIN: f64 = 2.5;
   /// Microseconds of work assumed of a request of which nothing is known.
   const WORK_UNKNOWN_US: u64 = 100_000;
 
@@ -54,14 +55,16 @@
   /// Returns what a request of rank `priority` may expect; `None` where too little is known.
   #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
   pub fn forecast(&self, now: Time, priority: u32) -> Option<RoomForecast> {
-    let (mut all, mut free, mut wait_ms) = (0.0, 0.0, 0.0);
+    let (mut reports, mut all, mut free, mut wait_ms) = (0.0, 0.0, 0.0, 0.0);
     for backend in self.backends.values() {
-      let weight = backend.weight(now);
+      let freshness = backend.freshness(now);
+      let weight = backend.speed_slots * freshness;
+      reports += freshness;
       all += weight;
       free += weight * backend.free_share();
       wait_ms += weight * backend.wait_ms();
     }
-    if all < Self::WEIGHT_MIN {
+    if reports < Self::REPORTS_MIN {
       return None;
     }
     // Those of lower ranks that wait there are passed by.
@@ -85,6 +88,12 @@
       return EntryDecision::Admit;
     }
     let forecast = self.forecast(now, urgency.priority);
+    let short = forecast.filter(|one| one.free_percent < Self::FREE_MIN_PERCENT);
+    if let Some(forecast) = short.filter(|_| urgency.due <= now) {
+      // It would take a free slot only, so it is no demand that others compete with.
+      let kind = DemandMix::kind_of(urgency, false);
+      return self.refuse(kind, "it is overdue and the service is full", now, request, forecast);
+    }
     let work_us = request.estimate.map_or(Self::WORK_UNKNOWN_US, |estimate| estimate.usual_us);
     let needed_ms = request.estimate.map_or(0, |estimate| estimate.usual_us / 1_000)
       + forecast.map_or(0, |forecast| forecast.wait_ms);
@@ -94,7 +103,7 @@
     if let Some(organisation) = request.organisation {
       self.organisations.add(organisation);
     }
-    let Some(forecast) = forecast.filter(|one| one.free_percent < Self::FREE_MIN_PERCENT) else {
+    let Some(forecast) = short else {
       return self.admit(kind);
     };
     let part = self.demand.admitted_part(kind, self.level.share());
@@ -104,14 +113,25 @@
     if self.demand.spend(kind, own_part) {
       return self.admit(kind);
     }
+    let reason = if own_part < part {
+      "its organisation asks for more than its share of a full service"
+    } else {
+      "the service is full of what goes first"
+    };
+    self.refuse(kind, reason, now, request, forecast)
+  }
+
+  fn refuse(
+    &mut self,
+    kind: RequestKind,
+    reason: &'static str,
+    now: Time,
+    request: &EntryRequest,
+    forecast: RoomForecast,
+  ) -> EntryDecision {
     self.counts.entry(kind.priority).or_default().1 += 1;
-    let is_held = own_part < part;
     EntryDecision::Refuse {
-      reason: if is_held {
-        "its organisation asks for more than its share of a full service"
-      } else {
-        "the service is full of what goes first"
-      },
+      reason,
       retry_after_ms: self.retry_after_ms(now, request, kind, forecast),
     }
   }
