--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -138,6 +138,27 @@
 }
 
 /// Holds even if no other data hall is left.
+/// A service that is known to be full costs few questions: one box is asked to run the request at
+/// once, then it queues, and it is refused after two full queues.
+#[test]
+fn few_boxes_are_asked_while_the_service_is_known_to_be_full() {
+  let mut daemon = Daemon::new(10);
+  daemon.room = Some(RoomForecast { free_percent: 0, wait_ms: 100 });
+  let mut dispatch = Dispatch::new(profile(true));
+  let mut order = daemon.start(&mut dispatch);
+  let mut queued = Vec::new();
+  loop {
+    queued.push(order.may_queue);
+    let step = daemon.end(&mut dispatch, order.id, AttemptOutcome::declined("full", 10));
+    match step {
+      DispatchStep::Try(next) => order = *next,
+      DispatchStep::Refuse(_) => break,
+      other => panic!("{other:?}"),
+    }
+  }
+  assert_eq!(queued, [false, true, true]);
+}
+
 #[test]
 fn an_evacuated_data_hall_gets_no_tries() {
   let mut daemon = Daemon::new(4);
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -2,7 +2,18 @@
 
 mod support;
 
-use support::room_world::{Load, Policy, RoomWorld, SLOTS, Tally};
+use {
+  ferryyoke::{
+    configuration::Handling,
+    requests::{Condition, EntryDecision, EntryRequest, Rooms, Urgency},
+    values::{OrganisationName, RouteName, ServiceName, Time},
+  },
+  std::sync::Arc,
+  support::{
+    endpoints::endpoint,
+    room_world::{Load, Policy, RoomWorld, SLOTS, Tally, configuration, organisation, service},
+  },
+};
 
 /// Three kinds of requests that together ask for `load` times what `backends` can take.
 fn loads(backends: usize, load: f64) -> [Load; 3] {
@@ -132,3 +143,158 @@
   assert!(share_in_time(&others) > share(1), "{} and {}", share_in_time(&others), share(1));
   assert!(share(1) >= share_in_time(&world.by_organisation) / 4.0, "{}", share(1));
 }
+
+/// Failure: a third of the boxes is cut off for three seconds under full load.
+#[test]
+fn ranks_hold_at_the_other_boxes_while_some_are_cut_off() {
+  let mut world = RoomWorld::new(7, (13, 8), &loads(8, 1.2), &[1.0], Policy::Levels);
+  world.run(2_000, 1.0);
+  world.cut = (0..4).collect();
+  world.run(3_000, 1.0);
+  world.cut.clear();
+  world.run(4_000, 1.0);
+  assert_ranks(&world);
+  assert_eq!(sum(&world.by_load, |tally| tally.refused_with_room), 0);
+}
+
+/// Load: 80 equal organisations ask for 1.5 times what the service can take.
+#[test]
+fn equal_organisations_are_served_alike() {
+  let mut world = RoomWorld::new(8, (13, 8), &loads(8, 1.5), &[1.0; 80], Policy::Levels);
+  world.run(12_000, 1.0);
+  let served: Vec<f64> = world.by_organisation.iter().map(Tally::share_in_time).collect();
+  let total: f64 = served.iter().sum();
+  let squares: f64 = served.iter().map(|one| one * one).sum();
+  // Jain's index: 1 where all are served alike.
+  #[allow(clippy::cast_precision_loss)]
+  let jain = total * total / (served.len() as f64 * squares);
+  assert!(jain >= 0.9, "{jain}");
+}
+
+/// A box and the requests that enter it, one each millisecond.
+struct Entrance {
+  now: Time,
+  rooms: Rooms,
+  service: ServiceName,
+}
+
+impl Entrance {
+  fn new(ranks: &[u32], rates: &[f64]) -> Self {
+    let mut rooms = Rooms::default();
+    rooms.configure(Arc::new(configuration(ranks, rates)));
+    Self { now: Time(1_000), rooms, service: service() }
+  }
+
+  /// Lets every backend server report its load.
+  fn report(&mut self, load_percent: u32) {
+    for index in 0..8 {
+      let condition = Condition { load_percent, service_us: 200_000, ..Condition::default() };
+      let endpoint = endpoint(&format!("box-{index}"), "hall-0", SLOTS);
+      self.rooms.note_report(self.now, &endpoint, condition, false);
+    }
+  }
+
+  fn enter(&mut self, urgency: Urgency, organisation: Option<&OrganisationName>) -> bool {
+    self.now = self.now.after(1);
+    let route: RouteName = "route-0".parse().expect("a name");
+    let deadline = self.now.after(3_000);
+    let (estimate, service) = (None, &self.service.clone());
+    let request =
+      EntryRequest { deadline, estimate, organisation, route: &route, service, urgency };
+    self.rooms.decide(self.now, &request) == EntryDecision::Admit
+  }
+
+  fn urgency(&self, priority: u32, elapsed_ms: u64, is_call: bool) -> Urgency {
+    let handling = Handling { target_ms: Some(2_000), ..Handling::default() };
+    Urgency::of(self.now, self.now.after(3_000), &handling, priority, is_call, elapsed_ms)
+  }
+
+  /// Keeps the service full for a while. Returns how many of the requests that `next` makes enter.
+  fn overload(&mut self, for_ms: u64, next: impl Fn(&Self, u64) -> Urgency) -> u64 {
+    let mut entered = 0;
+    for index in 0..for_ms {
+      if index % 50 == 0 {
+        self.report(250);
+      }
+      let urgency = next(self, index);
+      entered += u64::from(self.enter(urgency, None));
+    }
+    entered
+  }
+}
+
+/// Load: a service that is full for ten seconds. The floor holds for the last rank, and a call of a
+/// running request always enters.
+#[test]
+fn the_floor_holds_under_lasting_overload_and_calls_enter() {
+  let mut entrance = Entrance::new(&[0, 3], &[]);
+  entrance
+    .overload(10_000, |this, index| this.urgency(if index % 2 == 0 { 0 } else { 3 }, 0, false));
+  let entered = entrance.overload(1_000, |this, _| this.urgency(3, 0, false));
+  assert!((240..=260).contains(&entered), "{entered}");
+  let calls = entrance.overload(1_000, |this, _| this.urgency(3, 0, true));
+  assert_eq!(calls, 1_000);
+}
+
+/// Load: callers that return when they were told, beside as many fresh ones of their rank.
+#[test]
+fn callers_that_return_in_time_enter_before_fresh_ones() {
+  let mut entrance = Entrance::new(&[0, 1], &[]);
+  let elapsed_ms = |index: u64| if index % 2 == 0 { 0 } else { 500 };
+  entrance.overload(1_500, |this, index| this.urgency(0, elapsed_ms(index), false));
+  let (mut fresh, mut returned) = (0, 0);
+  for index in 0..400 {
+    if index % 50 == 0 {
+      entrance.report(150);
+    }
+    let urgency = entrance.urgency(0, elapsed_ms(index), false);
+    let entered = u32::from(entrance.enter(urgency, None));
+    if index % 2 == 0 { fresh += entered } else { returned += entered }
+  }
+  assert!(returned > fresh, "{returned} returned and {fresh} fresh");
+}
+
+/// Failure: a box hears nothing more of a full service. What it knew no longer holds, so requests
+/// are tried as before.
+#[test]
+fn requests_enter_where_the_room_is_no_longer_known() {
+  let mut entrance = Entrance::new(&[0, 1], &[]);
+  entrance.overload(5_000, |this, _| this.urgency(1, 0, false));
+  entrance.now = entrance.now.after(3_000);
+  let urgency = entrance.urgency(1, 0, false);
+  assert!((0..20).all(|_| entrance.enter(urgency, None)));
+  assert_eq!(entrance.rooms.forecast(entrance.now, &entrance.service, 1), None);
+}
+
+/// Load: a full service whose requests are all of one rank, without organisations.
+#[test]
+fn nothing_is_decided_where_nobody_competes() {
+  let mut entrance = Entrance::new(&[1, 1], &[]);
+  assert_eq!(entrance.overload(5_000, |this, _| this.urgency(1, 0, false)), 5_000);
+}
+
+/// Load: 10,000 organisations, of which one sends a fifth of all requests while the service is full.
+#[test]
+fn one_hot_organisation_among_ten_thousand_is_found() {
+  let mut entrance = Entrance::new(&[0], &vec![1.0; 10_000]);
+  let names: Vec<OrganisationName> = (0..10_000).map(organisation).collect();
+  let (mut hot, mut others) = (0, 0);
+  for index in 0..10_000_usize {
+    if index % 50 == 0 {
+      entrance.report(110);
+    }
+    if index % 500 == 0 {
+      let rooms = &mut entrance.rooms;
+      (0..4).for_each(|_| rooms.note_ended(entrance.now, &entrance.service, true));
+    }
+    let is_hot = index % 5 == 0;
+    let name = if is_hot { &names[0] } else { &names[index] };
+    let urgency = entrance.urgency(0, 0, false);
+    let entered = u32::from(entrance.enter(urgency, Some(name)));
+    if is_hot { hot += entered } else { others += entered }
+  }
+  // Of each that asks, the others get in more often than the hot one.
+  assert!(others > 4 * hot, "{others} and {hot}");
+  let largest = entrance.rooms.largest_organisations(&entrance.service);
+  assert_eq!(largest.first().map(|(name, _)| name), Some(&names[0]));
+}
