--- a/tests/room.rs
+++ b/tests/room.rs
@@ -240,7 +240,7 @@
 #[test]
 fn callers_that_return_in_time_enter_before_fresh_ones() {
   let mut entrance = Entrance::new(&[0, 1], &[]);
-  let elapsed_ms = |index: u64| if index % 2 == 0 { 0 } else { 500 };
+  let elapsed_ms = |index: u64| index % 2 * 500;
   entrance.overload(1_500, |this, index| this.urgency(0, elapsed_ms(index), false));
   let (mut fresh, mut returned) = (0, 0);
   for index in 0..400 {
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -1,6 +1,8 @@
 //! Boxes that take callers' requests in and the backend servers of one service, in virtual time.
 //! Limiter, balancer, dispatch and room are those of the product.
 
+#![allow(clippy::cast_precision_loss)]
+
 use {
   ferryyoke::{
     configuration::{Configuration, Handling, Organisation, RateLimit, Revised, Route},
