--- a/src/requests/room/room_forecast.rs
+++ b/src/requests/room/room_forecast.rs
@@ -12,7 +12,7 @@
 
 impl RoomForecast {
   /// Free slots in percent below which the next backend server is likely to be full.
-  const FULL_PERCENT: u32 = 5;
+  const FULL_PERCENT: u32 = 3;
 
   /// Whether a request would hardly find a free slot.
   pub fn is_full(&self) -> bool {
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -16,7 +16,7 @@
   /// Backend servers whose reports are kept.
   const BACKENDS_MAX: usize = 1_024;
   /// Free slots in percent from which every request enters.
-  const FREE_MIN_PERCENT: u32 = 8;
+  const FREE_MIN_PERCENT: u32 = 5;
   /// The largest part of the time until its deadline after which a refused caller returns, so that
   /// it can still be served.
   const RETRY_FRACTION: f64 = 0.33;
@@ -89,7 +89,7 @@
     }
     let forecast = self.forecast(now, urgency.priority);
     let short = forecast.filter(|one| one.free_percent < Self::FREE_MIN_PERCENT);
-    if let Some(forecast) = short.filter(|_| urgency.due <= now) {
+    if let Some(forecast) = forecast.filter(|one| one.is_full() && urgency.due <= now) {
       // It would take a free slot only, so it is no demand that others compete with.
       let kind = DemandMix::kind_of(urgency, false);
       return self.refuse(kind, "it is overdue and the service is full", now, request, forecast);
