Join room with calls, and decide on entry after the rate limit

Cause: requests beyond an organisation's rate limit counted as demand for a service's room and got 503 in place of 429. Change: the decision on entry comes after the admission by the rate limit, whose token returns if the request is refused.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,32 +3,59 @@
 use super::*;
 
 /// Refuses a request that should not be tried.
-pub(super) fn check(shared: &Shared, request: &EntryRequest) -> std::result::Result<(), Refusal> {
+pub(super) fn check(
+  shared: &Shared,
+  route: &RouteName,
+  forwarded: &ForwardedRequest,
+) -> std::result::Result<(), Refusal> {
+  let request = EntryRequest {
+    deadline: forwarded.deadline,
+    estimate: forwarded.estimate,
+    organisation: forwarded.organisation.as_ref(),
+    route,
+    service: &forwarded.service,
+    urgency: forwarded.urgency,
+  };
   let now = shared.now().time;
-  let mut decision = shared.rooms.borrow_mut().decide(now, request);
-  if decision == EntryDecision::Admit {
-    decision = decide_by_calls(shared, now, request);
-  }
-  match decision {
-    EntryDecision::Admit => Ok(()),
-    EntryDecision::Refuse { reason, retry_after_ms } => {
-      Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
-    }
-  }
+  check_room(shared, now, &request)?;
+  check_calls(shared, now, &request)
 }
 
-/// Decides by what this box knows of the calls that the request's run will make.
-fn decide_by_calls(shared: &Shared, now: Time, request: &EntryRequest) -> EntryDecision {
+/// Refuses a request for which its service has no room.
+fn check_room(
+  shared: &Shared,
+  now: Time,
+  request: &EntryRequest,
+) -> std::result::Result<(), Refusal> {
+  let (service, priority) = (request.service, request.urgency.priority);
+  let decision = shared.rooms.borrow_mut().decide(now, request);
+  shared.metrics.count_entry(service.as_str(), priority, decision == EntryDecision::Admit);
+  let EntryDecision::Refuse { reason, retry_after_ms } = decision else {
+    return Ok(());
+  };
+  let forecast = shared.rooms.borrow().forecast(now, service, priority);
+  let forecast = forecast.map_or("its room is unknown".into(), |one| one.to_string());
+  let reason = format!("{reason}: {service} has {forecast} at rank {priority}");
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
+}
+
+/// Refuses a request whose run would fail for the calls that it makes, as far as this box knows.
+fn check_calls(
+  shared: &Shared,
+  now: Time,
+  request: &EntryRequest,
+) -> std::result::Result<(), Refusal> {
   let rooms = shared.rooms.borrow();
   let wait_ms = |service: &ServiceName| rooms.forecast(now, service, 0).map(|room| room.wait_ms);
   let decision = shared.call_trees.borrow_mut().decide(now, request, wait_ms);
-  if decision != EntryDecision::Admit {
-    shared.metrics.requests_refused_for_calls.inc();
-    info!(
-      shared.log.logger, #Log::REQUEST, "a request is refused for the calls of its route";
-      "route" => request.route.as_str(),
-      "calls" => shared.call_trees.borrow().describe(now, request.route)
-    );
-  }
-  decision
+  let EntryDecision::Refuse { reason, retry_after_ms } = decision else {
+    return Ok(());
+  };
+  shared.metrics.requests_refused_for_calls.inc();
+  info!(
+    shared.log.logger, #Log::REQUEST, "a request is refused for the calls of its route";
+    "route" => request.route.as_str(),
+    "calls" => shared.call_trees.borrow().describe(now, request.route)
+  );
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -100,18 +100,9 @@
   }
   let kind = RouteKind::of(&service, handling);
   let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
-  let entry = EntryRequest {
-    deadline,
-    estimate,
-    organisation: organisation.as_ref(),
-    route: &matched.route,
-    service: &service,
-    urgency,
-  };
   recorder.fingerprint = Some(fingerprint);
   recorder.deadline = deadline;
   check_early_return(shared, fingerprint, urgency)?;
-  entry::check(shared, &entry)?;
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
@@ -137,6 +128,8 @@
     version: recorder.record.version,
   };
   let admitted = AdmittedRequest::admit(shared, member).await?;
+  // What is beyond a rate limit does not count as demand for the service's room.
+  entry::check(shared, &matched.route, &forwarded)?;
   if is_claimed {
     admitted.spend_token();
     let answer = handle_claimed(shared, recorder, incoming, forwarded, body).await?;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -54,7 +54,7 @@
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
   returns::{EarlyReturns, ReturnTime},
-  room::{EntryDecision, EntryRequest, RoomForecast, Rooms},
+  room::{EntryDecision, EntryRequest, RoomForecast, RoomRow, Rooms},
   route_match::RouteMatch,
   router::Router,
   run_end::RunEnd,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -9,7 +9,8 @@
     fleet::{Endpoint, EndpointState},
     requests::{
       AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchContext, DispatchEvent,
-      DispatchStep, RequestProfile, RetryBudget, RetryLimits, TryId, TryOrder, Urgency,
+      DispatchStep, RequestProfile, RetryBudget, RetryLimits, RoomForecast, TryId, TryOrder,
+      Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, DataHall, Time},
@@ -33,6 +34,7 @@
   endpoints: Vec<Endpoint>,
   now: Time,
   rng: ChaCha8Rng,
+  room: Option<RoomForecast>,
   traffic: Traffic,
 }
 
@@ -49,6 +51,7 @@
         .collect(),
       now: START,
       rng: ChaCha8Rng::seed_from_u64(7),
+      room: None,
       traffic: Traffic::default(),
     }
   }
@@ -65,6 +68,7 @@
       now: self.now,
       own_box: &"own-box".parse().expect("a name"),
       rng: &mut self.rng,
+      room: self.room,
       traffic: &self.traffic,
     };
     dispatch.handle(event, &mut context)
@@ -134,6 +138,27 @@
 }
 
 /// Holds even if no other data hall is left.
+/// A service that is known to be full costs few questions: one box is asked to run the request at
+/// once, then it queues, and it is refused after two full queues.
+#[test]
+fn few_boxes_are_asked_while_the_service_is_known_to_be_full() {
+  let mut daemon = Daemon::new(10);
+  daemon.room = Some(RoomForecast { free_percent: 0, wait_ms: 100 });
+  let mut dispatch = Dispatch::new(profile(true));
+  let mut order = daemon.start(&mut dispatch);
+  let mut queued = Vec::new();
+  loop {
+    queued.push(order.may_queue);
+    let step = daemon.end(&mut dispatch, order.id, AttemptOutcome::declined("full", 10));
+    match step {
+      DispatchStep::Try(next) => order = *next,
+      DispatchStep::Refuse(_) => break,
+      other => panic!("{other:?}"),
+    }
+  }
+  assert_eq!(queued, [false, true, true]);
+}
+
 #[test]
 fn an_evacuated_data_hall_gets_no_tries() {
   let mut daemon = Daemon::new(4);
