Aim at a queue of one round of the slots

Cause: an aim of half a round refused callers who would have been answered, some late. Change: the level falls once as many requests wait as there are slots: who waits so long has its answer within the target where a run takes less than half of it.

--- a/src/requests/room/admission_level.rs
+++ b/src/requests/room/admission_level.rs
@@ -23,7 +23,7 @@
 impl AdmissionLevel {
   /// Waiting requests as a share of the slots that the level aims at: enough to keep slots busy,
   /// and few enough that the most urgent wait for a small part of a run.
-  const EXCESS_AIM: f64 = 0.5;
+  const EXCESS_AIM: f64 = 1.0;
   /// The part of the overload by which the level falls in one window. Answers show the effect of a
   /// change only after about a run, which is longer than a window.
   const GAIN: f64 = 0.15;
