Limit trials of a suspect that end without a result

Cause: a trial whose caller gives up has neither a result nor a crash, so the request stayed on trial and the next one followed half a second later, without end. Callers that come back have less time left each time.

Change: such a trial counts as a late one from 2 s after the third crash on, and the next follows after 1 s, then 10 s; after the third late one the request is held until it is forgotten.

--- a/crates/ferryyoke-soak/tests/crashing_requests.rs
+++ b/crates/ferryyoke-soak/tests/crashing_requests.rs
@@ -23,6 +23,9 @@
 /// Milliseconds for which the caller repeats its request.
 const SENDING_MS: u64 = 12_000;
 
+/// Milliseconds for which callers repeat a long one, beyond the hold of ten seconds.
+const LONG_SENDING_MS: u64 = 20_000;
+
 /// Milliseconds within which every connected box learns of a crash at another one.
 const CONTACT_MS: u64 = 3_000;
 
@@ -111,6 +114,53 @@
   });
 }
 
+/// Sends the crashing request, of 200 ms, to the boxes in turn, whether or not the attempts before have ended. Callers
+/// wait for the answer as long as `patience_ms` says of the number of the attempt.
+async fn send_long_crashing_requests(fleet: &Fleet, patience_ms: impl Fn(u64) -> u64) {
+  let attempt = async |number: u64| {
+    monoio::time::sleep(Duration::from_millis(number * PAUSE_MS)).await;
+    let id = format!("{ATTEMPT}{number}");
+    let headers = [(platform::REQUEST_ID, id.as_str()), (platform::CRASH_MS, "200")];
+    let (index, left_ms) = (usize::try_from(number).expect("small") % BOXES, patience_ms(number));
+    let sent = fleet.send_within(index, Method::GET, "/read/ends-servers", &headers, left_ms);
+    sent.await.ok();
+  };
+  futures_util::future::join_all((0..LONG_SENDING_MS / PAUSE_MS).map(attempt)).await;
+}
+
+/// Sends harmless requests of 5 ms to the boxes in turn.
+async fn ask_short(fleet: &Fleet) {
+  let until = Instant::now() + Duration::from_millis(LONG_SENDING_MS);
+  let mut number = 0;
+  while Instant::now() < until {
+    let path = format!("/read/short-{}", number % 50);
+    fleet.send(number % BOXES, Method::GET, &path, &[(platform::WORK_MS, "5")]).await.ok();
+    number += 1;
+    monoio::time::sleep(Duration::from_millis(15)).await;
+  }
+}
+
+async fn check_long_crashing_requests(patience_ms: impl Fn(u64) -> u64) {
+  let fleet = fleet().await;
+  let crashing = send_long_crashing_requests(&fleet, patience_ms);
+  let asking = futures_util::future::join_all((0..4).map(|_| ask_short(&fleet)));
+  futures_util::future::join(crashing, asking).await;
+  check_late_runs(&fleet);
+}
+
+/// Guards against a crashing request that takes much longer than the others, so that several of its attempts run at
+/// once when the first crash is known.
+#[test]
+fn a_long_crashing_request_beside_short_ones_reaches_at_most_three_more() {
+  run(check_long_crashing_requests(|_| support::ANSWER_MS));
+}
+
+/// Guards against trials without end: most callers give up before the request crashes a process.
+#[test]
+fn a_crashing_request_whose_callers_give_up_early_reaches_at_most_three_more() {
+  run(check_long_crashing_requests(|number| if number % 7 > 1 { 150 } else { support::ANSWER_MS }));
+}
+
 /// Checks that the request reached backend servers at most three more times once all boxes knew of it.
 fn check_late_runs(fleet: &Fleet) {
   let runs = runs_ms(fleet);
--- a/crates/ferryyoke-soak/tests/support/mod.rs
+++ b/crates/ferryyoke-soak/tests/support/mod.rs
@@ -133,19 +133,31 @@
     method: Method,
     path: &str,
     headers: &[(&str, &str)],
+  ) -> Result<Answer, String> {
+    self.send_within(index, method, path, headers, ANSWER_MS).await
+  }
+
+  /// Sends a request whose caller waits for `left_ms`.
+  pub async fn send_within(
+    &self,
+    index: usize,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    left_ms: u64,
   ) -> Result<Answer, String> {
     let mut request = Request::builder()
       .method(method)
       .uri(path)
       .header(http::header::HOST, "soak.example")
-      .header(platform::TIME_LEFT_MS, ANSWER_MS);
+      .header(platform::TIME_LEFT_MS, left_ms);
     for (name, value) in headers {
       request = request.header(*name, *value);
     }
     let request = request.body(web::empty()).expect("a valid head");
-    let pool = Rc::new(Pool::new(ANSWER_MS));
+    let pool = Rc::new(Pool::new(left_ms));
     let exchange = pool.exchange_whole(self.boxes[index].callers, request, 1 << 20);
-    let answered = monoio::time::timeout(Duration::from_millis(2 * ANSWER_MS), exchange).await;
+    let answered = monoio::time::timeout(Duration::from_millis(2 * left_ms), exchange).await;
     let answered = answered.map_err(|_| "no answer in time".to_string())?;
     let (head, body) = answered.map_err(|err| err.to_string())?;
     let body = String::from_utf8_lossy(&body).into_owned();
--- a/src/requests/quarantine.rs
+++ b/src/requests/quarantine.rs
@@ -10,7 +10,7 @@
 /// run alone, an innocent request completes. After each further crash it is held for longer, unless
 /// as many other processes crashed at that time without it: then the trial was likely hit by
 /// another cause, and is repeated soon. Trials that begin later than the fleet takes to learn of
-/// the third crash are limited in any case.
+/// the third crash are limited in any case, also those that end without a result.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
   /// The last crashes, with the requests that ran, oldest first.
@@ -145,7 +145,7 @@
     let Some(suspect) = suspect.filter(|suspect| suspect.crashes >= Suspect::HELD_CRASHES) else {
       return QuarantineStatus::Allowed;
     };
-    let left_ms = suspect.hold_ms().saturating_sub(now.since_ms(suspect.last_crash_at));
+    let left_ms = suspect.left_ms(now);
     if left_ms == 0 {
       return QuarantineStatus::OnTrial;
     }
@@ -197,6 +197,9 @@
   pub fn trial_failed(&mut self, now: Time, fingerprint: Fingerprint) {
     if self.trial == Some(fingerprint) {
       self.trials_from = now.after(Self::TRIAL_SETTLE_MS);
+      if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+        suspect.fail_trial(now);
+      }
     }
     self.trial_ended(fingerprint);
   }
--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -9,7 +9,10 @@
   pub crashes: u32,
   /// When the last crash was reported.
   pub last_crash_at: Time,
-  /// Rounds that began later than the fleet takes to learn of the third crash.
+  /// When its last trial here ended without a result.
+  failed_trial_at: Option<Time>,
+  /// Rounds that began later than the fleet takes to learn of the third crash, and trials here as
+  /// late that had neither a result nor a crash.
   late_rounds: u32,
   /// Crashes of processes that did not run it, within [`Suspect::SPELL_MS`] of its last crash.
   pub(super) other_crashes: u32,
@@ -58,6 +61,7 @@
       boxes: Vec::new(),
       crashes: 0,
       last_crash_at: now,
+      failed_trial_at: None,
       late_rounds: 0,
       other_crashes: 0,
       round_began_at: now,
@@ -92,11 +96,37 @@
     }
     self.round_began_at = now;
     self.rounds = self.rounds.saturating_add(1);
-    if now.since_ms(third_crash_at) >= Self::EARLY_MS {
+    let is_counted = self.failed_trial_at.is_some_and(|at| now.since_ms(at) < Self::ROUND_MS);
+    if !is_counted && now.since_ms(third_crash_at) >= Self::EARLY_MS {
       self.late_rounds = self.late_rounds.saturating_add(1);
     }
   }
 
+  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A crash
+  /// that it caused is reported soon after, and not counted again.
+  pub(super) fn fail_trial(&mut self, now: Time) {
+    let is_late = |third_crash_at: Time| now.since_ms(third_crash_at) >= Self::EARLY_MS;
+    if self.third_crash_at.is_some_and(is_late) {
+      self.late_rounds = self.late_rounds.saturating_add(1);
+    }
+    self.failed_trial_at = Some(now);
+  }
+
+  /// Milliseconds for which it is still held; 0 if it may be tried.
+  pub(super) fn left_ms(&self, now: Time) -> u64 {
+    let after_crash_ms = self.hold_ms().saturating_sub(now.since_ms(self.last_crash_at));
+    let after_trial_ms =
+      self.failed_trial_at.map_or(0, |at| self.trial_hold_ms().saturating_sub(now.since_ms(at)));
+    after_crash_ms.max(after_trial_ms)
+  }
+
+  /// Milliseconds for which it is held after a trial without a result. Repeating such trials without
+  /// a limit would send a request that crashes processes on and on, as its callers give up early.
+  fn trial_hold_ms(&self) -> u64 {
+    let late_trial = (self.late_rounds as usize).checked_sub(1);
+    late_trial.map_or(0, |late| Self::HOLDS_MS.get(late).copied().unwrap_or_default())
+  }
+
   /// Whether as many processes crashed without it as with it, so that their cause is likely another
   /// one.
   fn is_likely_innocent(&self) -> bool {
@@ -105,7 +135,7 @@
 
   /// Milliseconds for which it is held after its last crash. After the last round it stays held
   /// until it is forgotten.
-  pub(super) fn hold_ms(&self) -> u64 {
+  fn hold_ms(&self) -> u64 {
     if self.late_rounds >= Self::LATE_ROUNDS_MAX {
       return Self::REMEMBERED_MS;
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -442,3 +442,48 @@
   let status = started.status(at.after(5_000), fingerprint("guilty"));
   assert!(matches!(status, QuarantineStatus::Held { .. }), "{status:?}");
 }
+
+/// Guards against a guilty request whose callers give up before its trial ends: each trial that had neither a result nor
+/// a crash was followed by another.
+#[test]
+fn a_guilty_request_is_held_though_its_trials_are_cancelled() {
+  for seed in 0..100 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = Fleet::new();
+    for index in 0..3 {
+      fleet.crashed(START.after(10_000 + 40 * index as u64), index, &["guilty"]);
+    }
+    let third_at = START.after(10_080);
+    let cancelled_share = [0.3, 0.7, 1.0][rng.random_range(0..3)];
+    let (mut now, mut runs_at) = (third_at, Vec::new());
+    while now.since_ms(third_at) < 3_000_000 {
+      now = now.after(60);
+      let status = fleet.quarantine.begin_run(now, fingerprint("guilty"), || true);
+      if status != QuarantineStatus::OnTrial {
+        continue;
+      }
+      runs_at.push(now);
+      now = now.after(150);
+      fleet.quarantine.trial_failed(now, fingerprint("guilty"));
+      if !rng.random_bool(cancelled_share) {
+        fleet.crashed(now.after(20), runs_at.len() % 6, &["guilty"]);
+      }
+    }
+    let late = runs_at.iter().filter(|at| at.since_ms(third_at) > CONTACT_MS).count();
+    assert!(late <= 3, "seed {seed}: {late} late runs, {cancelled_share} of them cancelled");
+  }
+}
+
+/// Guards against an innocent request that is held for long as the caller of its first trial gave up.
+#[test]
+fn an_innocent_request_is_tried_soon_after_a_cancelled_trial() {
+  let mut fleet = Fleet::new();
+  for index in 0..3 {
+    fleet.crashed(START.after(10_000), index, &["well"]);
+  }
+  let (well, now) = (fingerprint("well"), START.after(13_000));
+  assert_eq!(fleet.quarantine.begin_run(now, well, || true), QuarantineStatus::OnTrial);
+  fleet.quarantine.trial_failed(now.after(100), well);
+  let again = now.after(RELEASE_MAX_MS);
+  assert_eq!(fleet.quarantine.begin_run(again, well, || true), QuarantineStatus::OnTrial);
+}
