Count each late run of a suspect, not each round of them

Cause: a trial's box is chosen among those that take work. While the processes that a request ended come back one by one, daemons know of different ones, and several begin a trial within the delay of the news. All of these counted as one late round, and three rounds are allowed.

Change: from 2 s after the third crash on, each crash counts as a late run; a trial here that was counted when it broke is not counted again. Tried also: a box whose process crashed just now stays a candidate until it is back. With the count alone the bound holds, and an innocent request would wait for that box, so that was left out.

--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -11,9 +11,11 @@
   pub last_crash_at: Time,
   /// When its last trial here ended without a result.
   failed_trial_at: Option<Time>,
-  /// Rounds that began later than the fleet takes to learn of the third crash, and trials here as
-  /// late that had neither a result nor a crash.
-  late_rounds: u32,
+  /// Whether the last trial here is counted as a late run, and no crash was reported since.
+  is_trial_counted: bool,
+  /// Crashes later than the fleet takes to learn of the third one, and trials here as late that had
+  /// neither a result nor a crash.
+  late_runs: u32,
   /// Crashes of processes that did not run it, within [`Suspect::SPELL_MS`] of its last crash.
   pub(super) other_crashes: u32,
   /// When the current round began.
@@ -41,8 +43,8 @@
   /// Milliseconds after the third crash within which a trial is not a late one. The whole fleet
   /// knows of a crash by then.
   const EARLY_MS: u64 = 2_000;
-  /// Rounds after late trials from which a request is held until it is forgotten.
-  const LATE_ROUNDS_MAX: u32 = 3;
+  /// Late runs from which a request is held until it is forgotten.
+  const LATE_RUNS_MAX: u32 = 3;
   /// Milliseconds within which crashes count as one round: the requests were sent before the fleet
   /// knew of the first crash.
   const ROUND_MS: u64 = Self::HOLD_FIRST_MS;
@@ -62,7 +64,8 @@
       crashes: 0,
       last_crash_at: now,
       failed_trial_at: None,
-      late_rounds: 0,
+      is_trial_counted: false,
+      late_runs: 0,
       other_crashes: 0,
       round_began_at: now,
       rounds: 0,
@@ -88,18 +91,19 @@
     }
   }
 
-  /// Counts a round with the crash that begins it.
+  /// Counts a crash from the third one on, and the round that it begins.
   fn count_round(&mut self, now: Time) {
     let third_crash_at = *self.third_crash_at.get_or_insert(now);
+    let is_recent = self.failed_trial_at.is_some_and(|at| now.since_ms(at) < Self::ROUND_MS);
+    let is_counted = std::mem::take(&mut self.is_trial_counted) && is_recent;
+    if !is_counted && now.since_ms(third_crash_at) >= Self::EARLY_MS {
+      self.late_runs = self.late_runs.saturating_add(1);
+    }
     if self.rounds > 0 && now.since_ms(self.round_began_at) < Self::ROUND_MS {
       return;
     }
     self.round_began_at = now;
     self.rounds = self.rounds.saturating_add(1);
-    let is_counted = self.failed_trial_at.is_some_and(|at| now.since_ms(at) < Self::ROUND_MS);
-    if !is_counted && now.since_ms(third_crash_at) >= Self::EARLY_MS {
-      self.late_rounds = self.late_rounds.saturating_add(1);
-    }
   }
 
   /// Counts a trial that ended without a result: its caller gave up or its connection broke. A crash
@@ -107,7 +111,8 @@
   pub(super) fn fail_trial(&mut self, now: Time) {
     let is_late = |third_crash_at: Time| now.since_ms(third_crash_at) >= Self::EARLY_MS;
     if self.third_crash_at.is_some_and(is_late) {
-      self.late_rounds = self.late_rounds.saturating_add(1);
+      self.late_runs = self.late_runs.saturating_add(1);
+      self.is_trial_counted = true;
     }
     self.failed_trial_at = Some(now);
   }
@@ -123,7 +128,7 @@
   /// Milliseconds for which it is held after a trial without a result. Repeating such trials without
   /// a limit would send a request that crashes processes on and on, as its callers give up early.
   fn trial_hold_ms(&self) -> u64 {
-    let late_trial = (self.late_rounds as usize).checked_sub(1);
+    let late_trial = (self.late_runs as usize).checked_sub(1);
     late_trial.map_or(0, |late| Self::HOLDS_MS.get(late).copied().unwrap_or_default())
   }
 
@@ -136,7 +141,7 @@
   /// Milliseconds for which it is held after its last crash. After the last round it stays held
   /// until it is forgotten.
   fn hold_ms(&self) -> u64 {
-    if self.late_rounds >= Self::LATE_ROUNDS_MAX {
+    if self.late_runs >= Self::LATE_RUNS_MAX {
       return Self::REMEMBERED_MS;
     }
     if self.is_likely_innocent() {
