--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{trouble::Running, *};
 
 /// A fake backend server that reports to the daemon on its box, drains, and records what it runs.
 pub struct BackendServer {
@@ -22,12 +22,17 @@
   number: u32,
   record: Rc<RefCell<Record>>,
   rng: ChaCha8Rng,
+  /// Number of requests that the process runs.
+  running: Rc<Cell<u32>>,
   sequence: u64,
   service: String,
   started: Instant,
   /// When the process started, in milliseconds since 1970. Strictly increases with each restart, also under the same
   /// id.
   started_unix_ms: u64,
+  trouble: Trouble,
+  /// Requests that it never answered because of its trouble.
+  unanswered: u32,
 }
 
 impl BackendServer {
@@ -67,10 +72,13 @@
       number: 0,
       record,
       rng: ChaCha8Rng::seed_from_u64(u64::from(Digest::of(name.as_bytes()).prefix())),
+      running: Rc::default(),
       sequence: 0,
       service: service.into(),
       started,
       started_unix_ms: unix_ms(),
+      trouble: Trouble::default(),
+      unanswered: 0,
     }));
     let serving = state.clone();
     web::Server::start(listener, move |request| serve(serving.clone(), request));
@@ -127,6 +135,16 @@
     self.state.borrow_mut().limit_per_s = limit_per_s;
   }
 
+  /// Sets what goes wrong from now on, also in later processes.
+  pub fn set_trouble(&self, trouble: Trouble) {
+    self.state.borrow_mut().trouble = trouble;
+  }
+
+  /// Returns the number of requests that it never answered because of its trouble.
+  pub fn unanswered(&self) -> u32 {
+    self.state.borrow().unanswered
+  }
+
   /// Crashes the process for a reason unrelated to the requests that it runs.
   pub fn lose_process(&self) {
     let process = self.process();
@@ -292,6 +310,12 @@
     return with_instance(web::text(StatusCode::MISDIRECTED_REQUEST, "another process"));
   }
   let request_id = header(REQUEST_ID).unwrap_or_default();
+  let (trouble, running) = (state.borrow().trouble, state.borrow().running.clone());
+  if running.get() >= trouble.hangs_above {
+    state.borrow_mut().unanswered += 1;
+    return std::future::pending().await;
+  }
+  let _running = Running::begin(&running);
   let work_ms = {
     let mut state = state.borrow_mut();
     let (at_ms, instance) = (elapsed_ms(state.started), state.process());
@@ -314,7 +338,20 @@
     monoio::spawn(crash_under(state, process));
     return std::future::pending().await;
   }
-  monoio::time::sleep(Duration::from_millis(work_ms)).await;
+  monoio::time::sleep(Duration::from_millis(work_ms * trouble.slowness)).await;
+  let (is_mute, resets) = {
+    let rng = &mut state.borrow_mut().rng;
+    (rng.random_bool(trouble.mute_share), rng.random_bool(trouble.reset_share))
+  };
+  if resets {
+    // Spawned, because the reset ends this connection and so cancels this future.
+    let front = state.borrow().front.clone();
+    monoio::spawn(async move { front.reset() });
+  }
+  if is_mute || resets {
+    state.borrow_mut().unanswered += 1;
+    return std::future::pending().await;
+  }
   let mut answer = caller::expected_answer(&request_id, &body);
   if answer.len() < answer_bytes {
     answer.push_str(&" ".repeat(answer_bytes - answer.len()));
--- a/crates/ferryyoke-soak/src/platform/mod.rs
+++ b/crates/ferryyoke-soak/src/platform/mod.rs
@@ -8,12 +8,14 @@
   configuration::{added_path, configuration},
   foreign::{foreign_items, foreign_reports},
   store::{Fields, StoreServer},
+  trouble::Trouble,
 };
 
 mod backend_server;
 mod configuration;
 mod foreign;
 mod store;
+mod trouble;
 
 /// The store's key of the operators' configuration.
 pub const CONFIGURATION: &str = "op/config";
