--- a/crates/ferryyoke-soak/src/inject.rs
+++ b/crates/ferryyoke-soak/src/inject.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{platform::Trouble, *};
 
 use super::run::{LOOK_MS, Run};
 
@@ -39,6 +39,13 @@
         self.record_box_faults(&[index], for_ms).await;
         self.boxes[index].signal("CONT").map(drop)
       }
+      Fault::Hang { index, for_ms, most, slowness } => {
+        let trouble = Trouble { hangs_above: most, slowness, ..Trouble::default() };
+        self.boxes[index].backend_server.set_trouble(trouble);
+        pause(for_ms).await;
+        self.boxes[index].backend_server.set_trouble(Trouble::default());
+        Ok(())
+      }
       Fault::Kill { indexes, down_ms } => self.kill(&indexes, down_ms).await,
       Fault::Reload { index } => self.boxes[index].signal("HUP").map(drop),
       Fault::Reset { index } => {
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -38,6 +38,8 @@
   Foreign(Foreign),
   /// A daemon's process is paused.
   Freeze { index: usize, for_ms: Ms },
+  /// A backend server runs `most` requests at once and never answers further ones, and takes `slowness` times longer.
+  Hang { index: usize, for_ms: Ms, most: u32, slowness: u64 },
   /// Daemons are killed at once and started again.
   Kill { indexes: Vec<usize>, down_ms: Ms },
   /// Connections from other daemons to a box are reset.
@@ -78,6 +80,8 @@
   const SEVERANCE_GAP_MAX_MS: Ms = 6_000;
   /// Upper limit of the milliseconds between two restores of the store. Two often follow each other closely.
   const RESTORE_GAP_MAX_MS: Ms = 9_000;
+  /// Upper limit of the milliseconds between two backend servers that begin to hang.
+  const HANG_GAP_MAX_MS: Ms = 6_000;
   /// Milliseconds without faults at the start, in which the boxes discover each other.
   const QUIET_START_MS: Ms = 1_000;
   /// Milliseconds without new faults at the end, after which everything must work again.
@@ -96,6 +100,7 @@
     steps.extend(Self::restarts(seed, boxes, length_ms));
     steps.extend(Self::endings(seed, length_ms));
     steps.extend(Self::restores(seed, length_ms));
+    steps.extend(Self::hangs(seed, boxes, length_ms));
     steps.sort_by_key(|step| step.at_ms);
     Self { length_ms, steps }
   }
@@ -137,6 +142,26 @@
     }
   }
 
+  /// Backend servers that hang and are slow. Uses its own random generator.
+  fn hangs(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(40));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(500..Self::HANG_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let fault = Fault::Hang {
+        for_ms: rng.random_range(300..4_000).min(length_ms - Self::QUIET_END_MS - at_ms),
+        index: rng.random_range(0..boxes),
+        most: rng.random_range(0..4),
+        slowness: rng.random_range(1..6),
+      };
+      steps.push(Step { at_ms, fault });
+    }
+  }
+
   /// Crashing requests, some of which overlap. Uses its own random generator.
   fn endings(seed: u64, length_ms: Ms) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -21,7 +21,7 @@
       kinds.insert(text.split([' ', '{', '(']).next().unwrap_or_default().to_string());
     }
   }
-  assert_eq!(kinds.len(), 20, "{kinds:?}");
+  assert_eq!(kinds.len(), 21, "{kinds:?}");
   assert!(kinds.contains(format!("{:?}", Fault::Change).as_str()));
 }
 
