--- a/src/requests/room/admission_level.rs
+++ b/src/requests/room/admission_level.rs
@@ -21,8 +21,9 @@
 }
 
 impl AdmissionLevel {
-  /// Waiting requests as a share of the slots that the level aims at: enough to keep slots busy,
-  /// and few enough that the most urgent wait for a small part of a run.
+  /// Waiting requests as a share of the slots that the level aims at. Who waits behind as many as
+  /// there are slots waits for about one run, and is still in time where a run takes less than half
+  /// of the target.
   const EXCESS_AIM: f64 = 1.0;
   /// The part of the overload by which the level falls in one window. Answers show the effect of a
   /// change only after about a run, which is longer than a window.
--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -9,8 +9,13 @@
   pub crashes: u32,
   /// When the last crash was reported.
   pub last_crash_at: Time,
-  /// Rounds that began later than the fleet takes to learn of the third crash.
-  late_rounds: u32,
+  /// When its last trial here ended without a result.
+  failed_trial_at: Option<Time>,
+  /// Whether the last trial here is counted as a late run, and no crash was reported since.
+  is_trial_counted: bool,
+  /// Crashes later than the fleet takes to learn of the third one, and trials here as late that had
+  /// neither a result nor a crash.
+  late_runs: u32,
   /// Crashes of processes that did not run it, within [`Suspect::SPELL_MS`] of its last crash.
   pub(super) other_crashes: u32,
   /// When the current round began.
@@ -38,8 +43,8 @@
   /// Milliseconds after the third crash within which a trial is not a late one. The whole fleet
   /// knows of a crash by then.
   const EARLY_MS: u64 = 2_000;
-  /// Rounds after late trials from which a request is held until it is forgotten.
-  const LATE_ROUNDS_MAX: u32 = 3;
+  /// Late runs from which a request is held until it is forgotten.
+  const LATE_RUNS_MAX: u32 = 3;
   /// Milliseconds within which crashes count as one round: the requests were sent before the fleet
   /// knew of the first crash.
   const ROUND_MS: u64 = Self::HOLD_FIRST_MS;
@@ -58,7 +63,9 @@
       boxes: Vec::new(),
       crashes: 0,
       last_crash_at: now,
-      late_rounds: 0,
+      failed_trial_at: None,
+      is_trial_counted: false,
+      late_runs: 0,
       other_crashes: 0,
       round_began_at: now,
       rounds: 0,
@@ -84,17 +91,45 @@
     }
   }
 
-  /// Counts a round with the crash that begins it.
+  /// Counts a crash from the third one on, and the round that it begins.
   fn count_round(&mut self, now: Time) {
     let third_crash_at = *self.third_crash_at.get_or_insert(now);
+    let is_recent = self.failed_trial_at.is_some_and(|at| now.since_ms(at) < Self::ROUND_MS);
+    let is_counted = std::mem::take(&mut self.is_trial_counted) && is_recent;
+    if !is_counted && now.since_ms(third_crash_at) >= Self::EARLY_MS {
+      self.late_runs = self.late_runs.saturating_add(1);
+    }
     if self.rounds > 0 && now.since_ms(self.round_began_at) < Self::ROUND_MS {
       return;
     }
     self.round_began_at = now;
     self.rounds = self.rounds.saturating_add(1);
-    if now.since_ms(third_crash_at) >= Self::EARLY_MS {
-      self.late_rounds = self.late_rounds.saturating_add(1);
+  }
+
+  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A crash
+  /// that it caused is reported soon after, and not counted again.
+  pub(super) fn fail_trial(&mut self, now: Time) {
+    let is_late = |third_crash_at: Time| now.since_ms(third_crash_at) >= Self::EARLY_MS;
+    if self.third_crash_at.is_some_and(is_late) {
+      self.late_runs = self.late_runs.saturating_add(1);
+      self.is_trial_counted = true;
     }
+    self.failed_trial_at = Some(now);
+  }
+
+  /// Milliseconds for which it is still held; 0 if it may be tried.
+  pub(super) fn left_ms(&self, now: Time) -> u64 {
+    let after_crash_ms = self.hold_ms().saturating_sub(now.since_ms(self.last_crash_at));
+    let after_trial_ms =
+      self.failed_trial_at.map_or(0, |at| self.trial_hold_ms().saturating_sub(now.since_ms(at)));
+    after_crash_ms.max(after_trial_ms)
+  }
+
+  /// Milliseconds for which it is held after a trial without a result. Repeating such trials without
+  /// a limit would send a request that crashes processes on and on, as its callers give up early.
+  fn trial_hold_ms(&self) -> u64 {
+    let late_trial = (self.late_runs as usize).checked_sub(1);
+    late_trial.map_or(0, |late| Self::HOLDS_MS.get(late).copied().unwrap_or_default())
   }
 
   /// Whether as many processes crashed without it as with it, so that their cause is likely another
@@ -105,8 +140,8 @@
 
   /// Milliseconds for which it is held after its last crash. After the last round it stays held
   /// until it is forgotten.
-  pub(super) fn hold_ms(&self) -> u64 {
-    if self.late_rounds >= Self::LATE_ROUNDS_MAX {
+  fn hold_ms(&self) -> u64 {
+    if self.late_runs >= Self::LATE_RUNS_MAX {
       return Self::REMEMBERED_MS;
     }
     if self.is_likely_innocent() {
