--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -170,7 +170,7 @@
   /// Shows in the metrics what the box's network link owes.
   pub fn show_outbound(&self) {
     if let Some(link) = self.outbound_link.borrow().as_ref() {
-      self.metrics.show_outbound(link.schedule.counts(), link.schedule.owed_ms(self.now().time));
+      self.metrics.outbound.show(link.schedule.counts(), link.schedule.owed_ms(self.now().time));
     }
   }
 
--- a/src/proxy/answer_reservation.rs
+++ b/src/proxy/answer_reservation.rs
@@ -71,7 +71,7 @@
 
 /// Records that a large answer is refused for the state of the link.
 fn note_refused(shared: &Shared, id: &RequestId, expected_bytes: u64, retry_after_ms: u64) {
-  shared.metrics.answers_refused.inc();
+  shared.metrics.outbound.answers_refused.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "the box's link has no room for an answer";
     "request_id" => id.as_str(), "expected_bytes" => expected_bytes,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use {
-  self::labels::{BodyLabels, ByteLabels, EntryLabels, LinkLabels, RequestLabels, StoreLabels},
+  self::labels::{ByteLabels, EntryLabels, LinkLabels, RequestLabels, StoreLabels},
   prometheus_client::{
     metrics::{
       counter::Counter,
@@ -42,12 +42,8 @@
   pub live_endpoints: Gauge,
   /// Links refused for a wrong key, an old protocol version or invalid data.
   links_refused: Family<LinkLabels, Counter>,
-  /// Large answers refused because the box's network link could not send them in time.
-  pub answers_refused: Counter,
-  /// Large answers that are being sent, and that wait for the box's network link.
-  outbound_bodies: Family<BodyLabels, Gauge>,
-  /// Milliseconds that the box's network link needs for all large answers that it owes.
-  outbound_owed_ms: Gauge,
+  /// The large answers that the box sends over its network link.
+  pub outbound: OutboundMetrics,
   /// Number of pauses of the process.
   pub process_pauses: Counter,
   registry: Registry,
@@ -137,21 +133,7 @@
         "live_endpoints",
         "Backend servers that take work, as far as this daemon knows",
       ),
-      answers_refused: registered(
-        of,
-        "answers_refused_for_link",
-        "Requests refused because the box's link could not send their large answers in time",
-      ),
-      outbound_bodies: registered(
-        of,
-        "outbound_bodies",
-        "Large answers that are being sent over the box's link, and that wait for it",
-      ),
-      outbound_owed_ms: registered(
-        of,
-        "outbound_owed_ms",
-        "Milliseconds that the box's link needs for the large answers that it owes",
-      ),
+      outbound: OutboundMetrics::new(of),
       process_pauses: registered(
         of,
         "standstills",
@@ -233,17 +215,6 @@
     self.link_bytes.get_or_create(&ByteLabels { direction: "sent" }).inc_by(bytes as u64);
   }
 
-  /// Shows the large answers that are being sent and that wait, and the time that the link needs for
-  /// them.
-  #[allow(clippy::cast_possible_truncation)]
-  pub fn show_outbound(&self, (under_way, waiting): (usize, usize), owed_ms: f64) {
-    for (state, count) in [("under-way", under_way), ("waiting", waiting)] {
-      let gauge = self.outbound_bodies.get_or_create(&BodyLabels { state });
-      gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
-    }
-    self.outbound_owed_ms.set(owed_ms as i64);
-  }
-
   /// Counts a refused link. Returns how many were refused for this reason before.
   pub fn link_refused(&self, reason: &'static str) -> u64 {
     self.links_refused.get_or_create(&LinkLabels { reason }).inc()
@@ -269,7 +240,11 @@
 }
 
 /// Creates a metric at zero, and registers it.
-fn registered<M: Clone + Default + Metric>(registry: &mut Registry, name: &str, help: &str) -> M {
+pub(super) fn registered<M: Clone + Default + Metric>(
+  registry: &mut Registry,
+  name: &str,
+  help: &str,
+) -> M {
   let metric = M::default();
   registry.register(name, help, metric.clone());
   metric
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,7 +4,7 @@
 
 pub use self::{
   buffered_output::BufferedOutput, log::Log, log_format::LogFormat, log_level::LogLevel,
-  metrics::Metrics, quota::Quota,
+  metrics::Metrics, outbound_metrics::OutboundMetrics, quota::Quota,
 };
 
 mod buffered_output;
@@ -13,4 +13,5 @@
 mod log_format;
 mod log_level;
 mod metrics;
+mod outbound_metrics;
 mod quota;
