Count a call as failed only if its service did not serve it

Cause: any answer other than 2xx counted as a failed call, and a run with a failed call as a failed run even if the run was answered well. A route whose runs look up what is absent was refused.

Change: a call fails by a server error, 408 or 429; a run counts as failed for a call only if it ended in a server error itself.

--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -197,10 +197,11 @@
     return;
   };
   if let Some(calls) = calls {
-    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls);
+    let run_failed = response.status().is_server_error();
+    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls, run_failed);
   }
-  let (now_us, failed) = (shared.elapsed_us(), !response.status().is_success());
-  let took_us = now_us - recorder.arrived_us;
+  let (now_us, failed) = (shared.elapsed_us(), RunCalls::is_failure(response.status()));
+  let took_us = now_us.saturating_sub(recorder.arrived_us);
   shared.running_requests.borrow_mut().record_call(now_us, id, service, took_us, failed);
 }
 
--- a/src/requests/calls/call_trees.rs
+++ b/src/requests/calls/call_trees.rs
@@ -44,8 +44,9 @@
   /// Milliseconds after which a refused caller returns: what fails calls may have ended by then.
   const RETRY_AFTER_MS: u64 = 500;
 
-  /// Records a run of a route and the calls that it made.
-  pub fn record(&mut self, now: Time, route: &RouteName, calls: &RunCalls) {
+  /// Records a run of a route and the calls that it made. `run_failed` tells that the run itself
+  /// ended in a server error.
+  pub fn record(&mut self, now: Time, route: &RouteName, calls: &RunCalls, run_failed: bool) {
     if !self.routes.contains_key(route) {
       if calls.services().is_empty() {
         return;
@@ -53,7 +54,7 @@
       self.routes.insert(route.clone(), CallTree::default());
     }
     if let Some(tree) = self.routes.get_mut(route) {
-      tree.record(now, calls);
+      tree.record(now, calls, run_failed);
     }
   }
 
@@ -107,10 +108,10 @@
 }
 
 impl CallTree {
-  fn record(&mut self, now: Time, calls: &RunCalls) {
+  fn record(&mut self, now: Time, calls: &RunCalls, run_failed: bool) {
     let kept = self.kept(now);
     self.runs = self.runs * kept + 1.0;
-    self.failed = self.failed * kept + f64::from(u8::from(calls.has_failed()));
+    self.failed = self.failed * kept + f64::from(u8::from(run_failed && calls.has_failed()));
     for one in &mut self.services {
       one.calls *= kept;
       one.together *= kept;
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -9,6 +9,7 @@
     },
     values::{RequestId, RouteName, ServiceName, Time},
   },
+  http::StatusCode,
   rand::{Rng, SeedableRng},
   rand_chacha::ChaCha8Rng,
 };
@@ -141,24 +142,52 @@
   };
   // Half of the runs fail: what is tried is more likely than not to be served some other time.
   for index in 0..100 {
-    trees.record(Time(index * 10), &route, &run(index % 2 == 0));
+    trees.record(Time(index * 10), &route, &run(index % 2 == 0), index % 2 == 0);
   }
   assert_eq!(refused(&mut trees, Time(1_000)), 0);
   for index in 100..500 {
-    trees.record(Time(index * 10), &route, &run(true));
+    trees.record(Time(index * 10), &route, &run(true), true);
   }
   let during = refused(&mut trees, Time(5_000));
   assert!((70..100).contains(&during), "{during} of 100, and some are tried");
   assert_eq!(refused(&mut trees, Time(15_000)), 0, "what was seen is old");
 }
 
+/// Guards against refusals of a route whose runs look up what is often absent.
+#[test]
+fn runs_that_are_served_although_a_call_finds_nothing_are_not_refused() {
+  let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
+  let now = Time(1_000);
+  for status in [StatusCode::NOT_FOUND, StatusCode::SERVICE_UNAVAILABLE] {
+    for _ in 0..100 {
+      let mut calls = RunCalls::default();
+      calls.add(100_000, &records, 50_000, RunCalls::is_failure(status));
+      trees.record(now, &route, &calls, false);
+    }
+    let entry = EntryRequest {
+      deadline: now.after(2_000),
+      estimate: None,
+      organisation: None,
+      route: &route,
+      service: &records,
+      urgency: urgency(now, false),
+    };
+    let is_admitted = |_| trees.decide(now, &entry, |_| None) == EntryDecision::Admit;
+    assert!((0..100).all(is_admitted), "calls end with {status}");
+  }
+  let failures = [404, 408, 429, 500, 503].map(|code| {
+    RunCalls::is_failure(StatusCode::from_u16(code).expect("a status"))
+  });
+  assert_eq!(failures, [false, true, true, true, true]);
+}
+
 /// Guards against a cascade: work begins whose call finds no room at the second service.
 #[test]
 fn a_request_is_refused_where_a_service_that_it_calls_has_no_room_in_time() {
   let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
   let now = Time(1_000);
   for _ in 0..50 {
-    trees.record(now, &route, &run(false));
+    trees.record(now, &route, &run(false), false);
   }
   assert_eq!(trees.calls_of(&route), [(records.clone(), 2_000)]);
   let entry = EntryRequest {
