--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -23,15 +23,16 @@
   const CALL_WAIT_FRACTION: f64 = 0.75;
 
   /// Returns the urgency of a call whose parent is due at `parent_due` at the latest, if that is
-  /// known, when its run takes `usual_ms`. It waits for as long as its answer can still save its
-  /// parent, and no longer: without it, the parent gives its slot back.
+  /// known, when its run takes `usual_ms`. It doesn't wait longer than its answer can still save
+  /// its parent: without it, the parent gives its slot back.
   #[must_use]
   pub fn within_parent(self, deadline: Time, parent_due: Option<Time>, usual_ms: u64) -> Self {
     let Some(parent_due) = parent_due.filter(|_| self.is_call) else {
       return self;
     };
     let latest = Time(deadline.min(parent_due).0.saturating_sub(usual_ms));
-    Self { due: self.due.min(parent_due), wait_until: latest, ..self }
+    let (due, wait_until) = (self.due.min(parent_due), self.wait_until.min(latest));
+    Self { due, wait_until, ..self }
   }
 
   /// Returns the urgency of a request that arrives now, `elapsed_ms` after its caller's first try.
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -108,6 +108,9 @@
   let bound = urgency(now, true).within_parent(now.after(600), parent_due, 50);
   assert_eq!((bound.wait_until, bound.due), (now.after(150), now.after(200)));
   let other = urgency(now, false);
+  let short = Urgency { wait_until: now.after(40), ..urgency(now, true) };
+  let bound = short.within_parent(now.after(600), parent_due, 50);
+  assert_eq!(bound.wait_until, now.after(40), "its own limit holds as well");
   assert_eq!(other.within_parent(now.after(600), parent_due, 50), other);
 }
 
@@ -175,9 +178,8 @@
     let is_admitted = |_| trees.decide(now, &entry, |_| None) == EntryDecision::Admit;
     assert!((0..100).all(is_admitted), "calls end with {status}");
   }
-  let failures = [404, 408, 429, 500, 503].map(|code| {
-    RunCalls::is_failure(StatusCode::from_u16(code).expect("a status"))
-  });
+  let failures = [404, 408, 429, 500, 503]
+    .map(|code| RunCalls::is_failure(StatusCode::from_u16(code).expect("a status")));
   assert_eq!(failures, [false, true, true, true, true]);
 }
 
