Keep the first time told to callers of a request, and let claims decide on returns

Cause: the refusal of an early caller was remembered as a new time told, so that each knock shortened the remaining time; a later refusal replaced the time told to an earlier caller; a keyed request that came back was refused as not run although it may have run elsewhere; the log lines of these refusals named no request.

Change: EarlyReturns::check gives out what told may record, nothing for early ones and calls. A keyed request that came back skips the checks of early returns, entry and link. Refusals log request, reason and retry delay.

The skipped checks of keyed requests and the log lines have no test without network.

--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -92,14 +92,19 @@
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
   let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
-  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms)
-    .within_parent(deadline, parent_due, 0);
+  let kind = RouteKind::of(&service, handling);
+  let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
+  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms).within_parent(
+    deadline,
+    parent_due,
+    estimate.map_or(0, RunEstimate::mean_ms_rounded),
+  );
   recorder.due = urgency.due;
-  if origin == Some(ClientLocation::Remote) {
+  // One of these may have run elsewhere, so its claim decides.
+  let may_have_run = is_claimed && elapsed_ms > 0;
+  if origin == Some(ClientLocation::Remote) && !may_have_run {
     answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
   }
-  let kind = RouteKind::of(&service, handling);
-  let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
   let entry = EntryRequest {
     deadline,
     estimate,
@@ -108,10 +113,11 @@
     service: &service,
     urgency,
   };
-  recorder.fingerprint = Some(fingerprint);
   recorder.deadline = deadline;
-  check_early_return(shared, fingerprint, urgency)?;
-  entry::check(shared, &entry)?;
+  if !may_have_run {
+    recorder.fingerprint = check_early_return(shared, &incoming.id, fingerprint, urgency)?;
+    entry::check(shared, &incoming.id, &entry)?;
+  }
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
@@ -154,18 +160,26 @@
   answer.map_err(Refusal::from)
 }
 
-/// Refuses a request whose caller was told to come back later, before any try.
+/// Refuses a request whose caller was told to come back later, before any try. Returns the
+/// fingerprint under which another refusal is remembered.
 fn check_early_return(
   shared: &Shared,
+  id: &RequestId,
   fingerprint: Fingerprint,
   urgency: Urgency,
-) -> std::result::Result<(), Refusal> {
-  let now = shared.now().time;
-  let early_ms = shared.early_returns.borrow().early_ms(now, fingerprint, urgency.elapsed_ms);
-  let Some(early_ms) = early_ms.filter(|_| !urgency.is_call) else {
-    return Ok(());
+) -> std::result::Result<Option<Fingerprint>, Refusal> {
+  let (now, elapsed_ms) = (shared.now().time, urgency.elapsed_ms);
+  let returns = shared.early_returns.borrow();
+  let early_ms = match returns.check(now, fingerprint, elapsed_ms, urgency.is_call) {
+    Ok(fingerprint) => return Ok(fingerprint),
+    Err(early_ms) => early_ms,
   };
   shared.metrics.requests_early.inc();
+  info!(
+    shared.log.logger, #Log::REQUEST, "a request is refused because its caller came back early";
+    "request_id" => id.as_str(), "fingerprint" => %fingerprint, "elapsed_ms" => elapsed_ms,
+    "retry_after_ms" => early_ms
+  );
   let reason = "its caller was told to come back later";
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, early_ms))
 }
@@ -407,7 +421,8 @@
   arrived_us: u64,
   /// When its answer is due at the latest.
   deadline: Time,
-  /// Identifies the request when its caller sends it again; `None` before its body is known.
+  /// Identifies the request when its caller sends it again; `None` where a refusal is not
+  /// remembered.
   fingerprint: Option<Fingerprint>,
   /// When the answer is due.
   due: Time,
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -29,6 +29,46 @@
   assert_eq!(returns.early_ms(now.after(2_200), asked, 200), None);
 }
 
+/// Guards against callers in series that wear the remaining time down with refusals of their own.
+#[test]
+fn early_knocks_stay_early_until_the_time_told_first() {
+  let mut returns = EarlyReturns::default();
+  let (asked, start) = (fingerprint(1), Time(1_000));
+  let knock = |returns: &mut EarlyReturns, after_ms: u64| {
+    let now = start.after(after_ms);
+    let (told, retry_after_ms) = match returns.check(now, asked, after_ms, false) {
+      Ok(told) => (told, 600),
+      Err(early_ms) => (None, early_ms),
+    };
+    if let Some(told) = told {
+      returns.told(now, told, retry_after_ms, 3_000 - after_ms);
+    }
+    told.is_none()
+  };
+  assert!(!knock(&mut returns, 0));
+  assert!((1..480).all(|after_ms| knock(&mut returns, after_ms)));
+  assert!(!knock(&mut returns, 480), "four fifths of the time told are over");
+  assert_eq!(returns.check(start.after(10), asked, 10, true), Ok(None), "a call");
+}
+
+/// Guards against a caller that returns as told behind a later one with the same request.
+#[test]
+fn a_later_refusal_does_not_make_an_earlier_caller_early() {
+  let mut returns = EarlyReturns::default();
+  let (asked, start) = (fingerprint(1), Time(1_000));
+  returns.told(start, asked, 100, 3_000);
+  returns.told(start.after(90), asked, 500, 3_000);
+  assert_eq!(returns.early_ms(start.after(79), asked, 79), Some(1));
+  assert_eq!(returns.early_ms(start.after(100), asked, 100), None, "as told");
+  // Once the first must be back, the next one counts.
+  returns.told(start.after(200), asked, 500, 3_000);
+  assert_eq!(returns.early_ms(start.after(300), asked, 100), Some(300));
+  // One that is back sooner replaces it, and the other may still be on its way afterwards.
+  returns.told(start.after(300), asked, 100, 3_000);
+  returns.told(start.after(430), asked, 900, 3_000);
+  assert_eq!(returns.early_ms(start.after(700), asked, 500), None, "as told");
+}
+
 /// Guards the memory of a box against a flood of different requests.
 #[test]
 fn the_oldest_refusals_are_forgotten() {
