Check slots left free for calls again by a timer, and drop services hardly called

Cause: callers held by the reserve for calls were admitted only when a run ended, so slots stayed empty beside long runs; with a rate limit, wake_at was now, checked each millisecond. Four services seen once were kept for a route for ever.

Change: wake_at is 50 ms later while all free slots are left for calls. A service with under a hundredth of a call a run is dropped.

--- a/src/node/notice_side.rs
+++ b/src/node/notice_side.rs
@@ -86,7 +86,8 @@
     }
   }
 
-  /// Starts the timer that gives slots to requests which wait for the named limit, unless it runs.
+  /// Starts the timer that gives slots to requests which wait for the named limit or for slots left
+  /// free for calls, unless it runs.
   pub fn watch_pace(self: &Rc<Self>) {
     let is_needed = self.limiter.borrow().wake_at(self.now().time).is_some();
     if is_needed && !self.is_pacing.replace(true) {
@@ -107,7 +108,8 @@
   }
 }
 
-/// Gives slots to requests as the named limit allows, until none waits for it.
+/// Gives slots to requests as the named limit and the slots left free for calls allow, until none
+/// waits for them.
 async fn pace(shared: Rc<Shared>) {
   loop {
     let now = shared.now().time;
--- a/src/requests/calls/call_trees.rs
+++ b/src/requests/calls/call_trees.rs
@@ -32,6 +32,8 @@
 impl CallTrees {
   /// Services kept for each route.
   const SERVICES_MAX: usize = 4;
+  /// Calls a run below which a service is dropped, so that others have room.
+  const CALLS_MIN: f64 = 0.01;
   /// Time in milliseconds over which past runs lose half of their weight.
   const HALF_LIFE_MS: f64 = 1_000.0;
   /// Weight of runs from which their share of failures counts.
@@ -118,6 +120,8 @@
       one.took_us *= kept;
     }
     self.seen_at = now;
+    let calls_min = self.runs * CallTrees::CALLS_MIN;
+    self.services.retain(|one| one.calls >= calls_min);
     for made in calls.services() {
       self.add(made);
     }
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -46,6 +46,8 @@
   /// The fraction of a usual run that must be left until an answer is due for it to be in time.
   /// Half of the runs take less than about two thirds of a usual run.
   const IN_TIME_FRACTION: f64 = 0.5;
+  /// Milliseconds after which queued requests are checked again while free slots are left for calls.
+  const RESERVE_CHECK_MS: u64 = 50;
   /// Weight of the newest run in `hold_ms`.
   const HOLD_WEIGHT: f64 = 0.1;
   /// Weight of the newest wait in the ratio of its rank.
@@ -122,9 +124,13 @@
 
   /// Whether a request may run now that is a call of a running one, or is not.
   fn has_room_for(&self, now: Time, is_call: bool) -> bool {
+    self.has_room(now) && (is_call || !self.is_reserved(now))
+  }
+
+  /// Whether all free slots are left free for calls.
+  fn is_reserved(&self, now: Time) -> bool {
     let free = self.slots.saturating_sub(self.running.len());
-    let is_left = is_call || free > self.call_reserve.free_slots(now, self.slots);
-    self.has_room(now) && is_left
+    free <= self.call_reserve.free_slots(now, self.slots)
   }
 
   /// Whether the rate limit of the backend server keeps requests from running now.
@@ -227,8 +233,8 @@
   }
 
   /// Returns the index of the next request: by rank, then the class with the fewest running
-  /// requests, then requests that can still be in time, then those that came back, then the newest. Under overload some
-  /// requests are late in any order, and newest first makes the fewest late.
+  /// requests, then requests that can still be in time, then those that came back, then the newest.
+  /// Under overload some requests are late in any order, and newest first makes the fewest late.
   fn next(&self, now: Time) -> Option<usize> {
     let running_of =
       |class: &CallerClass| self.running.values().filter(|(running, _)| running == class).count();
@@ -248,11 +254,16 @@
     (due.since_ms(now) as f64) < self.hold_ms * Self::IN_TIME_FRACTION
   }
 
-  /// When a queued request may run that only waits for the rate limit.
+  /// When a queued request may run that waits for the rate limit, or for slots that are left free
+  /// for calls.
   pub fn wake_at(&self, now: Time) -> Option<Time> {
-    let pacer = self.pacer.as_ref()?;
-    let waits = !self.waiting.is_empty() && self.running.len() < self.slots;
-    waits.then(|| now.after(pacer.wait_ms(now, 0)))
+    if self.waiting.is_empty() || self.running.len() >= self.slots {
+      return None;
+    }
+    let pace_ms = self.pacer.as_ref().map_or(0, |pacer| pacer.wait_ms(now, 0));
+    let is_held = self.is_reserved(now) && !self.waiting.iter().any(|one| one.is_call);
+    let check_ms = if is_held { Self::RESERVE_CHECK_MS } else { 0 };
+    Some(now.after(pace_ms.max(check_ms)))
   }
 
   /// Running and queued requests in percent of the slots, or the load of the rate limit if that is
