Let lighter retries wait only while savings are not full

Change: lighter ones pass with full savings. Hedged tries wait for heavier retries but keep none waiting.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -108,6 +108,11 @@
     context.budget.spend_for(&self.profile.service, self.retry_weight, &self.calls)
   }
 
+  /// Spends a hedged try of the request, if a retry is left.
+  fn spend_hedge(&self, context: &mut DispatchContext) -> bool {
+    context.budget.spend_hedge(&self.profile.service, self.retry_weight, &self.calls)
+  }
+
   /// Returns when to send [`DispatchEvent::Woken`], if no other event comes before.
   pub fn wake_at(&self) -> Option<Time> {
     let hedge_at = self.hedge_at.filter(|_| !self.running.is_empty());
@@ -402,7 +407,7 @@
     let Some((endpoint, choice)) = self.choose_hedge_box(context) else {
       return DispatchStep::Wait;
     };
-    if choice.is_full || !self.spend_retry(context) {
+    if choice.is_full || !self.spend_hedge(context) {
       return DispatchStep::Wait;
     }
     self.hedge_at = None;
@@ -417,7 +422,7 @@
     };
     let has_room = context.balancer.has_room(context.now, &endpoint.peer.box_id);
     let has_spare = context.budget.has_spare(&self.profile.service);
-    if !has_room || !has_spare || !self.spend_retry(context) {
+    if !has_room || !has_spare || !self.spend_hedge(context) {
       return DispatchStep::Wait;
     }
     self.start(endpoint, true, choice, context)
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -105,7 +105,23 @@
     weight: RetryWeight,
     calls: &[(ServiceName, u32)],
   ) -> bool {
-    if !self.is_wanted(service, weight) || !self.can_call(calls) || !self.spend(service) {
+    self.note_wanted(service, weight);
+    self.is_wanted(service, weight) && self.spend_all(service, calls)
+  }
+
+  /// Spends one hedged try as [`RetryBudget::spend_for`] does. Lighter retries don't wait for it:
+  /// nothing failed yet.
+  pub fn spend_hedge(
+    &mut self,
+    service: &ServiceName,
+    weight: RetryWeight,
+    calls: &[(ServiceName, u32)],
+  ) -> bool {
+    self.is_wanted(service, weight) && self.spend_all(service, calls)
+  }
+
+  fn spend_all(&mut self, service: &ServiceName, calls: &[(ServiceName, u32)]) -> bool {
+    if !self.can_call(calls) || !self.spend(service) {
       return false;
     }
     for (called, permille) in calls {
@@ -115,16 +131,22 @@
     true
   }
 
-  /// Returns whether no heavier retries were asked for lately. Notes this one.
-  fn is_wanted(&mut self, service: &ServiceName, weight: RetryWeight) -> bool {
-    let Some(known) = self.services.get_mut(service) else {
-      return false;
-    };
-    if known.wanted_for > 0 && known.wanted > weight {
-      return false;
+  /// Whether a retry of this weight may be made: no heavier ones were asked for lately, or all
+  /// savings are left, so that they found enough.
+  fn is_wanted(&self, service: &ServiceName, weight: RetryWeight) -> bool {
+    self.services.get(service).is_some_and(|known| {
+      let is_lighter = known.wanted_for > 0 && known.wanted > weight;
+      !is_lighter || known.credit >= i64::from(self.limits.saved_max)
+    })
+  }
+
+  /// Records that a retry was asked for. A heavier one of before still counts.
+  fn note_wanted(&mut self, service: &ServiceName, weight: RetryWeight) {
+    if let Some(known) = self.services.get_mut(service) {
+      if known.wanted_for == 0 || known.wanted <= weight {
+        (known.wanted, known.wanted_for) = (weight, Self::WANTED_FOR);
+      }
     }
-    (known.wanted, known.wanted_for) = (weight, Self::WANTED_FOR);
-    true
   }
 
   /// Whether the calls of a run can be paid, as far as savings reach.
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -96,6 +96,73 @@
   assert_eq!(reserve.free_slots(end.after(10_000), 9), 0);
 }
 
+/// Guards against slots that stay empty beside long runs, though requests wait, once calls stop.
+#[test]
+fn a_queued_request_gets_a_slot_left_free_for_calls_without_the_end_of_a_run() {
+  let mut limiter = Limiter::new(9, 36);
+  for now in 0..400 {
+    let ticket = Ticket(now);
+    limiter.arrive(Time(now * 10), ticket, demand(true, now * 10 + 1_000));
+    limiter.leave(Time(now * 10 + 30), ticket);
+  }
+  let mut now = Time(4_030);
+  for index in 0..6 {
+    let decision = limiter.arrive(now, Ticket(1_000 + index), demand(false, 60_000));
+    assert_eq!(decision, LimiterDecision::Admitted);
+  }
+  let queued = limiter.arrive(now, Ticket(2_000), demand(false, 60_000));
+  assert!(matches!(queued, LimiterDecision::Queued { .. }), "{queued:?}");
+  let mut checks = 0;
+  let admitted = loop {
+    let wake_at = limiter.wake_at(now).expect("a request waits beside free slots");
+    assert!(wake_at > now, "checked without a pause");
+    (now, checks) = (wake_at, checks + 1);
+    let admitted = limiter.admit(now);
+    if !admitted.is_empty() {
+      break admitted;
+    }
+  };
+  assert_eq!(admitted, [Ticket(2_000)]);
+  assert!(now < Time(9_000), "admitted at {now}, after {checks} checks");
+  assert_eq!(limiter.wake_at(now), None, "nothing waits");
+}
+
+/// Guards against busy waiting where both a rate limit and calls keep requests waiting.
+#[test]
+fn a_request_that_waits_for_slots_left_free_is_not_checked_all_the_time() {
+  let mut limiter = Limiter::new(9, 36);
+  limiter.set_rate(Time(0), Some("1000/s".parse().expect("a rate")));
+  for now in 0..400 {
+    limiter.arrive(Time(now * 10), Ticket(now), demand(true, now * 10 + 1_000));
+    limiter.leave(Time(now * 10 + 30), Ticket(now));
+  }
+  let now = Time(4_100);
+  for index in 0..7 {
+    limiter.arrive(now.after(index * 5), Ticket(1_000 + index), demand(false, 60_000));
+  }
+  assert_eq!((limiter.running(), limiter.waiting()), (6, 1));
+  let now = now.after(40);
+  assert!(limiter.wake_at(now) >= Some(now.after(50)));
+}
+
+/// Guards against services called once that keep those of each run from being learned.
+#[test]
+fn services_that_are_hardly_called_make_room_for_others() {
+  let (mut trees, route) = (CallTrees::default(), route());
+  for name in ["a", "b", "c", "d"] {
+    let mut calls = RunCalls::default();
+    calls.add(100_000, &service(name), 50_000, false);
+    trees.record(Time(1_000), &route, &calls, false);
+  }
+  for index in 0..1_000 {
+    trees.record(Time(1_000 + index), &route, &run(false), false);
+  }
+  let known = trees.calls_of(&route);
+  let [(name, permille)] = &known[..] else { panic!("{known:?}") };
+  assert_eq!(*name, service("records"));
+  assert!((1_000..=2_000).contains(permille), "{permille}");
+}
+
 /// Guards against calls that outlive the request that needs them.
 #[test]
 fn a_call_waits_no_longer_than_it_can_save_its_parent() {
@@ -222,6 +289,16 @@
   }
   let [fresh, call, later] = granted;
   assert!(later > 9 * (fresh + call), "{fresh}, {call}, {later}");
+  // Savings that heavier ones left untouched are for the lighter ones.
+  (0..600).for_each(|_| budget.earn(&name));
+  assert!(budget.spend_for(&name, RetryWeight::LaterCall, &[]));
+  assert!(!budget.spend_for(&name, RetryWeight::Fresh, &[]), "less than all is left");
+  (0..15).for_each(|_| budget.earn(&name));
+  assert!(budget.spend_for(&name, RetryWeight::Fresh, &[]), "all is left");
+  // A hedged try keeps no retry waiting.
+  (0..40).for_each(|_| budget.earn(&name));
+  assert!(budget.spend_hedge(&name, RetryWeight::LaterCall, &[]));
+  assert!(budget.spend_for(&name, RetryWeight::Fresh, &[]));
   // Without the heavier ones, the lighter ones get all.
   let before = (0..600).filter(|_| {
     (0..10).for_each(|_| budget.earn(&name));
