Keep the bound on repeats where daemons don't know the calls of a run

Cause: 0.8 of the ratio is safe only where the calls of a retried run are known; savings at the called service could fall below zero; a box that never sends to the called service itself had no savings there, and so could never retry requests of the outer one.

Change: 0.4 of the ratio again, so that the calls of retried runs and the retries of calls fit together. A service first met has its starting savings; a daemon also earns at the called services with each request of the outer one; credit stays at or above zero; calls of 0 are skipped.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -124,6 +124,7 @@
     match event {
       DispatchEvent::Started => {
         context.budget.earn(&self.profile.service);
+        context.budget.earn_for(&self.calls);
         let step = self.try_next(context);
         self.hedge_at = self.hedge_time(context);
         step
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -13,9 +13,8 @@
 /// What a daemon may still retry at one service.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceCredit {
-  /// Thousandths of a retry that are left. Negative after a retry whose run makes more calls here
-  /// than were left.
-  credit: i64,
+  /// Thousandths of a retry that are left.
+  credit: u32,
   /// The heaviest retries that were asked for lately.
   wanted: RetryWeight,
   /// Requests that the service has yet to get until lighter retries are allowed again.
@@ -39,8 +38,8 @@
 
 impl RetryLimits {
   /// The fraction of the fleet's ratio that daemons may spend. Calls that a retried run makes count
-  /// as retries too, and are charged as the route's usual ones; the rest is for runs that make more.
-  const RATIO_FRACTION: f64 = 0.8;
+  /// as retries too, and come on top of those of the calls themselves, also where they aren't known.
+  const RATIO_FRACTION: f64 = 0.4;
   /// The fraction of the fleet's fixed allowance that daemons may save.
   const EXTRA_FRACTION: f64 = 0.5;
 
@@ -61,7 +60,7 @@
 
 impl RetryBudget {
   /// Thousandths of a retry that one retry costs.
-  const RETRY_COST: i64 = 1_000;
+  const RETRY_COST: u32 = 1_000;
   /// Maximum initial savings of a service, in thousandths of a retry.
   const START_MAX: u32 = 3_000;
   /// Requests of a service for which lighter retries wait after a heavier one was asked for. At the
@@ -76,14 +75,38 @@
   /// Adds what one request earns.
   pub fn earn(&mut self, service: &ServiceName) {
     let limits = self.limits;
-    if let Some(known) = self.services.get_mut(service) {
-      let saved_max = i64::from(limits.saved_max);
-      known.credit = (known.credit + i64::from(limits.earned)).min(saved_max);
-      known.wanted_for = known.wanted_for.saturating_sub(1);
-      return;
+    let is_new = !self.services.contains_key(service);
+    let known = self.credit_of(service);
+    let saved_max = if is_new { u32::MAX } else { limits.saved_max };
+    known.credit = known.credit.saturating_add(limits.earned).min(saved_max);
+    known.wanted_for = known.wanted_for.saturating_sub(1);
+  }
+
+  /// Adds what the `calls` of a request's run, in thousandths of a call to each service, earn there
+  /// for the calls of its retries. The boxes that make the calls earn the same for retries of the
+  /// calls themselves.
+  pub fn earn_for(&mut self, calls: &[(ServiceName, u32)]) {
+    let limits = self.limits;
+    for (called, permille) in calls.iter().filter(|(_, permille)| *permille > 0) {
+      let earned = u64::from(limits.earned) * u64::from(*permille) / 1_000;
+      let known = self.credit_of(called);
+      let earned = u32::try_from(earned).unwrap_or(u32::MAX);
+      known.credit = known.credit.saturating_add(earned).min(limits.saved_max.max(known.credit));
     }
-    let credit = i64::from(Self::START_MAX.min(limits.saved_max) + limits.earned);
-    self.services.insert(service.clone(), ServiceCredit { credit, ..ServiceCredit::default() });
+  }
+
+  /// Returns the credit of a service. One that is first met starts with its starting savings.
+  fn credit_of(&mut self, service: &ServiceName) -> &mut ServiceCredit {
+    let credit = self.start();
+    if !self.services.contains_key(service) {
+      self.services.insert(service.clone(), ServiceCredit { credit, ..ServiceCredit::default() });
+    }
+    self.services.entry(service.clone()).or_default()
+  }
+
+  /// Returns the starting savings of a service.
+  fn start(&self) -> u32 {
+    Self::START_MAX.min(self.limits.saved_max)
   }
 
   /// Spends one retry and returns true, if one is left.
@@ -124,9 +147,9 @@
     if !self.can_call(calls) || !self.spend(service) {
       return false;
     }
-    for (called, permille) in calls {
-      // Services to which this daemon sent nothing have earned nothing.
-      self.services.entry(called.clone()).or_default().credit -= i64::from(*permille);
+    for (called, permille) in calls.iter().filter(|(_, permille)| *permille > 0) {
+      let known = self.credit_of(called);
+      known.credit = known.credit.saturating_sub(*permille);
     }
     true
   }
@@ -136,7 +159,7 @@
   fn is_wanted(&self, service: &ServiceName, weight: RetryWeight) -> bool {
     self.services.get(service).is_some_and(|known| {
       let is_lighter = known.wanted_for > 0 && known.wanted > weight;
-      !is_lighter || known.credit >= i64::from(self.limits.saved_max)
+      !is_lighter || known.credit >= self.limits.saved_max
     })
   }
 
@@ -149,11 +172,11 @@
     }
   }
 
-  /// Whether the calls of a run can be paid, as far as savings reach.
+  /// Whether the calls of a run can be paid, as far as savings reach at most.
   fn can_call(&self, calls: &[(ServiceName, u32)]) -> bool {
     calls.iter().all(|(called, permille)| {
-      let credit = self.services.get(called).map_or(0, |known| known.credit);
-      credit >= i64::from((*permille).min(self.limits.saved_max))
+      let credit = self.services.get(called).map_or(self.start(), |known| known.credit);
+      credit >= (*permille).min(self.limits.saved_max)
     })
   }
 
