--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -165,10 +165,9 @@
 
   /// Records that a retry was asked for. A heavier one of before still counts.
   fn note_wanted(&mut self, service: &ServiceName, weight: RetryWeight) {
-    if let Some(known) = self.services.get_mut(service) {
-      if known.wanted_for == 0 || known.wanted <= weight {
-        (known.wanted, known.wanted_for) = (weight, Self::WANTED_FOR);
-      }
+    let known = self.services.get_mut(service);
+    if let Some(known) = known.filter(|one| one.wanted_for == 0 || one.wanted <= weight) {
+      (known.wanted, known.wanted_for) = (weight, Self::WANTED_FOR);
     }
   }
 
