--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -74,13 +74,7 @@
   /// Creates the metrics, all at zero.
   pub fn new() -> Self {
     let mut registry = Registry::with_prefix("ferryyoke");
-    let request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram> =
-      Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.000_1, 2.0, 18)));
-    registry.register(
-      "request_seconds",
-      "Seconds to the head of the answer, by service and caller class",
-      request_seconds.clone(),
-    );
+    let request_seconds = registered_request_seconds(&mut registry);
     let of = &mut registry;
     Self {
       applied_unix_ms: registered(
@@ -248,6 +242,20 @@
   }
 }
 
+/// Registers the histogram of the requests' durations.
+fn registered_request_seconds(
+  registry: &mut Registry,
+) -> Family<RequestLabels, Histogram, fn() -> Histogram> {
+  let request_seconds: Family<RequestLabels, Histogram, fn() -> Histogram> =
+    Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.000_1, 2.0, 18)));
+  registry.register(
+    "request_seconds",
+    "Seconds to the head of the answer, by service and caller class",
+    request_seconds.clone(),
+  );
+  request_seconds
+}
+
 /// Creates a metric at zero, and registers it.
 fn registered<M: Clone + Default + Metric>(registry: &mut Registry, name: &str, help: &str) -> M {
   let metric = M::default();
