--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -464,7 +464,7 @@
     if !self.is_finished {
       self.record.refusal = Some("the caller went away before the answer".into());
     }
-    let took_us = self.shared.elapsed_us() - self.arrived_us;
+    let took_us = self.shared.elapsed_us().saturating_sub(self.arrived_us);
     self.record.took_us = took_us;
     let service = self.record.route.as_ref().map_or("none", |(_, service)| service.as_str());
     let outcome = match &self.record.refusal {
