--- a/src/requests/calls/run_calls.rs
+++ b/src/requests/calls/run_calls.rs
@@ -12,8 +12,8 @@
   /// Services of which calls are kept, so that an answer tells them in a short header.
   const SERVICES_MAX: usize = 4;
 
-  /// Returns whether a call that ended with this status failed: its service didn't serve it. Another
-  /// status is an answer, such as that something is absent.
+  /// Returns whether a call that ended with this status failed: its service didn't serve it.
+  /// Another status is an answer, such as that something is absent.
   pub fn is_failure(status: StatusCode) -> bool {
     let is_refused = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS].contains(&status);
     status.is_server_error() || is_refused
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -46,7 +46,8 @@
   /// The fraction of a usual run that must be left until an answer is due for it to be in time.
   /// Half of the runs take less than about two thirds of a usual run.
   const IN_TIME_FRACTION: f64 = 0.5;
-  /// Milliseconds after which queued requests are checked again while free slots are left for calls.
+  /// Milliseconds after which queued requests are checked again while free slots are left for
+  /// calls.
   const RESERVE_CHECK_MS: u64 = 50;
   /// Weight of the newest run in `hold_ms`.
   const HOLD_WEIGHT: f64 = 0.1;
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -38,7 +38,8 @@
 
 impl RetryLimits {
   /// The fraction of the fleet's ratio that daemons may spend. Calls that a retried run makes count
-  /// as retries too, and come on top of those of the calls themselves, also where they aren't known.
+  /// as retries too, and come on top of those of the calls themselves, also where they aren't
+  /// known.
   const RATIO_FRACTION: f64 = 0.4;
   /// The fraction of the fleet's fixed allowance that daemons may save.
   const EXTRA_FRACTION: f64 = 0.5;
