Join the mends of calls with room

Change: what may have run before (a request with a claim) passes all decisions before its claim; the line of a refusal for calls names request, reason and time; known red entries of both.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -22,7 +22,7 @@
   if !is_bound {
     check_room(shared, now, &request)?;
   }
-  check_calls(shared, now, &request)
+  check_calls(shared, now, &forwarded.id, &request)
 }
 
 /// Refuses a request for which its service has no room.
@@ -47,6 +47,7 @@
 fn check_calls(
   shared: &Shared,
   now: Time,
+  id: &RequestId,
   request: &EntryRequest,
 ) -> std::result::Result<(), Refusal> {
   let rooms = shared.rooms.borrow();
@@ -58,8 +59,9 @@
   shared.metrics.requests_refused_for_calls.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused for the calls of its route";
-    "route" => request.route.as_str(),
-    "calls" => shared.call_trees.borrow().describe(now, request.route)
+    "request_id" => id.as_str(), "route" => request.route.as_str(), "reason" => reason,
+    "calls" => shared.call_trees.borrow().describe(now, request.route),
+    "retry_after_ms" => retry_after_ms
   );
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -92,17 +92,22 @@
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
   let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
-  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms)
-    .within_parent(deadline, parent_due, 0);
-  recorder.due = urgency.due;
-  if origin == Some(ClientLocation::Remote) {
-    answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
-  }
   let kind = RouteKind::of(&service, handling);
   let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
-  recorder.fingerprint = Some(fingerprint);
+  let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms).within_parent(
+    deadline,
+    parent_due,
+    estimate.map_or(0, RunEstimate::mean_ms_rounded),
+  );
+  recorder.due = urgency.due;
   recorder.deadline = deadline;
-  check_early_return(shared, fingerprint, urgency)?;
+  // A request with a claim may have run before: only its claim tells.
+  if !is_claimed {
+    recorder.fingerprint = check_early_return(shared, &incoming.id, fingerprint, urgency)?;
+  }
+  if !is_claimed && origin == Some(ClientLocation::Remote) {
+    answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
+  }
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
@@ -128,17 +133,14 @@
     version: recorder.record.version,
   };
   let admitted = AdmittedRequest::admit(shared, member).await?;
-  // What is beyond a rate limit does not count as demand for the service's room.
-  // A request with a claim may have run before: only its claim tells.
-  if !is_claimed {
-    entry::check(shared, &matched.route, &forwarded)?;
-  }
   if is_claimed {
     admitted.spend_token();
     let answer = handle_claimed(shared, recorder, incoming, forwarded, body).await?;
     RunWork::learn(shared, &matched.route, &kind, &answer);
     return Ok(answer);
   }
+  // What is beyond a rate limit does not count as demand for the service's room.
+  entry::check(shared, &matched.route, &forwarded)?;
   let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
   if let Ok(answer) = &answer {
     record_answer_size(shared, &matched.route, answer);
@@ -150,18 +152,26 @@
   answer.map_err(Refusal::from)
 }
 
-/// Refuses a request whose caller was told to come back later, before any try.
+/// Refuses a request whose caller was told to come back later, before any try. Returns the
+/// fingerprint under which another refusal is remembered.
 fn check_early_return(
   shared: &Shared,
+  id: &RequestId,
   fingerprint: Fingerprint,
   urgency: Urgency,
-) -> std::result::Result<(), Refusal> {
-  let now = shared.now().time;
-  let early_ms = shared.early_returns.borrow().early_ms(now, fingerprint, urgency.elapsed_ms);
-  let Some(early_ms) = early_ms.filter(|_| !urgency.is_call) else {
-    return Ok(());
+) -> std::result::Result<Option<Fingerprint>, Refusal> {
+  let (now, elapsed_ms) = (shared.now().time, urgency.elapsed_ms);
+  let returns = shared.early_returns.borrow();
+  let early_ms = match returns.check(now, fingerprint, elapsed_ms, urgency.is_call) {
+    Ok(fingerprint) => return Ok(fingerprint),
+    Err(early_ms) => early_ms,
   };
   shared.metrics.requests_early.inc();
+  info!(
+    shared.log.logger, #Log::REQUEST, "a request is refused because its caller came back early";
+    "request_id" => id.as_str(), "fingerprint" => %fingerprint, "elapsed_ms" => elapsed_ms,
+    "retry_after_ms" => early_ms
+  );
   let reason = "its caller was told to come back later";
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, early_ms))
 }
@@ -193,10 +203,11 @@
     return;
   };
   if let Some(calls) = calls {
-    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls);
+    let run_failed = response.status().is_server_error();
+    shared.call_trees.borrow_mut().record(shared.now().time, route, &calls, run_failed);
   }
-  let (now_us, failed) = (shared.elapsed_us(), !response.status().is_success());
-  let took_us = now_us - recorder.arrived_us;
+  let (now_us, failed) = (shared.elapsed_us(), RunCalls::is_failure(response.status()));
+  let took_us = now_us.saturating_sub(recorder.arrived_us);
   shared.running_requests.borrow_mut().record_call(now_us, id, service, took_us, failed);
 }
 
@@ -402,7 +413,8 @@
   arrived_us: u64,
   /// When its answer is due at the latest.
   deadline: Time,
-  /// Identifies the request when its caller sends it again; `None` before its body is known.
+  /// Identifies the request when its caller sends it again; `None` where a refusal is not
+  /// remembered.
   fingerprint: Option<Fingerprint>,
   /// When the answer is due.
   due: Time,
@@ -444,7 +456,7 @@
     if !self.is_finished {
       self.record.refusal = Some("the caller went away before the answer".into());
     }
-    let took_us = self.shared.elapsed_us() - self.arrived_us;
+    let took_us = self.shared.elapsed_us().saturating_sub(self.arrived_us);
     self.record.took_us = took_us;
     let service = self.record.route.as_ref().map_or("none", |(_, service)| service.as_str());
     let outcome = match &self.record.refusal {
