Don't return tokens that a request held beyond their lifetime

A request that waits for room and is refused returned its token after up to its whole wait, and each return renewed the lifetime of all tokens held, so tokens of one window were spent in a later one beside that window's own. Change: a token comes back only within its lifetime, and renews none.

--- a/src/organisations/local_tokens.rs
+++ b/src/organisations/local_tokens.rs
@@ -47,6 +47,13 @@
     self.valid_until = now.after(TOKEN_LIFETIME_MS);
   }
 
+  /// Adds a returned token to those that are held. Their lifetime is not renewed.
+  pub fn give_back(&mut self, now: Time) {
+    if now < self.valid_until {
+      self.tokens += 1;
+    }
+  }
+
   /// The number of tokens to draw now: for the waiting requests, and as a prefetch under high demand.
   #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
   pub fn wanted(&self, now: Time) -> u64 {
--- a/src/organisations/rate_limits.rs
+++ b/src/organisations/rate_limits.rs
@@ -155,10 +155,15 @@
     ledger.draw(now, limit, share, wanted)
   }
 
-  /// Returns the token of an admitted request that reached no backend server.
-  pub fn return_token(&mut self, now: Time, organisation: &OrganisationName) {
-    if let Some(local) = self.tokens.get_mut(organisation) {
-      local.put(now, 1);
+  /// Returns the token of a request that was admitted at `admitted_at` and reached no backend server.
+  /// A token that the request held for longer than its lifetime is void: the ledger has given out a
+  /// new one for it, and both would be spent within one window.
+  pub fn return_token(&mut self, now: Time, organisation: &OrganisationName, admitted_at: Time) {
+    let Some(local) = self.tokens.get_mut(organisation) else {
+      return;
+    };
+    if now.since_ms(admitted_at) < TOKEN_LIFETIME_MS {
+      local.give_back(now);
     }
   }
 
--- a/src/proxy/organisation_admission.rs
+++ b/src/proxy/organisation_admission.rs
@@ -45,6 +45,8 @@
 /// A request that its organisation's rate limit admitted. Returns its token when dropped, unless a
 /// backend server may have received the request.
 pub(super) struct AdmittedRequest {
+  /// When the rate limit admitted it.
+  admitted_at: Time,
   organisation: Option<OrganisationName>,
   shared: Rc<Shared>,
 }
@@ -56,12 +58,14 @@
     member: Option<&CallerOrganisation>,
   ) -> std::result::Result<Self, Refusal> {
     let limited = member.and_then(|member| Some((&member.organisation, member.rate_limit?)));
-    let mut admitted = Self { organisation: None, shared: shared.clone() };
+    let admitted_at = shared.now().time;
+    let mut admitted = Self { admitted_at, organisation: None, shared: shared.clone() };
     let Some((organisation, limit)) = limited else {
       return Ok(admitted);
     };
     match decide(shared, organisation, limit).await {
       Admission::Admitted => {
+        admitted.admitted_at = shared.now().time;
         admitted.organisation = Some(organisation.clone());
         Ok(admitted)
       }
@@ -83,7 +87,7 @@
   fn drop(&mut self) {
     if let Some(organisation) = self.organisation.take() {
       let now = self.shared.now().time;
-      self.shared.rate_limits.borrow_mut().return_token(now, &organisation);
+      self.shared.rate_limits.borrow_mut().return_token(now, &organisation, self.admitted_at);
     }
   }
 }
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -374,7 +374,37 @@
   let refused = Admission::Refused { retry_after_ms: grant.retry_after_ms };
   let first = if grant.tokens > 0 { Admission::Admitted } else { refused };
   assert_eq!(woken.settled, [((), first)]);
-  limits.return_token(now, &organisation);
+  limits.return_token(now, &organisation, now);
   let arrived = limits.arrive(now, &organisation, limit, ());
   assert_eq!(arrived.admission, Some(Admission::Admitted));
 }
+
+/// Guards against tokens that requests hold while they wait for room, and that are spent again in a
+/// later window: together with those of that window they exceed the limit.
+#[test]
+fn a_token_held_beyond_its_lifetime_does_not_return() {
+  const HELD: u64 = 20;
+  let mut limits: RateLimits<u64> = RateLimits::default();
+  let (organisation, limit) = (name("council"), limit(100.0, 200));
+  limits.set_box(Time(0), &box_id(0), true);
+  let start = Time(10_000);
+  let (mut admitted, mut draw) = (0, None);
+  for waiter in 0..HELD {
+    let arrived = limits.arrive(start, &organisation, limit, waiter);
+    admitted += u64::from(arrived.admission.is_some());
+    draw = draw.or(arrived.draw);
+  }
+  while let Some(wanted) = draw {
+    let grant = limits.draw(start, &organisation, limit, wanted);
+    let woken = limits.draw_completed(start, &organisation, limit, wanted, Some(grant));
+    admitted += woken.settled.len() as u64;
+    draw = woken.draw;
+  }
+  assert_eq!(admitted, HELD);
+  let later = start.after(3_000);
+  for _ in 0..HELD {
+    limits.return_token(later, &organisation, start);
+  }
+  let arrived = limits.arrive(later, &organisation, limit, HELD);
+  assert_eq!(arrived.admission, None, "a token of three seconds before admits it");
+}
