Say plainly what room and run times decide

Cause: comments that a newcomer can't follow, or that differ from the code: which requests count as fresh, when a window closes, what limits a value of the average.

Change: comments of requests::room and requests::work; two private fields of Rooms have names that can be told apart.

Measured: wording only, nothing run.

--- a/src/requests/room/admission_level.rs
+++ b/src/requests/room/admission_level.rs
@@ -7,11 +7,11 @@
 /// servers, so the levels agree without messages.
 #[derive(Clone, Debug)]
 pub(super) struct AdmissionLevel {
-  /// Requests of the window that ended.
+  /// Tried requests that ended in the window.
   ended: u32,
   /// Sum over the window's reports of waiting requests as a share of the slots.
   excess: f64,
-  /// Requests of the window that found no room.
+  /// Those of them that found no room.
   refused: u32,
   /// Reports in the window.
   reports: u32,
@@ -21,17 +21,17 @@
 }
 
 impl AdmissionLevel {
-  /// Waiting requests as a share of the slots that the level aims at. Who waits behind as many as
-  /// there are slots waits for about one run, and is still in time where a run takes less than half
-  /// of the target.
+  /// The queue that the level aims at, in waiting requests per slot. A request behind one for each
+  /// slot waits for about one run, and is still in time where a run takes less than half of the
+  /// target.
   const EXCESS_AIM: f64 = 1.0;
   /// The part of the overload by which the level falls in one window. Answers show the effect of a
   /// change only after about a run, which is longer than a window.
   const GAIN: f64 = 0.15;
-  /// Share of requests without room after tries that tells of no overload: some had too little time
-  /// left for any queue.
+  /// Share of requests refused after tries up to which there is no overload: some had too little
+  /// time left for any queue.
   const REFUSED_AIM: f64 = 0.05;
-  /// Weight of the share of requests that found no room after tries, against that of the queue.
+  /// Weight of the share of requests refused after tries, against that of the queue.
   const REFUSED_WEIGHT: f64 = 0.5;
   /// Largest fall in one window.
   const FALL_MAX: f64 = 0.1;
@@ -75,7 +75,7 @@
       return false;
     }
     let fall = (Self::GAIN * self.overload()).clamp(-Self::RISE_MAX, Self::FALL_MAX);
-    // A window lasts longer only while no requests come, which is no overload.
+    // A window lasts longer only while no requests come, and then there is no overload.
     #[allow(clippy::cast_precision_loss)]
     let quiet_windows = (age_ms / Self::WINDOW_MAX_MS).saturating_sub(1) as f64;
     let rise = (1.0 + Self::RISE_MAX).powf(quiet_windows);
--- a/src/requests/room/backend_room.rs
+++ b/src/requests/room/backend_room.rs
@@ -32,7 +32,7 @@
     }
   }
 
-  /// Returns how much this report still tells, from 1 to 0 by its age.
+  /// Returns the weight of this report, which falls from 1 to 0 with its age.
   #[allow(clippy::cast_precision_loss)]
   pub fn freshness(&self, now: Time) -> f64 {
     let age_ms = now.since_ms(self.told_at).min(Self::AGE_MAX_MS);
@@ -44,8 +44,8 @@
     f64::from(100_u32.saturating_sub(self.load_percent)) / 100.0
   }
 
-  /// Returns the milliseconds for which a request that arrives now waits for a slot behind all that
-  /// wait there; 0 where a slot is free.
+  /// Returns the milliseconds for which a request that arrives now waits for a slot, if all that
+  /// wait there go first; 0 where a slot is free.
   #[allow(clippy::cast_precision_loss)]
   pub fn wait_ms(&self) -> f64 {
     if self.load_percent < 100 {
--- a/src/requests/room/demand_mix.rs
+++ b/src/requests/room/demand_mix.rs
@@ -1,9 +1,9 @@
 use super::*;
 
-/// What arrives lately for a service, by rank, and how the admitted share is split among the ranks.
+/// The recent demand for a service by kind of request, and how the admitted share of it is split
+/// among the kinds.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandMix {
-  /// By kind, the decayed work that arrived.
   kinds: BTreeMap<RequestKind, KindDemand>,
 }
 
@@ -12,8 +12,8 @@
 pub(super) struct RequestKind {
   /// The rank, 0 first.
   pub priority: u32,
-  /// Whether its caller does not return after an earlier refusal. Who returns has less time left,
-  /// and goes first.
+  /// False for requests whose callers return after a refusal and can still be in time. They go
+  /// first, as they have less time left.
   pub is_fresh: bool,
 }
 
@@ -27,15 +27,15 @@
 }
 
 impl DemandMix {
-  /// Share of what arrives of each kind that is admitted in any case, so that no kind is served less
-  /// than a quarter as often as all.
+  /// Share of each kind that is admitted in any case, so that no kind is served less than a quarter
+  /// as often as all.
   pub const FLOOR: f64 = 0.25;
-  /// Ranks that are told apart; the lower ones count as one.
+  /// Largest rank that is told apart; less urgent ones count as this one.
   const PRIORITY_MAX: u32 = 15;
   /// Decay of the demand with each window, so that the mix follows a burst within a second or two.
   const DECAY: f64 = 0.85;
 
-  /// Returns the kind of a request.
+  /// Returns the kind of a request. `may_be_in_time` tells that its answer can still be in time.
   pub fn kind_of(urgency: &Urgency, may_be_in_time: bool) -> RequestKind {
     RequestKind {
       priority: urgency.priority.min(Self::PRIORITY_MAX),
@@ -43,7 +43,7 @@
     }
   }
 
-  /// Adds a request that arrived.
+  /// Adds a request that arrived, of `work_us` microseconds.
   #[allow(clippy::cast_precision_loss)]
   pub fn add(&mut self, kind: RequestKind, work_us: u64) {
     self.kinds.entry(kind).or_default().work_us += work_us.max(1) as f64;
@@ -57,8 +57,8 @@
     self.kinds.retain(|_, demand| demand.work_us >= 1.0);
   }
 
-  /// Returns the part of a kind that is admitted if `share` of all work is: its floor first, then
-  /// what the kinds before it leave.
+  /// Returns the part of a kind that is admitted if `share` of all work is: its floor, and of what
+  /// is left above all floors as much as the kinds before it leave.
   pub fn admitted_part(&self, kind: RequestKind, share: f64) -> f64 {
     let total: f64 = self.kinds.values().map(|demand| demand.work_us).sum();
     let own = self.kinds.get(&kind).map_or(0.0, |demand| demand.work_us);
@@ -71,7 +71,8 @@
     Self::FLOOR + left.clamp(0.0, own * above_floor) / own
   }
 
-  /// Spends the part of an admission that a request earns. Returns whether it is admitted.
+  /// Adds the part of an admission that a request earns to its kind's credit. Returns whether the
+  /// request is admitted, which costs one admission.
   pub fn spend(&mut self, kind: RequestKind, part: f64) -> bool {
     let demand = self.kinds.entry(kind).or_default();
     demand.credit += part;
@@ -87,7 +88,7 @@
     self.kinds.get(&kind).map_or(0.0, |demand| demand.credit)
   }
 
-  /// Returns the share of the work that is of rank `priority` or a higher one.
+  /// Returns the share of the work that is of rank `priority` or more urgent.
   pub fn share_up_to(&self, priority: u32) -> f64 {
     let total: f64 = self.kinds.values().map(|demand| demand.work_us).sum();
     let is_before = |kind: &RequestKind| kind.priority <= priority.min(Self::PRIORITY_MAX);
--- a/src/requests/room/entry_request.rs
+++ b/src/requests/room/entry_request.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// A caller's request, as the decision on its entry sees it.
+/// What the decision on the entry of a caller's request depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryRequest<'a> {
   /// When its final answer is due.
--- a/src/requests/room/mod.rs
+++ b/src/requests/room/mod.rs
@@ -1,4 +1,6 @@
-//! What a service as a whole can take, and which requests get it.
+//! Decides, before any try, which requests for a full service are tried.
+//!
+//! The decision is by what the service's backend servers tell of their free slots and queues.
 
 use super::*;
 
--- a/src/requests/room/organisation_shares.rs
+++ b/src/requests/room/organisation_shares.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// How the requests of a service that arrive lately are spread over organisations, and which part
-/// of an organisation's requests is admitted when not all are.
+/// The recent requests for a service by organisation, and which part of an organisation's requests
+/// is admitted when not all are.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OrganisationShares {
   /// Decayed numbers of requests, at most [`Self::ORGANISATIONS_MAX`].
@@ -12,15 +12,15 @@
   /// Decay with each window. Slower than that of ranks, as a box sees few requests of one
   /// organisation.
   const DECAY: f64 = 0.97;
-  /// Organisations that are told apart at one service. A box that takes a hundredth of a fleet's
-  /// requests sees only the large ones more than now and then.
+  /// Organisations that are told apart at one service. A box that gets a hundredth of the fleet's
+  /// requests sees small organisations only now and then.
   const ORGANISATIONS_MAX: usize = 128;
-  /// Standard deviations above its entitlement from which an organisation counts as above it, so
-  /// that a small one isn't held back for the chance of one request.
+  /// Standard deviations that are allowed to each organisation above its entitlement, so that a
+  /// small one isn't held back for a few requests that came together by chance.
   const DEVIATIONS: f64 = 2.0;
 
-  /// Adds a request that arrived. Where there is no place for a further organisation, the one that
-  /// asked for least is dropped.
+  /// Adds a request that arrived. If there are too many organisations, the one that asked for least
+  /// is dropped.
   pub fn add(&mut self, organisation: &OrganisationName) {
     if let Some(arrived) = self.arrived.get_mut(organisation) {
       *arrived += 1.0;
@@ -44,10 +44,10 @@
     self.arrived.retain(|_, arrived| *arrived >= ARRIVED_MIN);
   }
 
-  /// Returns the part of an organisation's requests that is admitted if `part` of all are: none is
-  /// held back below its entitlement, unused ones are lent, and what is above them is held to the
-  /// same multiple of each (weighted max-min fairness). `entitlement_of` returns the share of the
-  /// service to which an organisation is entitled.
+  /// Returns the part of an organisation's requests that is admitted if `part` of all are, by
+  /// weighted max-min fairness: organisations that ask for more than they get are held to the same
+  /// multiple of their allowances, and others get what they ask for. `entitlement_of` returns the
+  /// share of the service to which an organisation is entitled.
   pub fn admitted_part(
     &self,
     organisation: &OrganisationName,
@@ -68,8 +68,8 @@
     (multiple * allowance(organisation) / own).clamp(DemandMix::FLOOR.min(part), 1.0)
   }
 
-  /// Returns the multiple of their allowances at which the organisations together get `room`.
-  /// `asked` holds what each asks for and its allowance.
+  /// Returns the multiple of their allowances to which organisations are held so that all together
+  /// get `room`. `asked` holds what each asks for and its allowance.
   fn multiple_for(asked: &mut [(f64, f64)], room: f64) -> f64 {
     asked.sort_by(|one, other| (one.0 / one.1).total_cmp(&(other.0 / other.1)));
     let mut allowances: f64 = asked.iter().map(|(_, allowance)| allowance).sum();
--- a/src/requests/room/room_forecast.rs
+++ b/src/requests/room/room_forecast.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// What a request may expect that asks a service for a slot now, as this box knows the service.
+/// What a request that asks a service for a slot now may expect, as far as this box knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RoomForecast {
   /// Free slots in percent of all, by the speed of their backend servers.
@@ -14,7 +14,7 @@
   /// Free slots in percent below which the next backend server is likely to be full.
   const FULL_PERCENT: u32 = 3;
 
-  /// Whether a request would hardly find a free slot.
+  /// Whether a request is unlikely to find a free slot.
   pub fn is_full(&self) -> bool {
     self.free_percent < Self::FULL_PERCENT
   }
--- a/src/requests/room/rooms.rs
+++ b/src/requests/room/rooms.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// What this box knows of the room of each service, and decides by it on requests that enter.
+/// Knows the room of each service, and decides by it whether this box tries a request.
 ///
 /// It acts for a service only where requests of several ranks or organisations compete for it.
 #[derive(Clone, Debug, Default)]
@@ -8,15 +8,16 @@
   configuration: Option<Arc<Configuration>>,
   /// The services for which requests of several ranks or organisations compete.
   contested: BTreeSet<ServiceName>,
-  /// Sum of the weights of all organisations.
-  organisations_weight: f64,
-  /// The weight of an organisation without a rate limit: the mean of the others.
-  organisation_weight: f64,
+  /// The weight of an organisation without a rate limit: the mean of the others. Their weights are
+  /// their rates in requests a second.
+  default_weight: f64,
   services: BTreeMap<ServiceName, ServiceRoom>,
+  /// Sum of the weights of all organisations.
+  total_weight: f64,
 }
 
 impl Rooms {
-  /// Organisations that operators see of a service.
+  /// Organisations that operators are shown for a service.
   const LARGEST_SHOWN: usize = 5;
 
   /// Takes ranks, routes and organisations from a configuration.
@@ -39,8 +40,8 @@
     };
     #[allow(clippy::cast_precision_loss)]
     let (limited, all) = (rates().count() as f64, configuration.organisations.len() as f64);
-    self.organisation_weight = if limited > 0.0 { rates().sum::<f64>() / limited } else { 1.0 };
-    self.organisations_weight = all * self.organisation_weight;
+    self.default_weight = if limited > 0.0 { rates().sum::<f64>() / limited } else { 1.0 };
+    self.total_weight = all * self.default_weight;
     self.configuration = Some(configuration);
   }
 
@@ -50,8 +51,8 @@
     self.services.get(service)?.forecast(now, priority)
   }
 
-  /// Records what the backend server of a box told with an answer or with a refusal for lack of
-  /// room.
+  /// Records the condition of a backend server, which came with an answer, or with a refusal for
+  /// lack of room.
   pub fn note_report(
     &mut self,
     now: Time,
@@ -75,7 +76,7 @@
   /// Decides whether a request is tried.
   pub fn decide(&mut self, now: Time, request: &EntryRequest) -> EntryDecision {
     let configuration = self.configuration.clone();
-    let (weight, total) = (self.organisation_weight, self.organisations_weight);
+    let (weight, total) = (self.default_weight, self.total_weight);
     let Some(service) = self.service(now, request.service) else {
       return EntryDecision::Admit;
     };
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// What this box knows of the room of one service, and how it splits it.
+/// What this box knows of the room of one service, and how the room is split among requests.
 #[derive(Clone, Debug)]
 pub(super) struct ServiceRoom {
   /// The backend servers that told of their room, at most [`Self::BACKENDS_MAX`].
@@ -17,13 +17,13 @@
   const BACKENDS_MAX: usize = 1_024;
   /// Free slots in percent from which every request enters.
   const FREE_MIN_PERCENT: u32 = 5;
-  /// The largest part of the time until its deadline after which a refused caller returns, so that
-  /// it can still be served.
+  /// The largest part of the time until its deadline that a refused caller waits before it returns,
+  /// so that it can still be served.
   const RETRY_FRACTION: f64 = 0.33;
   /// The part of that time over which the returns of refused callers are spread.
   const RETRY_SPREAD: f64 = 0.4;
-  /// Reports, each weighted from 1 to 0 by age, that tell of the service as a whole. Of fewer
-  /// backend servers all may be full while others have room.
+  /// Fewest reports, each weighted from 1 to 0 by age, for a forecast. Fewer backend servers may
+  /// all be full while others have room.
   const REPORTS_MIN: f64 = 2.5;
   /// Microseconds of work assumed of a request of which nothing is known.
   const WORK_UNKNOWN_US: u64 = 100_000;
@@ -38,7 +38,7 @@
     }
   }
 
-  /// Records what a backend server told with an answer or refusal.
+  /// Records what a backend server told of its room.
   pub fn note_report(&mut self, box_id: &BoxId, room: BackendRoom) {
     if self.backends.len() >= Self::BACKENDS_MAX && !self.backends.contains_key(box_id) {
       return;
@@ -47,7 +47,7 @@
     self.backends.insert(box_id.clone(), room);
   }
 
-  /// Records the end of a request, and whether it was refused for lack of room after tries.
+  /// Records the end of a request that was tried, and whether it was refused for lack of room.
   pub fn note_ended(&mut self, is_refused: bool) {
     self.level.add_ended(is_refused);
   }
@@ -67,7 +67,7 @@
     if reports < Self::REPORTS_MIN {
       return None;
     }
-    // Those of lower ranks that wait there are passed by.
+    // The request goes before those of less urgent ranks that wait there.
     let wait_ms = wait_ms / all * self.demand.share_up_to(priority);
     let free_percent = (free * 100.0 / all).round() as u32;
     let has_room = free_percent >= Self::FREE_MIN_PERCENT;
@@ -90,7 +90,7 @@
     let forecast = self.forecast(now, urgency.priority);
     let short = forecast.filter(|one| one.free_percent < Self::FREE_MIN_PERCENT);
     if let Some(forecast) = forecast.filter(|one| one.is_full() && urgency.due <= now) {
-      // It would take a free slot only, so it is no demand that others compete with.
+      // An overdue request may not queue. It competes with no other, and is not counted as demand.
       let kind = DemandMix::kind_of(urgency, false);
       return self.refuse(kind, "it is overdue and the service is full", now, request, forecast);
     }
@@ -151,7 +151,7 @@
     forecast: RoomForecast,
   ) -> u64 {
     let left_ms = request.deadline.since_ms(now);
-    // The credit is as good as random, and keeps those that are refused together apart.
+    // The credit differs from refusal to refusal, so callers that are refused together are spread.
     let spread = 1.0 - Self::RETRY_SPREAD * self.demand.credit(kind);
     let spread_ms = urgency::fraction_of(left_ms, Self::RETRY_FRACTION * spread);
     let latest_ms = urgency::fraction_of(left_ms, Self::RETRY_FRACTION);
--- a/src/requests/work/log_average.rs
+++ b/src/requests/work/log_average.rs
@@ -9,15 +9,15 @@
 }
 
 impl LogAverage {
-  /// Weight of the newest value, which so covers about the last fifty.
+  /// Weight of the newest value. The average covers about the last fifty.
   const WEIGHT: f64 = 0.02;
-  /// Greatest distance of a value from the mean that counts in full, in standard deviations. A
-  /// single run that hung must not move the mean for long.
+  /// Greatest distance of a value from the mean that counts, in standard deviations: a single run
+  /// that hung must not move the mean for long.
   const DEVIATIONS_MAX: f64 = 3.0;
-  /// Least standard deviation against which a value is judged, so that the average can follow a
-  /// route whose runs all took the same time.
+  /// Least standard deviation for this limit, so that the average can follow a route whose runs all
+  /// took the same time.
   const DEVIATION_MIN: f64 = 0.2;
-  /// Values before a value is judged by the earlier ones.
+  /// Fewest earlier values by which a value is limited, and fewest for an estimate.
   const JUDGED_MIN: u32 = 5;
 
   /// Adds a time in microseconds.
--- a/src/requests/work/mod.rs
+++ b/src/requests/work/mod.rs
@@ -1,8 +1,8 @@
-//! How long runs of requests take: at the backend servers of a service in general, and at one of
-//! them now.
+//! Learns how long runs of requests take: of each route at the usual backend server of its service,
+//! and how much longer at one of them now.
 //!
 //! The box that takes callers in learns the work of each route ([`RunTimes`]). The daemon beside a
-//! backend server learns how fast that is ([`SpeedMonitor`]) and tells the others.
+//! backend server learns how fast that server is ([`SpeedMonitor`]), and tells the others.
 
 use super::*;
 
--- a/src/requests/work/route_kind.rs
+++ b/src/requests/work/route_kind.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// Routes of one service that are handled alike. A route of which little is known is assumed to
-/// take as long as the others of its kind.
+/// Routes of one service that are handled alike. Runs of a route of which little is known are
+/// assumed to take as long as those of its kind.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RouteKind {
   priority: u32,
--- a/src/requests/work/run_estimate.rs
+++ b/src/requests/work/run_estimate.rs
@@ -50,7 +50,8 @@
     self.mean_ms().ceil() as u64
   }
 
-  /// Standard deviation of the logarithm. Equal runs still differ by what the daemons add.
+  /// Standard deviation of the logarithm. Even equal runs differ a little, by the time that the
+  /// daemons add.
   fn deviation(self) -> f64 {
     const DEVIATION_MIN: f64 = 0.05;
     (f64::from(self.spread_percent) / 100.0).max(DEVIATION_MIN)
--- a/src/requests/work/run_times.rs
+++ b/src/requests/work/run_times.rs
@@ -10,9 +10,9 @@
 }
 
 impl RunTimes {
-  /// Runs of a route from which its own average counts rather than that of its kind.
+  /// Runs of a route from which its own average is used instead of that of its kind.
   const OWN_MIN: u32 = 10;
-  /// Kinds that are kept. Configurations have few; the bound holds whatever they contain.
+  /// Kinds that are kept. Usual configurations have far fewer.
   const KINDS_MAX: usize = 4_096;
 
   /// Adds the work of a run: its time as it would be at the usual backend server.
--- a/src/requests/work/speed_monitor.rs
+++ b/src/requests/work/speed_monitor.rs
@@ -2,9 +2,9 @@
 
 /// How fast the backend server beside this daemon works.
 ///
-/// The slowdown of this moment is what the backend server tells. The lasting one is inferred: how
-/// long its runs take beyond what was expected and told. A figure that is wrong for long is so
-/// corrected by the runs.
+/// Its slowdown has two parts. That of this moment is told by the backend server with its answers.
+/// The lasting one is learned from how much longer its runs take than their estimates and the told
+/// figures say, so that it also corrects a figure that is wrong for long.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SpeedMonitor {
   /// Natural logarithm of the lasting slowdown.
@@ -15,33 +15,34 @@
 }
 
 impl SpeedMonitor {
-  /// Runs as usual that are assumed before the first one.
+  /// Runs without a slowdown that are assumed before the first one.
   const ASSUMED_RUNS: f64 = 8.0;
   /// Most that a single run can differ from what was expected, as a natural logarithm.
   const DISTANCE_MAX: f64 = 1.5;
   /// Most that the lasting slowdown can differ from none, as a natural logarithm: a factor of 20.
   const LASTING_MAX: f64 = 3.0;
-  /// Runs that the lasting slowdown covers, at the least spread.
+  /// Runs that the lasting slowdown covers, on routes whose runs vary little.
   const RUNS_MAX: f64 = 60.0;
-  /// Spread from which a run says less, as it varies by itself.
+  /// Spread above which a run counts less, as it varies without any change of speed.
   const SPREAD_SURE_PERCENT: u32 = 30;
   /// Milliseconds after which a told figure no longer counts.
   const TOLD_MAX_AGE_MS: u64 = 1_000;
 
-  /// Records the figure in an answer of the backend server.
+  /// Records the slowdown that an answer of the backend server tells, if it does.
   pub fn told(&mut self, now: Time, slowdown: Option<Slowdown>) {
     self.told = slowdown.map(|slowdown| (slowdown, now)).or(self.told);
   }
 
-  /// Returns the figure that counts now, for [`SpeedMonitor::record_run`].
+  /// Returns the told slowdown, or none if that is out of date.
   pub fn moment(&self, now: Time) -> Slowdown {
     let fresh = self.told.filter(|(_, at)| now.since_ms(*at) <= Self::TOLD_MAX_AGE_MS);
     fresh.map_or(Slowdown::NONE, |(slowdown, _)| slowdown)
   }
 
-  /// Records a successful run, after its answer's figure. `before` is the figure as it began.
-  /// Returns its work: the microseconds that it would have taken at the usual backend server;
-  /// `None` at a backend server that never told its slowdown.
+  /// Records a successful run, after the figure told by its answer. `before` is what
+  /// [`SpeedMonitor::moment`] returned as the run began. Returns the run's work: the microseconds
+  /// that it would have taken at the usual backend server. `None` if the backend server never told
+  /// its slowdown.
   pub fn record_run(
     &mut self,
     now: Time,
@@ -50,7 +51,7 @@
     estimate: Option<RunEstimate>,
   ) -> Option<u64> {
     self.told?;
-    // The figure changes while a run is under way.
+    // The figure may have changed during the run.
     let moment_ln = f64::midpoint(before.ln(), self.moment(now).ln());
     let work_us = Slowdown::from_ln(self.lasting_ln + moment_ln).remove(took_us);
     if let Some(estimate) = estimate {
@@ -67,7 +68,8 @@
     let sureness = sureness.min(1.0).powi(2);
     self.seen = (self.seen + sureness).min(Self::RUNS_MAX);
     self.lasting_ln += sureness / (self.seen + Self::ASSUMED_RUNS) * distance;
-    // The fleet learns work and slowdowns from one another; the pull keeps both from drifting.
+    // Work is learned from slowdowns, and slowdowns from work. A small pull towards no slowdown
+    // keeps both from drifting.
     self.lasting_ln -= sureness * self.lasting_ln / (Self::RUNS_MAX * Self::RUNS_MAX);
     self.lasting_ln = self.lasting_ln.clamp(-Self::LASTING_MAX, Self::LASTING_MAX);
   }
