Say plainly what calls, returns and retries decide

Cause: comments that can't be followed without the code beside them, and a divisor named a fraction.

Change: comments of requests::calls, requests::returns and the retry budget; CallReserve::SLOTS_PARTS has its name from how it is used.

Measured: wording only, nothing run.

--- a/src/requests/calls/call_reserve.rs
+++ b/src/requests/calls/call_reserve.rs
@@ -16,11 +16,11 @@
 }
 
 impl CallReserve {
-  /// Time in milliseconds over which past calls lose half of their weight: long against a call,
-  /// short against a change of the load.
+  /// Time in milliseconds over which past calls lose half of their weight: much longer than a call
+  /// takes, and short enough to follow changes of the load.
   const HALF_LIFE_MS: f64 = 1_000.0;
-  /// The largest fraction of the slots that may be held for calls.
-  const SLOTS_FRACTION: usize = 3;
+  /// The most slots that may be left free for calls are all of them divided by this.
+  const SLOTS_PARTS: usize = 3;
 
   /// Records that a call gets a slot.
   pub fn begin(&mut self, ticket: Ticket) {
@@ -41,10 +41,11 @@
     // Arrivals vary by the square root of their mean.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let needed = (usual + usual.sqrt()).round() as usize;
-    needed.saturating_sub(self.running.len()).min(slots / Self::SLOTS_FRACTION)
+    needed.saturating_sub(self.running.len()).min(slots / Self::SLOTS_PARTS)
   }
 
-  /// Returns the slots that calls usually hold at once.
+  /// Returns the slots that calls usually hold at once. A slot that is always held adds
+  /// [`Self::HALF_LIFE_MS`] divided by the logarithm of 2 to the moving sum.
   pub fn usual_slots(&self, now: Time) -> f64 {
     self.decayed_ms(now) * std::f64::consts::LN_2 / Self::HALF_LIFE_MS
   }
--- a/src/requests/calls/call_trees.rs
+++ b/src/requests/calls/call_trees.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// The calls that runs of each route make, as the box learns them from answers, and the decision
-/// whether a request is tried whose calls hardly succeed.
+/// Learns from answers which calls the runs of each route make, and decides by it whether a request
+/// is tried whose calls are likely to fail.
 #[derive(Clone, Debug, Default)]
 pub struct CallTrees {
   routes: BTreeMap<RouteName, CallTree>,
@@ -10,17 +10,18 @@
 /// The calls that runs of one route make.
 #[derive(Clone, Debug, Default)]
 struct CallTree {
-  /// Weight of the runs behind the averages; halves each [`CallTrees::HALF_LIFE_MS`].
+  /// Number of runs, each with a weight that halves each [`CallTrees::HALF_LIFE_MS`].
   runs: f64,
-  /// Runs of that weight that failed for a call.
+  /// Those of them that failed because a call did, with the same weights.
   failed: f64,
-  /// Requests that were refused since the last one that was tried.
+  /// Requests refused since the last one that was tried.
   refused: u32,
   seen_at: Time,
   services: Vec<CalledService>,
 }
 
-/// Calls of a route to one service.
+/// Calls of a route to one service: sums over its runs with their weights, as of `seen_at` of the
+/// route.
 #[derive(Clone, Debug)]
 struct CalledService {
   calls: f64,
@@ -38,12 +39,12 @@
   const HALF_LIFE_MS: f64 = 1_000.0;
   /// Weight of runs from which their share of failures counts.
   const RUNS_MIN: f64 = 10.0;
-  /// The share of runs that fail for a call above which a request is refused. Most of what is tried
-  /// above it is lost after it held a slot.
+  /// The share of runs that failed because of a call above which requests are refused. Above it,
+  /// most runs hold a slot and fail in the end.
   const FAILED_MAX: f64 = 0.8;
-  /// One of so many refused requests is tried, which shows when calls succeed again.
+  /// One of so many requests is tried nevertheless, which shows when calls succeed again.
   const PROBE_EVERY: u32 = 5;
-  /// Milliseconds after which a refused caller returns: what fails calls may have ended by then.
+  /// Milliseconds after which a refused caller returns. Calls may succeed again by then.
   const RETRY_AFTER_MS: u64 = 500;
 
   /// Records a run of a route and the calls that it made. `run_failed` tells that the run itself
@@ -71,7 +72,7 @@
   }
 
   /// Decides whether a request is tried. `wait_ms` returns the milliseconds until a service has a
-  /// slot for a call, where this box knows.
+  /// slot for a call; `None` where this box does not know.
   pub fn decide(
     &mut self,
     now: Time,
@@ -150,14 +151,15 @@
     (-(now.since_ms(self.seen_at) as f64) / CallTrees::HALF_LIFE_MS).exp2()
   }
 
-  /// Returns why no call can be in time, if a service that is called has no slot before `left_ms`.
+  /// Returns why calls can't be in time, and the milliseconds after which to return, if a service
+  /// that runs usually call has no slot within `left_ms`.
   fn full_service(
     &self,
     now: Time,
     left_ms: u64,
     wait_ms: impl Fn(&ServiceName) -> Option<u64>,
   ) -> Option<(&'static str, u64)> {
-    // Only what most runs need.
+    // Services with more than half a call a run.
     let needed = self.services.iter().filter(|one| one.calls * 2.0 > self.runs);
     let longest_ms = needed.filter_map(|one| wait_ms(&one.service)).max()?;
     let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
@@ -165,7 +167,8 @@
     (is_known && longest_ms > left_ms).then_some((reason, longest_ms))
   }
 
-  /// Returns why the request would hardly be served, if calls of the route's runs fail.
+  /// Returns why the request is unlikely to be served, and the milliseconds after which to return,
+  /// if most runs of the route fail because of a call.
   fn failing(&self, now: Time) -> Option<(&'static str, u64)> {
     let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
     let is_failing = is_known && self.failed > self.runs * CallTrees::FAILED_MAX;
--- a/src/requests/calls/mod.rs
+++ b/src/requests/calls/mod.rs
@@ -1,5 +1,5 @@
 //! The calls that backend servers make while they run a request: which ones a route needs, whether
-//! they find room, and what they keep free.
+//! they are likely to be served, and how many slots are left free for them.
 
 use super::*;
 
--- a/src/requests/calls/run_calls.rs
+++ b/src/requests/calls/run_calls.rs
@@ -9,17 +9,17 @@
 }
 
 impl RunCalls {
-  /// Services of which calls are kept, so that an answer tells them in a short header.
+  /// Services of which calls are kept, as they are sent in a header of the answer.
   const SERVICES_MAX: usize = 4;
 
-  /// Returns whether a call that ended with this status failed: its service didn't serve it.
-  /// Another status is an answer, such as that something is absent.
+  /// Returns whether a call that ended with this status failed: its service didn't serve it. Any
+  /// other status is an answer, such as that something does not exist.
   pub fn is_failure(status: StatusCode) -> bool {
     let is_refused = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS].contains(&status);
     status.is_server_error() || is_refused
   }
 
-  /// Records a call that ended now.
+  /// Records a call that ended now, after `took_us` microseconds.
   pub fn add(&mut self, now_us: u64, service: &ServiceName, took_us: u64, failed: bool) {
     let is_together = now_us.saturating_sub(took_us) < self.ended_us;
     self.ended_us = self.ended_us.max(now_us);
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -37,9 +37,9 @@
 }
 
 impl RetryLimits {
-  /// The fraction of the fleet's ratio that daemons may spend. Calls that a retried run makes count
-  /// as retries too, and come on top of those of the calls themselves, also where they aren't
-  /// known.
+  /// The fraction of the fleet's ratio that daemons earn for retries of requests. The calls that a
+  /// retried run makes again are repeats at the called service too, on top of the retries of calls,
+  /// also where a daemon doesn't know of these calls.
   const RATIO_FRACTION: f64 = 0.4;
   /// The fraction of the fleet's fixed allowance that daemons may save.
   const EXTRA_FRACTION: f64 = 0.5;
@@ -64,8 +64,8 @@
   const RETRY_COST: u32 = 1_000;
   /// Maximum initial savings of a service, in thousandths of a retry.
   const START_MAX: u32 = 3_000;
-  /// Requests of a service for which lighter retries wait after a heavier one was asked for. At the
-  /// usual ratio they earn two retries.
+  /// Number of requests to a service for which lighter retries wait after a heavier one was asked
+  /// for. At usual ratios they earn one or two retries.
   const WANTED_FOR: u32 = 20;
 
   /// Sets the limits.
@@ -83,9 +83,9 @@
     known.wanted_for = known.wanted_for.saturating_sub(1);
   }
 
-  /// Adds what the `calls` of a request's run, in thousandths of a call to each service, earn there
-  /// for the calls of its retries. The boxes that make the calls earn the same for retries of the
-  /// calls themselves.
+  /// Adds what one request earns at the services that its run calls, for the calls of its retries.
+  /// `calls` are in thousandths of a call to each service. Boxes that make such calls earn the same
+  /// again for retries of the calls themselves.
   pub fn earn_for(&mut self, calls: &[(ServiceName, u32)]) {
     let limits = self.limits;
     for (called, permille) in calls.iter().filter(|(_, permille)| *permille > 0) {
@@ -96,7 +96,7 @@
     }
   }
 
-  /// Returns the credit of a service. One that is first met starts with its starting savings.
+  /// Returns the credit of a service, which begins with [`RetryBudget::start`].
   fn credit_of(&mut self, service: &ServiceName) -> &mut ServiceCredit {
     let credit = self.start();
     if !self.services.contains_key(service) {
@@ -133,8 +133,8 @@
     self.is_wanted(service, weight) && self.spend_all(service, calls)
   }
 
-  /// Spends one hedged try as [`RetryBudget::spend_for`] does. Lighter retries don't wait for it:
-  /// nothing failed yet.
+  /// Spends one hedged try as [`RetryBudget::spend_for`] does, but keeps no lighter retries
+  /// waiting: nothing failed yet.
   pub fn spend_hedge(
     &mut self,
     service: &ServiceName,
@@ -156,7 +156,7 @@
   }
 
   /// Whether a retry of this weight may be made: no heavier ones were asked for lately, or all
-  /// savings are left, so that they found enough.
+  /// savings are left, so that heavier ones lack nothing.
   fn is_wanted(&self, service: &ServiceName, weight: RetryWeight) -> bool {
     self.services.get(service).is_some_and(|known| {
       let is_lighter = known.wanted_for > 0 && known.wanted > weight;
@@ -164,7 +164,7 @@
     })
   }
 
-  /// Records that a retry was asked for. A heavier one of before still counts.
+  /// Records that a retry was asked for, unless a heavier one was asked for lately.
   fn note_wanted(&mut self, service: &ServiceName, weight: RetryWeight) {
     let known = self.services.get_mut(service);
     if let Some(known) = known.filter(|one| one.wanted_for == 0 || one.wanted <= weight) {
@@ -172,7 +172,7 @@
     }
   }
 
-  /// Whether the calls of a run can be paid, as far as savings reach at most.
+  /// Whether there is credit for the calls of a run. Full savings are enough for any number.
   fn can_call(&self, calls: &[(ServiceName, u32)]) -> bool {
     calls.iter().all(|(called, permille)| {
       let credit = self.services.get(called).map_or(self.start(), |known| known.credit);
--- a/src/requests/returns/early_returns.rs
+++ b/src/requests/returns/early_returns.rs
@@ -15,9 +15,10 @@
 /// When the first refused caller of a request is expected back.
 #[derive(Clone, Copy, Debug)]
 struct ExpectedReturn {
-  /// It is early before.
+  /// A return before this is early.
   back_at: Time,
-  /// It is back by then if it comes at all. Later refusals don't count before.
+  /// The caller is back by then, if it comes at all. Until then, a later refusal of the same
+  /// request counts only if it allows an earlier return.
   until: Time,
 }
 
@@ -26,10 +27,10 @@
   const REQUESTS_MAX: usize = 2_048;
   /// Callers wait for a third of their remaining time at most, whatever they are told.
   const LEFT_PARTS: u64 = 3;
-  /// The fraction of the time told, in percent, after which a caller counts as returning as told:
-  /// clocks and timers differ.
+  /// Percentage of the time told after which a return is no longer early, as clocks and timers
+  /// differ.
   const EARLY_PERCENT: u64 = 80;
-  /// The fraction of the time told, in percent, by which a caller is back, for the same reason.
+  /// Percentage of the time told within which a caller is back, for the same reason.
   const LATE_PERCENT: u64 = 120;
 
   /// Records that a caller with `left_ms` left was told to come back after `retry_after_ms`.
@@ -61,10 +62,14 @@
     Some(expected.back_at.since_ms(now)).filter(|early_ms| *early_ms > 0)
   }
 
-  /// Returns the fingerprint to record if the request is refused, or as an error the milliseconds
-  /// by which it comes too early. The refusal of an early one isn't recorded: it would count as the
-  /// first to be back, sooner with each try. Calls of running requests are neither early nor
-  /// recorded.
+  /// Checks whether a request comes too early. Returns the fingerprint to record with
+  /// [`EarlyReturns::told`] if the request is refused; `None` for calls of running requests, which
+  /// are never early and whose refusals are not recorded.
+  ///
+  /// # Errors
+  ///
+  /// Returns the milliseconds by which it comes too early. That refusal is not recorded: it would
+  /// allow an earlier return with each try.
   pub fn check(
     &self,
     now: Time,
--- a/src/requests/returns/mod.rs
+++ b/src/requests/returns/mod.rs
@@ -1,4 +1,4 @@
-//! When refused callers come back, and which of them come too early.
+//! Decides when refused callers should come back, and which of them come too early.
 
 use super::*;
 
