Say plainly how links, limits and calls are handled at the daemon

Cause: comments that say how it feels instead of what is done, and one that differs from the code: the load in a condition no longer counts answers on the box's link.

Change: comments; the fields of OutboundTurns and Recorder are sorted.

Measured: wording only, nothing run.

--- a/src/node/notice_side.rs
+++ b/src/node/notice_side.rs
@@ -108,8 +108,8 @@
   }
 }
 
-/// Gives slots to requests as the named limit and the slots left free for calls allow, until none
-/// waits for them.
+/// Gives slots to queued requests as the named limit and the slots left free for calls allow, until
+/// no request waits for either.
 async fn pace(shared: Rc<Shared>) {
   loop {
     let now = shared.now().time;
--- a/src/node/outbound_link.rs
+++ b/src/node/outbound_link.rs
@@ -2,13 +2,13 @@
 
 use std::task::Waker;
 
-/// The box's network link as the large answers use it that this daemon sends.
+/// The large answers that this daemon sends over the box's network link, and their turns on it.
 pub struct OutboundLink {
-  /// Bytes of bodies that were read ahead of their turns.
+  /// Bytes of all bodies that were read ahead of their turns and are not sent.
   buffered_bytes: usize,
   /// Whether a task waits for the next turn.
   pub is_waiting: bool,
-  /// Decides about turns.
+  /// Decides which body sends next, and when.
   pub schedule: OutboundSchedule,
   /// Wakes the connections of bodies that wait for a turn.
   pub wakers: BTreeMap<Ticket, Waker>,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -25,7 +25,7 @@
   check_calls(shared, now, &forwarded.id, &request)
 }
 
-/// Refuses a request for which its service has no room.
+/// Refuses a request that gets no part of its service's room.
 fn check_room(
   shared: &Shared,
   now: Time,
@@ -43,7 +43,7 @@
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
 
-/// Refuses a request whose run would fail for the calls that it makes, as far as this box knows.
+/// Refuses a request whose run is likely to fail because of the calls that it makes.
 fn check_calls(
   shared: &Shared,
   now: Time,
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -51,7 +51,8 @@
   }
 }
 
-/// Tells the caller of a full service to come back when this box expects room there.
+/// Sets the time after which the caller of a full service should come back to when this box expects
+/// room there.
 fn at_return_time(
   shared: &Shared,
   forwarded: &ForwardedRequest,
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -152,8 +152,8 @@
   answer.map_err(Refusal::from)
 }
 
-/// Refuses a request whose caller was told to come back later, before any try. Returns the
-/// fingerprint under which another refusal is remembered.
+/// Refuses a request, before any try, whose caller was told to come back later. Else returns the
+/// fingerprint under which a refusal of the request is remembered, if any.
 fn check_early_return(
   shared: &Shared,
   id: &RequestId,
@@ -189,8 +189,8 @@
   }
 }
 
-/// Learns from an answer which calls the run made, and records the request as a call if a running
-/// request made it.
+/// Learns from an answer which calls its run made. If the request is itself a call of a running
+/// one, records it there.
 fn learn_calls(
   shared: &Shared,
   recorder: &Recorder,
@@ -413,11 +413,11 @@
   arrived_us: u64,
   /// When its answer is due at the latest.
   deadline: Time,
+  /// When its answer should be there.
+  due: Time,
   /// Identifies the request when its caller sends it again; `None` where a refusal is not
   /// remembered.
   fingerprint: Option<Fingerprint>,
-  /// When the answer is due.
-  due: Time,
   is_finished: bool,
   record: RequestRecord,
   shared: Rc<Shared>,
--- a/src/proxy/outbound_turns.rs
+++ b/src/proxy/outbound_turns.rs
@@ -3,10 +3,12 @@
 /// The place of a large answer in the schedule of the box's link. Given up when dropped.
 pub(super) struct OutboundTurns {
   arrived_at: Time,
-  bytes: u64,
   /// When its first piece was sent.
   begun_at: Option<Time>,
+  /// Bytes that were read ahead and are not sent.
   buffered_bytes: usize,
+  /// Size of the body; 0 where that is unknown.
+  bytes: u64,
   due: Time,
   request_id: RequestId,
   shared: Rc<Shared>,
@@ -17,7 +19,8 @@
   /// Milliseconds of waiting from which a body is logged as delayed.
   const DELAY_LOGGED_MS: u64 = 20;
 
-  /// Enters the schedule for a body of `bytes`. `None` where the link's rate is unknown.
+  /// Enters the schedule with a body of `bytes`, 0 where that is unknown. Returns `None` where the
+  /// link's rate is unknown.
   pub(super) fn enter(
     shared: &Rc<Shared>,
     request_id: &RequestId,
@@ -31,9 +34,9 @@
     shared.show_outbound();
     Some(Self {
       arrived_at: now,
-      bytes,
       begun_at: None,
       buffered_bytes: 0,
+      bytes,
       due,
       request_id: request_id.clone(),
       shared: shared.clone(),
@@ -54,7 +57,7 @@
     }
   }
 
-  /// Takes bytes read ahead without a turn, at most `bytes_max`. Returns how many.
+  /// Takes at most `bytes_max` of the bytes read ahead, to be sent without a turn. Returns how many.
   pub(super) fn take_free(&mut self, bytes_max: u64) -> usize {
     let bytes = usize::try_from(bytes_max).unwrap_or(usize::MAX).min(self.buffered_bytes);
     self.shared.count_outbound(bytes as u64);
--- a/src/proxy/paced_body.rs
+++ b/src/proxy/paced_body.rs
@@ -2,22 +2,25 @@
 
 /// The body of a large answer, sent in pieces as the box's network link has room for them.
 ///
-/// It is read ahead of its turns, so that the backend server's slot is free as soon as the answer is
-/// whole and does not stay taken while the answer waits for the link.
+/// It is read ahead of its turns, so that the backend server's slot is free as soon as the answer
+/// is whole, and not only once the link has carried it.
 pub(super) struct PacedBody {
+  /// What was read ahead and is not sent.
   buffered: VecDeque<Bytes>,
-  /// How reading ended, once it did. Told after all that was read is sent.
+  /// How reading ended, once it did. Passed on after all that was read is sent.
   end: Option<std::result::Result<(), web::BodyError>>,
-  /// Bytes that pass without a turn: an answer of unknown size counts as small until it is not.
+  /// Bytes that may still pass without a turn: an answer of unknown size counts as small until it
+  /// has sent more than small ones have.
   free_bytes: u64,
   inner: AnyBody,
-  /// Bytes that were not sent, if known.
+  /// Bytes that are left to send, if known.
   left_bytes: Option<u64>,
   turns: OutboundTurns,
 }
 
 impl PacedBody {
-  /// Paces the body of an answer to another box or a remote caller. Small ones pass at once.
+  /// Paces the body of an answer to another box or a remote caller. That of a small answer passes
+  /// at once.
   pub(super) fn pace(
     shared: &Rc<Shared>,
     request_id: &RequestId,
@@ -46,7 +49,7 @@
     Self { buffered: VecDeque::new(), end: None, free_bytes, inner, left_bytes, turns }
   }
 
-  /// Reads what is there, within the bounds of the read-ahead.
+  /// Reads what is available, as far as it may be read ahead.
   fn read_ahead(&mut self, context: &mut Context) {
     while self.end.is_none() && (self.buffered.is_empty() || self.turns.may_read_ahead()) {
       match Pin::new(&mut self.inner).poll_frame(context) {
--- a/src/requests/condition.rs
+++ b/src/requests/condition.rs
@@ -8,10 +8,10 @@
 pub struct Condition {
   /// Recent requests per thousand that failed by the backend server's own fault.
   pub failures_permille: u32,
-  /// Milliseconds for which an answer waits for the box's network link.
+  /// Milliseconds for which a large answer waits for the box's network link.
   pub link_wait_ms: u64,
-  /// Running and waiting requests in percent of the slots, or the load of the box's link in
-  /// percent.
+  /// Running and waiting requests in percent of the slots, or the load of the box's link by bodies
+  /// that it receives, in percent, if that is higher.
   pub load_percent: u32,
   /// Microseconds that a request currently takes; 0 where that is unknown.
   pub service_us: u64,
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -123,7 +123,7 @@
     self.running.len() < self.slots && !self.is_rate_reached(now)
   }
 
-  /// Whether a request may run now that is a call of a running one, or is not.
+  /// Whether a request may run now. `is_call` tells that a running one needs it.
   fn has_room_for(&self, now: Time, is_call: bool) -> bool {
     self.has_room(now) && (is_call || !self.is_reserved(now))
   }
@@ -255,8 +255,8 @@
     (due.since_ms(now) as f64) < self.hold_ms * Self::IN_TIME_FRACTION
   }
 
-  /// When a queued request may run that waits for the rate limit, or for slots that are left free
-  /// for calls.
+  /// When to check again the queued requests that wait for the rate limit, or for slots that are
+  /// left free for calls. `None` while none waits for these.
   pub fn wake_at(&self, now: Time) -> Option<Time> {
     if self.waiting.is_empty() || self.running.len() >= self.slots {
       return None;
--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -61,8 +61,9 @@
     self.queue.add(now, to_f64(bytes));
   }
 
-  /// Returns the milliseconds after which a caller of this box may come back, if the link can't carry
-  /// its large answer until it is due. `inbound_ms` is the wait for the link into the box.
+  /// Returns the milliseconds after which a remote caller of this box may come back, if the link
+  /// can't carry its large answer until it is due. `inbound_ms` is the wait for the link into the
+  /// box.
   pub fn refuses_caller(
     &self,
     now: Time,
@@ -79,8 +80,8 @@
     is_refused.then_some(back_ms)
   }
 
-  /// Takes over what the link owes in fact, in milliseconds, where that is more than expected: answers
-  /// are counted from the start of their runs, and may be ready all together later.
+  /// Lengthens the queue to the milliseconds that the link really owes, if those are more. Answers
+  /// are counted from the start of their runs, and may all be ready together later.
   pub fn note_owed(&mut self, now: Time, owed_ms: f64) {
     self.queue.raise(now, owed_ms);
   }
--- a/src/requests/links/link_budget.rs
+++ b/src/requests/links/link_budget.rs
@@ -21,8 +21,8 @@
   const BODY_FRACTION: f64 = 0.8;
   /// Queue length in milliseconds above which bodies are refused, even if their callers would wait.
   const QUEUE_MAX_MS: f64 = 250.0;
-  /// Longest wait in milliseconds of a body below `LARGE_BYTES` that another box could take as well:
-  /// about what it costs to ask that box.
+  /// Longest wait in milliseconds of a body of up to `LARGE_BYTES` that another box could take as
+  /// well: about what it costs to ask that box.
   const OPTIONAL_WAIT_MS: u64 = 20;
   /// Bodies of up to this many bytes are always accepted.
   pub const SMALL_BYTES: u64 = 4_096;
--- a/src/requests/links/mod.rs
+++ b/src/requests/links/mod.rs
@@ -1,4 +1,5 @@
-//! What crosses a box's network link: the bodies that it receives, and the answers that it sends.
+//! Models a box's network link, and decides which bodies cross it: the bodies that the box
+//! receives, and the answers that it sends.
 
 use super::*;
 
--- a/src/requests/links/outbound_schedule.rs
+++ b/src/requests/links/outbound_schedule.rs
@@ -1,10 +1,11 @@
 use super::*;
 
-/// Shares a box's network link among the large answers that it sends, so that small answers and
-/// heads, which pass at once, find a queue of a few milliseconds in front of the link.
+/// Shares a box's network link among the large answers that it sends, so that heads and small
+/// answers, which pass at once, wait behind a queue of a few milliseconds only.
 ///
 /// Without it, the kernel takes tens of KB of each large answer, and all of that queues in front of
-/// whatever is sent next. Bodies get one piece at a time, a few bodies at once, at the link's rate.
+/// whatever is sent next. With it, the bodies of a few large answers are sent in turns, one piece
+/// each, at the link's rate.
 #[derive(Clone, Debug)]
 pub struct OutboundSchedule {
   bodies: BTreeMap<Ticket, OutboundBody>,
@@ -13,18 +14,18 @@
   piece_bytes: u64,
 }
 
-/// A large answer that is not sent completely.
+/// The body of a large answer that is not yet sent completely.
 #[derive(Clone, Debug)]
 struct OutboundBody {
   arrived_at: Time,
   /// Bytes that can be sent now; 0 while the body has none, or its connection takes none.
   asked_bytes: u64,
   due: Time,
-  /// Bytes that it may send and has not taken.
+  /// Bytes that it may send, until its connection takes them.
   granted_bytes: u64,
   /// When it last was granted bytes; `None` before its first piece.
   last_turn: Option<Time>,
-  /// Bytes not granted, as far as known.
+  /// Bytes not yet granted; 0 where the size of the body is unknown.
   left_bytes: u64,
 }
 
@@ -42,12 +43,13 @@
 impl OutboundSchedule {
   /// Bodies under way at once. With the second, a pause of one connection leaves no gap.
   const BODIES_MAX: usize = 2;
-  /// Share of the link that turns may fill. What packet headers take of it queues at the connections
-  /// of the few bodies under way, whose small send buffers hold up their next pieces.
+  /// Share of the link that turns may fill: all of it, though packet headers take some as well.
+  /// What is too much queues in the small send buffers of the few bodies under way, which then take
+  /// their next pieces later.
   const PART: f64 = 1.0;
   /// Link time of a piece in milliseconds: several times the precision of a timer.
   const PIECE_MS: f64 = 4.0;
-  /// Smallest piece in bytes: below, heads of packets and calls of the kernel weigh too much.
+  /// Smallest piece in bytes: below, packet headers and system calls cost too much.
   const PIECE_BYTES_MIN: f64 = 4_096.0;
   /// Milliseconds of queue at which the next piece is handed to the link. Covers late timers, so
   /// that the link does not run empty between pieces.
@@ -55,7 +57,7 @@
   /// Milliseconds after a piece for which a body that does not ask for the next one keeps its place
   /// among those under way: longer than the piece takes to cross.
   const TURN_MS: u64 = 10;
-  /// Milliseconds after which a body goes first, even if its answer is late.
+  /// Milliseconds after which a body that was not begun goes first, even if its answer is late.
   const WAIT_MAX_MS: u64 = 1_000;
 
   /// Creates the schedule of a link of `link_mbps` megabits a second.
@@ -86,7 +88,7 @@
     }
   }
 
-  /// Takes what a body may send.
+  /// Takes the bytes that a body was granted.
   pub fn take_grant(&mut self, ticket: Ticket) -> u64 {
     let granted = self.bodies.get_mut(&ticket).map(|body| &mut body.granted_bytes);
     granted.map(std::mem::take).unwrap_or_default()
@@ -114,6 +116,7 @@
       #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
       return OutboundTurn::Wait(now.after(ahead_ms.ceil() as u64));
     }
+    // The bodies under way keep their places, but none of them asks.
     let Some(ticket) = self.pick(now) else {
       return OutboundTurn::Wait(now.after(1));
     };
@@ -128,8 +131,8 @@
     OutboundTurn::Send(ticket)
   }
 
-  /// Returns the body whose turn it is: a new one while few are under way, else the one under way
-  /// that has waited longest for its next piece.
+  /// Returns the body whose turn it is: a new one while few are under way, else of those begun the
+  /// one whose last turn is longest ago.
   fn pick(&self, now: Time) -> Option<Ticket> {
     let under_way = self.bodies.values().filter(|body| body.is_under_way(now)).count();
     let asking = self.bodies.iter().filter(|(_, body)| body.asked_bytes > 0);
@@ -156,14 +159,15 @@
     (rank, body.due)
   }
 
-  /// Returns the milliseconds that the link needs for all it was given and owes.
+  /// Returns the milliseconds that the link needs for what was handed to it and what bodies have
+  /// left.
   #[allow(clippy::cast_precision_loss)]
   pub fn owed_ms(&self, now: Time) -> f64 {
     let left_bytes: u64 = self.bodies.values().map(|body| body.left_bytes).sum();
     self.link.delay_ms(now) + left_bytes as f64 / self.link.bytes_per_ms()
   }
 
-  /// Returns the numbers of bodies that were begun and that were not.
+  /// Returns the number of bodies that were begun, and of those that were not.
   pub fn counts(&self) -> (usize, usize) {
     let begun = self.bodies.values().filter(|body| body.last_turn.is_some()).count();
     (begun, self.bodies.len() - begun)
--- a/src/requests/running_requests.rs
+++ b/src/requests/running_requests.rs
@@ -94,7 +94,7 @@
     self.running.get(id.as_str()).is_some_and(|request| request.call_failed)
   }
 
-  /// Returns the calls made for a running request; `None` as long as the backend server makes none.
+  /// Returns the calls made for a running request; `None` if the backend server never made any.
   pub fn calls_of(&self, id: &RequestId) -> Option<&RunCalls> {
     let request = self.running.get(id.as_str()).filter(|_| self.makes_calls);
     request.map(|request| &request.calls)
--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -11,10 +11,10 @@
   pub last_crash_at: Time,
   /// When its last trial here ended without a result.
   failed_trial_at: Option<Time>,
-  /// Whether the last trial here is counted as a late run, and no crash was reported since.
+  /// Whether the last trial here counts as a late run, and no crash was reported since.
   is_trial_counted: bool,
-  /// Crashes later than the fleet takes to learn of the third one, and trials here as late that had
-  /// neither a result nor a crash.
+  /// Crashes, and trials here without a result, later than the fleet takes to learn of the third
+  /// crash. A trial and the crash that it caused count once.
   late_runs: u32,
   /// Crashes of processes that did not run it, within [`Suspect::SPELL_MS`] of its last crash.
   pub(super) other_crashes: u32,
@@ -125,8 +125,8 @@
     after_crash_ms.max(after_trial_ms)
   }
 
-  /// Milliseconds for which it is held after a trial without a result. Repeating such trials without
-  /// a limit would send a request that crashes processes on and on, as its callers give up early.
+  /// Milliseconds for which it is held after a trial without a result. Without that, a request that
+  /// crashes processes would be tried again and again if its callers give up early.
   fn trial_hold_ms(&self) -> u64 {
     let late_trial = (self.late_runs as usize).checked_sub(1);
     late_trial.map_or(0, |late| Self::HOLDS_MS.get(late).copied().unwrap_or_default())
--- a/src/telemetry/outbound_metrics.rs
+++ b/src/telemetry/outbound_metrics.rs
@@ -9,7 +9,7 @@
 pub struct OutboundMetrics {
   /// Requests refused because the link could not send their large answers in time.
   pub answers_refused: Counter,
-  /// Large answers that are being sent, and that wait for the link.
+  /// Numbers of large answers that are being sent and that wait for the link.
   bodies: Family<BodyLabels, Gauge>,
   /// Milliseconds that the link needs for all large answers that it owes.
   owed_ms: Gauge,
