--- a/src/proxy/outbound_turns.rs
+++ b/src/proxy/outbound_turns.rs
@@ -57,7 +57,8 @@
     }
   }
 
-  /// Takes at most `bytes_max` of the bytes read ahead, to be sent without a turn. Returns how many.
+  /// Takes at most `bytes_max` of the bytes read ahead to send them without a turn. Returns how
+  /// many.
   pub(super) fn take_free(&mut self, bytes_max: u64) -> usize {
     let bytes = usize::try_from(bytes_max).unwrap_or(usize::MAX).min(self.buffered_bytes);
     self.shared.count_outbound(bytes as u64);
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -22,9 +22,9 @@
   /// would waste the work that the running request has done.
   const CALL_WAIT_FRACTION: f64 = 0.75;
 
-  /// Limits the urgency of a call by its parent, which is due at `parent_due` at the latest, if that
-  /// is known. The call's run is expected to take `usual_ms`: if it waited longer than that allows,
-  /// its answer would be too late for its parent.
+  /// Limits the urgency of a call by its parent, which is due at `parent_due` at the latest, if
+  /// that is known. The call's run is expected to take `usual_ms`: if it waited longer than that
+  /// allows, its answer would be too late for its parent.
   #[must_use]
   pub fn within_parent(self, deadline: Time, parent_due: Option<Time>, usual_ms: u64) -> Self {
     let Some(parent_due) = parent_due.filter(|_| self.is_call) else {
