Say at each test what failure or load it guards against

Cause: heads of tests that need the code to be understood, one that claims more than is asserted (each rank against each more urgent one, where only the first is compared), and one test without a head.

Change: comments of tests; no test is changed.

Measured: wording only, nothing run.

--- a/tests/answer_budget.rs
+++ b/tests/answer_budget.rs
@@ -89,6 +89,8 @@
   assert!(budget.reserve(Time(0), PHOTO_BYTES, MAX_WAIT_MS, true).is_err());
 }
 
+/// Guards against requests of remote callers that run although the links of the caller's box can't
+/// carry their large answers in time.
 #[test]
 fn a_caller_is_refused_where_the_own_links_are_too_late() {
   let mut budget = AnswerBudget::new(LINK_MBPS);
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -1,4 +1,4 @@
-//! Tests the decisions about calls behind a request without sockets.
+//! Tests the decisions about the calls that running requests make, without sockets.
 
 use {
   ferryyoke::{
@@ -44,8 +44,8 @@
   calls
 }
 
-/// Guards against short calls that wait for long runs of another route, while their parents hold
-/// slots.
+/// Guards against short calls that wait for long runs of other requests, while their parents hold
+/// slots elsewhere.
 #[test]
 fn calls_find_a_slot_beside_long_runs() {
   let mut rng = ChaCha8Rng::seed_from_u64(5);
@@ -145,7 +145,7 @@
   assert!(limiter.wake_at(now) >= Some(now.after(50)));
 }
 
-/// Guards against services called once that keep those of each run from being learned.
+/// Guards against services that were called once and take the places of those that each run calls.
 #[test]
 fn services_that_are_hardly_called_make_room_for_others() {
   let (mut trees, route) = (CallTrees::default(), route());
@@ -163,7 +163,8 @@
   assert!((1_000..=2_000).contains(permille), "{permille}");
 }
 
-/// Guards against calls that outlive the request that needs them.
+/// Guards against calls that wait, and take a slot, when their answers are too late for their
+/// parent.
 #[test]
 fn a_call_waits_no_longer_than_it_can_save_its_parent() {
   let now = Time(1_000);
@@ -194,7 +195,7 @@
   assert_eq!(excess.succeeded(), 0);
 }
 
-/// Guards against requests that begin and are lost while all calls of their runs fail.
+/// Guards against requests that take slots and fail in the end, while calls of their runs fail.
 #[test]
 fn a_request_is_refused_while_nearly_all_runs_fail_for_a_call() {
   let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
@@ -210,7 +211,7 @@
     let asked = (0..100).map(|_| trees.decide(now, &entry(now), |_| None));
     asked.filter(|decision| *decision != EntryDecision::Admit).count()
   };
-  // Half of the runs fail: what is tried is more likely than not to be served some other time.
+  // Half of the runs fail, which is not enough for refusals.
   for index in 0..100 {
     trees.record(Time(index * 10), &route, &run(index % 2 == 0), index % 2 == 0);
   }
@@ -250,7 +251,7 @@
   assert_eq!(failures, [false, true, true, true, true]);
 }
 
-/// Guards against a cascade: work begins whose call finds no room at the second service.
+/// Guards against runs that begin although a service that they call has no room in time.
 #[test]
 fn a_request_is_refused_where_a_service_that_it_calls_has_no_room_in_time() {
   let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
@@ -272,7 +273,8 @@
   assert!(matches!(decision, EntryDecision::Refuse { retry_after_ms: 900, .. }), "{decision:?}");
 }
 
-/// Guards against retries of cheap requests that leave none for calls whose loss costs whole runs.
+/// Guards against retries of callers' requests that leave none for calls, whose failure costs the
+/// work of a whole run.
 #[test]
 fn retries_of_calls_go_before_those_of_fresh_requests() {
   let name = service("records");
@@ -313,14 +315,14 @@
   calls: Vec<(ServiceName, u32)>,
 }
 
-/// What happens at each service in a stretch of requests: requests and repeats.
+/// Numbers of requests and of repeats at each service.
 #[derive(Clone, Copy, Default)]
 struct Arrivals {
   inner: (f64, f64),
   outer: (f64, f64),
 }
 
-/// A fleet that retries whatever fails as often as its budgets allow.
+/// A fleet that retries each failure as often as its budgets allow.
 struct RetryingFleet {
   arrivals: Arrivals,
   calls_mean: f64,
@@ -340,7 +342,7 @@
     if self.is_skewed { any.min(rng.random_range(0..count)) } else { any }
   }
 
-  /// A request to the called service, or a call of a run that is itself a repeat or not.
+  /// Sends a request to the called service. `is_repeat` tells that a repeated run calls it.
   fn send_inner(&mut self, is_repeat: bool) {
     let index = self.pick();
     self.daemons[index].budget.earn(&self.inner);
@@ -378,8 +380,9 @@
   }
 }
 
-/// Returns the windows in which random fleets repeat more than a share of the requests and a fixed
-/// number of at least two a daemon. `unknowing` scales the share of daemons that know no calls.
+/// Returns the windows in which random fleets exceed the bound on repeats: a share of the requests,
+/// and a fixed number of at least two for each daemon. `unknowing` scales the share of daemons that
+/// don't know the calls of their requests.
 fn windows_above_the_bound(unknowing: f64) -> Vec<String> {
   const WINDOWS: usize = 10;
   let mut above: Vec<String> = Vec::new();
@@ -405,7 +408,7 @@
     let (arrivals, is_skewed) = (Arrivals::default(), seed % 2 == 0);
     let mut fleet =
       RetryingFleet { arrivals, calls_mean, daemons, failing, inner, is_skewed, outer, rng };
-    // A window is any of so many parts of the run one after another, and the whole run too.
+    // Each window begins and ends at one of so many equally long steps.
     let mut sums = vec![Arrivals::default()];
     for _ in 0..WINDOWS {
       for _ in 0..requests / WINDOWS {
@@ -434,16 +437,15 @@
   above
 }
 
-/// Guards the fleet's bound on repeats, a share of the requests and a fixed number of at least two a
-/// daemon, in any window, against fleets and mixes of any size, whose runs make calls by chance.
+/// Guards against fleets that exceed the bound on repeats in some window, at fleets of any size,
+/// with any mix of requests, and with runs that make calls by chance.
 #[test]
 fn repeats_of_random_fleets_stay_within_the_bound_at_the_called_service_too() {
   let above = windows_above_the_bound(0.0);
   assert!(above.is_empty(), "{} windows: {above:#?}", above.len());
 }
 
-/// Guards the same bound, with the same fixed number of at least two a daemon, against daemons that
-/// don't know the calls of their routes.
+/// Guards the same bound against daemons that don't know the calls of their requests.
 #[test]
 #[ignore = "in KNOWN-RED.txt"]
 fn repeats_of_daemons_that_know_no_calls_stay_within_the_bound_too() {
@@ -451,7 +453,8 @@
   assert!(above.is_empty(), "{} windows: {above:#?}", above.len());
 }
 
-/// Guards against boxes that never send to a called service and so could never retry.
+/// Guards against boxes that could never retry a request as they send nothing to the services that
+/// its run calls.
 #[test]
 fn a_box_that_only_sends_to_the_outer_service_can_retry_its_requests() {
   let (outer, inner, unused) = (service("outer"), service("inner"), service("unused"));
--- a/tests/outbound_turns.rs
+++ b/tests/outbound_turns.rs
@@ -222,8 +222,8 @@
   }
 }
 
-/// Guards against an answer that others overtake without end while the link is overloaded: it waits
-/// a second, and then no longer than what came before it takes.
+/// Guards against an answer that others overtake without end while the link is overloaded: they may
+/// for a second, and then it waits only for what came before it.
 #[test]
 fn no_export_starves_in_overload() {
   for seed in 0..5 {
@@ -279,7 +279,7 @@
   assert!(to_f64(now.0) <= 2.0 * own_ms + 2.0 * SMALL_WAIT_MAX_MS, "{now}, {own_ms} ms alone");
 }
 
-/// Guards against an answer that can still be in time behind ones that cannot.
+/// Guards against an answer that can still be in time and waits behind ones that cannot.
 #[test]
 fn an_answer_that_can_be_in_time_goes_before_late_ones() {
   let mut play = Play::new();
@@ -294,7 +294,7 @@
   assert!(!play.exports.contains_key(&Ticket(5)), "it went before those that are late");
 }
 
-/// Guards against a stop that forgets answers: all that were accepted are sent, at the link's rate.
+/// Guards against a stop that loses accepted answers: all are sent, at the link's rate.
 #[test]
 fn what_is_owed_at_a_stop_is_sent_at_the_rate_of_the_link() {
   let mut play = Play::new();
--- a/tests/quarantine_fleet.rs
+++ b/tests/quarantine_fleet.rs
@@ -1,8 +1,8 @@
 //! Tests the quarantine in a fleet of daemons that learn of crashes and of each other's backend
 //! servers with different delays.
 //!
-//! A request that crashes processes takes longer than the others, is sent at all boxes in turn, and
-//! the processes restart one by one while it is on trial.
+//! A request that crashes processes is sent by callers at all boxes in turn, and the processes
+//! restart one by one while it is on trial.
 
 mod support;
 
@@ -17,7 +17,7 @@
   support::endpoints::endpoint,
 };
 
-/// Milliseconds after the third run from which a run of the crashing request is a late one.
+/// Milliseconds after the third run after which a run of the crashing request is a late one.
 const CONTACT_MS: u64 = 3_000;
 
 /// How many late runs the crashing request may have.
@@ -207,8 +207,8 @@
   Quarantine::trial_box(guilty(), live.map(|known| &known.peer.box_id)).cloned()
 }
 
-/// Guards against a crashing request that each daemon tries at another box, as the processes that it
-/// crashed restart one by one.
+/// Guards against a crashing request that is tried at one box after the other: as crashed processes
+/// restart one by one, daemons differ on which box is the one for its trial.
 #[test]
 fn a_crashing_request_reaches_at_most_three_more_while_its_servers_restart() {
   let mut most = 0;
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -9,8 +9,8 @@
   Fingerprint::of(&Digest::of(&number.to_be_bytes()))
 }
 
-/// Guards against callers in series that cost each full box a question, and against taking one that
-/// returns as told for one of them.
+/// Guards against callers that come back again and again without waiting, of which each try asks
+/// full boxes, and against a caller that returns as told and is taken for one of them.
 #[test]
 fn only_callers_that_return_before_they_were_told_are_early() {
   let mut returns = EarlyReturns::default();
@@ -29,7 +29,8 @@
   assert_eq!(returns.early_ms(now.after(2_200), asked, 200), None);
 }
 
-/// Guards against callers in series that wear the remaining time down with refusals of their own.
+/// Guards against callers that come back without waiting, and move the time of their return nearer
+/// with each refusal.
 #[test]
 fn early_knocks_stay_early_until_the_time_told_first() {
   let mut returns = EarlyReturns::default();
@@ -51,7 +52,8 @@
   assert_eq!(returns.check(start.after(10), asked, 10, true), Ok(None), "a call");
 }
 
-/// Guards against a caller that returns as told behind a later one with the same request.
+/// Guards against a caller that returns as told, and is taken for early because of a later refusal
+/// of the same request.
 #[test]
 fn a_later_refusal_does_not_make_an_earlier_caller_early() {
   let mut returns = EarlyReturns::default();
@@ -93,7 +95,7 @@
   assert_eq!(ReturnTime { left_ms: 300, wait_ms: None }.retry_after_ms(77, 0.5), 77);
 }
 
-/// Guards against callers that returned as told and are refused again behind fresh ones.
+/// Guards against callers that return as told, and wait behind first tries until they are too late.
 #[test]
 fn who_came_back_goes_before_fresh_requests_of_its_rank_while_it_can_be_in_time() {
   let demand =
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -1,4 +1,4 @@
-//! Room of a service in virtual time: who enters, who is refused, and what callers get of it.
+//! Tests in virtual time which requests for a full service are tried, and what callers get.
 
 mod support;
 
@@ -65,7 +65,7 @@
 }
 
 /// Asserts what holds for callers under any load: no rank is served less than a quarter as often as
-/// all, and none better than a more urgent one.
+/// all, and none better than the most urgent one.
 fn assert_ranks(world: &RoomWorld) {
   let shares: Vec<f64> = world.by_load.iter().map(Tally::share_in_time).collect();
   let all = share_in_time(&world.by_load);
@@ -118,7 +118,7 @@
   assert_eq!(entrance.rooms.level_percent(&entrance.service), Some(100));
 }
 
-/// Load: a burst to 1.7 times what the service can take.
+/// Load: a burst of 1.7 times what the service can take. The ranks must hold, at few tries.
 #[test]
 fn a_burst_keeps_the_most_urgent_in_time_and_starves_none() {
   for seed in 1..=3 {
@@ -126,7 +126,7 @@
     world.run(2_000, 0.6);
     world.run(8_000, 1.7);
     assert_ranks(&world);
-    // One try for each, as a request is refused on its entry or finds a queue.
+    // About one try each, as a request is refused on its entry or finds a queue.
     let tries = sum(&world.by_load, |tally| tally.tries);
     assert!(tries <= sum(&world.by_load, |tally| tally.asked) * 3 / 2, "{tries}");
   }
@@ -153,7 +153,7 @@
   assert_ranks(&world);
 }
 
-/// Load: one of 80 uneven organisations sends seven times its usual and fills the service.
+/// Load: one of 80 uneven organisations sends seven times as much as usual, and fills the service.
 #[test]
 fn a_hot_organisation_is_held_to_its_share_at_every_box() {
   let usual: Vec<f64> = (1..=80).map(|rank| 100.0 / f64::from(rank)).collect();
@@ -203,7 +203,7 @@
   assert!(jain >= 0.9, "{jain}");
 }
 
-/// A box and the requests that enter it, one each millisecond.
+/// A box that gets a request each millisecond.
 struct Entrance {
   now: Time,
   rooms: Rooms,
@@ -255,8 +255,8 @@
   }
 }
 
-/// Load: a service that is full for ten seconds. The floor holds for the last rank, and a call of a
-/// running request always enters.
+/// Load: a service that is full for ten seconds. A quarter of the last rank must still enter, and
+/// each call of a running request.
 #[test]
 fn the_floor_holds_under_lasting_overload_and_calls_enter() {
   let mut entrance = Entrance::new(&[0, 3], &[]);
@@ -298,7 +298,8 @@
   assert_eq!(entrance.rooms.forecast(entrance.now, &entrance.service, 1), None);
 }
 
-/// Load: a full service whose requests are all of one rank, without organisations.
+/// Load: a full service whose requests are all of one rank, without organisations. None must be
+/// refused on its entry.
 #[test]
 fn nothing_is_decided_where_nobody_competes() {
   let mut entrance = Entrance::new(&[1, 1], &[]);
--- a/tests/run_times.rs
+++ b/tests/run_times.rs
@@ -11,7 +11,7 @@
   rand_chacha::ChaCha8Rng,
 };
 
-/// Milliseconds after which other backend servers of a service have noisy neighbours.
+/// Milliseconds between two changes of which backend servers have noisy neighbours.
 const NOISE_MS: u64 = 600;
 /// Share of the backend servers that have noisy neighbours.
 const NOISY_SHARE: f64 = 0.15;
@@ -75,7 +75,7 @@
   RouteKind::of(&"service".parse().expect("a name"), &ferryyoke::configuration::Handling::default())
 }
 
-/// How many verdicts were right, and how many said "in time" and came true.
+/// How many verdicts on "in time" were right, and how many said "in time" and came true.
 #[derive(Debug, Default)]
 struct Score {
   in_time: u32,
@@ -101,8 +101,8 @@
   }
 }
 
-/// Guards against: verdicts "in time" by one mean time for short and long routes, and by a speed
-/// that was that of another moment.
+/// Guards against wrong verdicts "in time": from one mean time for short and long routes, and from
+/// the speed at another moment.
 #[test]
 fn verdicts_in_time_come_true_under_noise() {
   let (mut by_work, mut by_mean) = (Score::default(), Score::default());
@@ -154,7 +154,7 @@
   }
 }
 
-/// Guards against: a fleet that takes a change of the mix of routes for a change of speed.
+/// Guards against a fleet that takes a change of the mix of routes for a change of speed.
 #[test]
 fn a_change_of_the_mix_is_no_slowdown() {
   let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -171,7 +171,7 @@
   assert!((80..=125).contains(&percent), "{percent}");
 }
 
-/// Guards against: a figure that is frozen or wrong by far, which would keep work away for good.
+/// Guards against a told slowdown that is frozen or far wrong, and would keep work away for good.
 #[test]
 fn a_wrong_figure_is_corrected_by_the_runs() {
   for wrong in [20, 50, 400, 1_500] {
@@ -186,7 +186,7 @@
   }
 }
 
-/// Guards against: a figure of a moment that is long past.
+/// Guards against a told slowdown that counts long after it was told.
 #[test]
 fn a_figure_that_is_told_no_more_loses_its_weight() {
   let mut speed = SpeedMonitor::default();
@@ -196,7 +196,7 @@
   assert_eq!(speed.known_slowdown(Time(5_000)), None);
 }
 
-/// Guards against: the speed of a former process, kept for the next one at its address.
+/// Guards against the speed of an earlier process that is kept for the next one at its address.
 #[test]
 fn another_process_begins_as_usual() {
   let mut speed = SpeedMonitor::default();
@@ -210,7 +210,8 @@
   assert_eq!(speed.record_run(Time(100), 1, Slowdown::NONE, None), None, "nothing told");
 }
 
-/// Guards against: backend servers that tell no slowdown served otherwise than before.
+/// Guards against a change for backend servers that tell no slowdown: nothing may be learned from
+/// their runs.
 #[test]
 fn nothing_is_learned_where_nothing_is_told() {
   let mut speed = SpeedMonitor::default();
@@ -218,7 +219,7 @@
   assert_eq!((work_us, speed.known_slowdown(Time(0))), (None, None));
 }
 
-/// Guards against: single runs that hang, which would make a route look long for minutes.
+/// Guards against single runs that hang, which would make a route look long for minutes.
 #[test]
 fn a_single_hung_run_moves_no_estimate() {
   let mut average = LogAverage::default();
@@ -231,7 +232,7 @@
   assert!((90_000..=110_000).contains(&usual_us), "{usual_us}");
 }
 
-/// Guards against: routes that are seldom called, of which nothing would ever be known.
+/// Guards against routes that are seldom called, of which nothing would ever be known.
 #[test]
 fn a_route_hardly_seen_borrows_from_its_kind() {
   let mut times = RunTimes::default();
@@ -246,7 +247,7 @@
   assert_eq!(times.estimate(&busy, &kind()), None, "dropped with the route");
 }
 
-/// Guards against: values that no arithmetic withstands.
+/// Guards against chances outside of 0 to 1 for extreme estimates and times.
 #[test]
 fn chances_stay_chances() {
   for (usual_us, spread, left_us) in
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -104,7 +104,7 @@
   backends: Vec<Limiter>,
   pub by_load: Vec<Tally>,
   pub by_organisation: Vec<Tally>,
-  /// Boxes that reach no backend server and hear of none.
+  /// Boxes that reach no backend server and hear from none.
   pub cut: BTreeSet<usize>,
   endpoints: Vec<Endpoint>,
   entrances: Vec<Entrance>,
@@ -119,7 +119,7 @@
   requests: BTreeMap<u64, Request>,
   rng: ChaCha8Rng,
   running: BTreeMap<(usize, Ticket), (u64, TryId)>,
-  /// When less than a quarter of the slots was free last.
+  /// The last time at which less than a quarter of the slots was free.
   short_at: u64,
   /// How long work takes at each backend server, in percent.
   pub slowdowns: Vec<u32>,
