--- a/crates/ferryyoke-soak/tests/failures_under_load.rs
+++ b/crates/ferryyoke-soak/tests/failures_under_load.rs
@@ -1,8 +1,8 @@
-//! Backend servers, daemons and the store that fail beside load, on real processes.
+//! Backend servers, daemons and the store that fail under load, on real processes.
 //!
-//! Whatever fails, each request ends by its deadline plus the peers' grace, a refusal that says "not run" is true, no
-//! request that may not be repeated runs twice, and the boxes that did not fail go on serving. Requests that may be
-//! repeated are for the service of the even boxes, the others for that of the odd ones.
+//! Whatever fails, each request ends by its deadline plus the peers' grace, none that may not be repeated runs twice or
+//! although its refusal says "not run", and the boxes that did not fail go on serving. Requests that may be repeated
+//! are for the service of the even boxes, the others for that of the odd ones.
 
 mod support;
 
@@ -101,7 +101,7 @@
   }
 }
 
-/// Checks what holds for each request whatever fails.
+/// Checks what must hold for each request whatever fails.
 fn check_promises(fleet: &Fleet, all: &[Exchange]) {
   let mut runs: BTreeMap<String, usize> = BTreeMap::new();
   for one in &fleet.record.borrow().runs {
@@ -141,7 +141,7 @@
   fleet
 }
 
-/// Checks requests beside backend servers of half of the boxes with a trouble, and after it.
+/// Checks requests while the backend servers of half of the boxes have a trouble, and after it ended.
 async fn check_trouble(trouble: Trouble, served_percent: usize) {
   let fleet = fleet().await;
   let set = |trouble: Trouble| {
@@ -196,7 +196,7 @@
   run(check_trouble(Trouble { slowness: 5, ..Trouble::default() }, 95));
 }
 
-/// Guards against the loss of half of each service at once: the rest has room for all.
+/// Guards against requests that fail when half of each service is lost at once: the rest has room for all.
 #[test]
 fn the_loss_of_half_of_a_service_is_made_up_for() {
   run(async {
@@ -216,7 +216,8 @@
   });
 }
 
-/// Guards against servers that end and come back again and again, for another reason than a request.
+/// Guards against requests that are lost at servers which end and come back again and again, for another reason than a
+/// request.
 #[test]
 fn servers_that_flap_lose_few_requests() {
   run(async {
@@ -234,7 +235,7 @@
   });
 }
 
-/// Guards against a burst while daemons restart: callers of the other boxes are served.
+/// Guards against requests that fail at other boxes in a burst while daemons restart.
 #[test]
 fn a_burst_while_daemons_restart_is_served_at_the_other_boxes() {
   run(async {
--- a/src/requests/balancer.rs
+++ b/src/requests/balancer.rs
@@ -238,7 +238,8 @@
     criteria.body_bytes as f64 * BITS_PER_BYTE / f64::from(endpoint.link_mbps)
   }
 
-  /// Returns the microseconds that a large answer waits for the link of a remote box and takes on it.
+  /// Returns the microseconds that a large answer waits for the link of a remote box, and takes to
+  /// cross it.
   #[allow(clippy::cast_precision_loss)]
   fn answer_link_us(
     &mut self,
@@ -255,8 +256,8 @@
     crossing_us + self.link_wait_ms(now, endpoint, criteria, typical) * 1_000.0
   }
 
-  /// Returns the milliseconds that the answer is expected to wait for a box's link: the reported wait,
-  /// weighted by its freshness. Small answers do not wait.
+  /// Returns the milliseconds that the answer is expected to wait for a box's link: the reported
+  /// wait, and the typical one instead as the report ages. Small answers do not wait.
   fn link_wait_ms(
     &mut self,
     now: Time,
@@ -393,8 +394,8 @@
     (freshness > 0.0).then(|| (f64::from(condition.load_percent) / 100.0, freshness))
   }
 
-  /// Returns the reported milliseconds that a large answer waits for the link; `None` where they are
-  /// out of date.
+  /// Returns the milliseconds that a large answer waits for the link, as reported; `None` if the
+  /// report is out of date.
   #[allow(clippy::cast_precision_loss)]
   fn reported_link_wait(&self, now: Time) -> Option<f64> {
     let (condition, _) = self.condition.filter(|_| self.reported(now).is_some())?;
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -35,7 +35,7 @@
   expected_ms: u64,
   /// Whether a running request needs it.
   is_call: bool,
-  /// Whether its caller was refused and came back.
+  /// Whether its caller returned after a refusal.
   is_return: bool,
   priority: u32,
   since: Time,
--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -91,7 +91,7 @@
     self.queue.add(now, to_f64(bytes));
   }
 
-  /// Returns whether a wait for the link is so long that a box declines a large answer which another
+  /// Returns whether a wait for the link is so long that a box declines a large answer that another
   /// box could give as well.
   pub fn is_long(wait_ms: f64) -> bool {
     wait_ms > Self::QUEUE_OPTIONAL_MAX_MS
--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -7,12 +7,12 @@
   pub boxes: Vec<BoxId>,
   /// Crashes since its last completed run.
   pub crashes: u32,
-  /// When the last crash was reported.
-  pub last_crash_at: Time,
   /// When its last trial here ended without a result.
   failed_trial_at: Option<Time>,
   /// Whether the last trial here counts as a late run, and no crash was reported since.
   is_trial_counted: bool,
+  /// When the last crash was reported.
+  pub last_crash_at: Time,
   /// Crashes, and trials here without a result, later than the fleet takes to learn of the third
   /// crash. A trial and the crash that it caused count once.
   late_runs: u32,
@@ -62,9 +62,9 @@
     Self {
       boxes: Vec::new(),
       crashes: 0,
-      last_crash_at: now,
       failed_trial_at: None,
       is_trial_counted: false,
+      last_crash_at: now,
       late_runs: 0,
       other_crashes: 0,
       round_began_at: now,
@@ -106,8 +106,8 @@
     self.rounds = self.rounds.saturating_add(1);
   }
 
-  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A crash
-  /// that it caused is reported soon after, and not counted again.
+  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A
+  /// crash that it caused is reported soon after, and not counted again.
   pub(super) fn fail_trial(&mut self, now: Time) {
     let is_late = |third_crash_at: Time| now.since_ms(third_crash_at) >= Self::EARLY_MS;
     if self.third_crash_at.is_some_and(is_late) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -292,7 +292,7 @@
   assert_eq!(chosen_on_narrow_links([owes, healthy()], &export()), 0);
 }
 
-/// Guards against slots left free for requests with small answers because exports fill the link.
+/// Guards against free slots that requests with small answers do not use because exports fill the link.
 #[test]
 fn a_small_answer_goes_to_free_slots_beside_a_link_that_owes() {
   let owes = Condition { link_wait_ms: 250, load_percent: 40, ..healthy() };
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -138,8 +138,8 @@
 }
 
 /// Holds even if no other data hall is left.
-/// A service that is known to be full costs few questions: one box is asked to run the request at
-/// once, then it queues, and it is refused after two full queues.
+/// Guards against many tries at a service that is known to be full: one box is asked to run the
+/// request at once, then it queues, and it is refused after two full queues.
 #[test]
 fn few_boxes_are_asked_while_the_service_is_known_to_be_full() {
   let mut daemon = Daemon::new(10);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -443,8 +443,8 @@
   assert!(matches!(status, QuarantineStatus::Held { .. }), "{status:?}");
 }
 
-/// Guards against a guilty request whose callers give up before its trial ends: each trial that had neither a result nor
-/// a crash was followed by another.
+/// Guards against trials without end of a guilty request whose callers give up before its trial ends, so that the trial
+/// has neither a result nor a crash.
 #[test]
 fn a_guilty_request_is_held_though_its_trials_are_cancelled() {
   for seed in 0..100 {
@@ -474,7 +474,7 @@
   }
 }
 
-/// Guards against an innocent request that is held for long as the caller of its first trial gave up.
+/// Guards against an innocent request that is held for long because the caller of its first trial gave up.
 #[test]
 fn an_innocent_request_is_tried_soon_after_a_cancelled_trial() {
   let mut fleet = Fleet::new();
