--- a/src/requests/returns/early_returns.rs
+++ b/src/requests/returns/early_returns.rs
@@ -8,7 +8,7 @@
 pub struct EarlyReturns {
   /// By fingerprint of the request.
   expected: BTreeMap<Fingerprint, ExpectedReturn>,
-  /// The same in the order of the refusals, for the oldest to be forgotten.
+  /// The same in the order of their first refusals, for the oldest to be forgotten.
   order: VecDeque<Fingerprint>,
 }
 
--- a/src/requests/room/backend_room.rs
+++ b/src/requests/room/backend_room.rs
@@ -18,8 +18,8 @@
   /// dozen requests a second hears of most backend servers of a large service.
   pub const AGE_MAX_MS: u64 = 3_000;
 
-  /// Reads a report. A refusal means that no slot is free, whatever load was measured at its
-  /// sending.
+  /// Reads a report. After a refusal all slots count as taken, whatever load was measured when it
+  /// was sent.
   pub fn read(now: Time, slots: u32, condition: Condition, is_refusal: bool) -> Self {
     const FULL_PERCENT: u32 = 100;
     let least_percent = if is_refusal { FULL_PERCENT } else { 0 };
