--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -4,9 +4,7 @@
 ///
 /// Answers of some hundred KB fill a narrow link long before their backend server runs out of
 /// slots. Each then takes seconds to send, small answers wait behind it, and a planned stop of
-/// either end cuts it off: with links of 15 Mbit/s and two and a half times as many answers as they
-/// carry, 40 were cut off in four stops. On 61 boxes whose links were nearly filled by answers, the
-/// limit raised the requests served by 4.7 percentage points (mean of three pairs of runs).
+/// either end cuts it off.
 #[derive(Clone, Debug)]
 pub struct AnswerBudget {
   queue: LinkQueue,
