--- a/src/requests/request_profile.rs
+++ b/src/requests/request_profile.rs
@@ -37,7 +37,6 @@
       answer_bytes: self.answer_bytes,
       body_bytes: self.body_bytes,
       due_ms: self.urgency.due.since_ms(now),
-      estimate: self.estimate,
       near_box: (self.body_bytes > LinkBudget::LARGE_BYTES).then(|| own_box.clone()),
       repeatable: self.repeatable,
     }
--- a/src/requests/suspect.rs
+++ b/src/requests/suspect.rs
@@ -7,14 +7,14 @@
   pub boxes: Vec<BoxId>,
   /// Crashes since its last completed run.
   pub crashes: u32,
-  /// When the last crash was reported.
-  pub last_crash_at: Time,
   /// When its last trial here ended without a result.
   failed_trial_at: Option<Time>,
-  /// Whether the last trial here is counted as a late run, and no crash was reported since.
+  /// Whether the last trial here counts as a late run, and no crash was reported since.
   is_trial_counted: bool,
-  /// Crashes later than the fleet takes to learn of the third one, and trials here as late that had
-  /// neither a result nor a crash.
+  /// When the last crash was reported.
+  pub last_crash_at: Time,
+  /// Crashes, and trials here without a result, later than the fleet takes to learn of the third
+  /// crash. A trial and the crash that it caused count once.
   late_runs: u32,
   /// Crashes of processes that did not run it, within [`Suspect::SPELL_MS`] of its last crash.
   pub(super) other_crashes: u32,
@@ -62,9 +62,9 @@
     Self {
       boxes: Vec::new(),
       crashes: 0,
-      last_crash_at: now,
       failed_trial_at: None,
       is_trial_counted: false,
+      last_crash_at: now,
       late_runs: 0,
       other_crashes: 0,
       round_began_at: now,
@@ -106,8 +106,8 @@
     self.rounds = self.rounds.saturating_add(1);
   }
 
-  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A crash
-  /// that it caused is reported soon after, and not counted again.
+  /// Counts a trial that ended without a result: its caller gave up or its connection broke. A
+  /// crash that it caused is reported soon after, and not counted again.
   pub(super) fn fail_trial(&mut self, now: Time) {
     let is_late = |third_crash_at: Time| now.since_ms(third_crash_at) >= Self::EARLY_MS;
     if self.third_crash_at.is_some_and(is_late) {
@@ -125,8 +125,8 @@
     after_crash_ms.max(after_trial_ms)
   }
 
-  /// Milliseconds for which it is held after a trial without a result. Repeating such trials without
-  /// a limit would send a request that crashes processes on and on, as its callers give up early.
+  /// Milliseconds for which it is held after a trial without a result. Without that, a request that
+  /// crashes processes would be tried again and again if its callers give up early.
   fn trial_hold_ms(&self) -> u64 {
     let late_trial = (self.late_runs as usize).checked_sub(1);
     late_trial.map_or(0, |late| Self::HOLDS_MS.get(late).copied().unwrap_or_default())
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -224,7 +224,6 @@
         answer_bytes: 0,
         body_bytes: u.int_in_range(0..=400_000)?,
         due_ms: u.int_in_range(0..=1_000)?,
-        estimate: None,
         near_box: None,
         repeatable: u.arbitrary()?,
       };
