--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -19,13 +19,12 @@
   let now = shared.now().time;
   // The forecast is of all backend servers of the service, not of those that may serve this one.
   let is_bound = forwarded.regions.is_some() || forwarded.only_box.is_some();
-  if !is_bound {
-    check_room(shared, now, &request)?;
-  }
-  check_calls(shared, now, &forwarded.id, &request)
+  // Calls first, so that what room admits is tried.
+  check_calls(shared, now, &forwarded.id, &request)?;
+  if is_bound { Ok(()) } else { check_room(shared, now, &request) }
 }
 
-/// Refuses a request for which its service has no room.
+/// Refuses a request that gets no part of its service's room.
 fn check_room(
   shared: &Shared,
   now: Time,
@@ -43,7 +42,7 @@
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
 
-/// Refuses a request whose run would fail for the calls that it makes, as far as this box knows.
+/// Refuses a request whose run is likely to fail because of the calls that it makes.
 fn check_calls(
   shared: &Shared,
   now: Time,
--- a/src/proxy/slot_guard.rs
+++ b/src/proxy/slot_guard.rs
@@ -18,7 +18,6 @@
       class: forwarded.class.clone(),
       due: forwarded.urgency.due,
       elapsed_ms: forwarded.urgency.elapsed_ms,
-      estimate: forwarded.estimate,
       is_call: forwarded.urgency.is_call,
       wait_until: if forwarded.may_queue { forwarded.urgency.wait_until } else { now },
       priority: forwarded.urgency.priority,
--- a/src/requests/links/answer_budget.rs
+++ b/src/requests/links/answer_budget.rs
@@ -4,9 +4,7 @@
 ///
 /// Answers of some hundred KB fill a narrow link long before their backend server runs out of
 /// slots. Each then takes seconds to send, small answers wait behind it, and a planned stop of
-/// either end cuts it off: with links of 15 Mbit/s and two and a half times as many answers as they
-/// carry, 40 were cut off in four stops. On 61 boxes whose links were nearly filled by answers, the
-/// limit raised the requests served by 4.7 percentage points (mean of three pairs of runs).
+/// either end cuts it off.
 #[derive(Clone, Debug)]
 pub struct AnswerBudget {
   queue: LinkQueue,
@@ -61,8 +59,9 @@
     self.queue.add(now, to_f64(bytes));
   }
 
-  /// Returns the milliseconds after which a caller of this box may come back, if the link can't carry
-  /// its large answer until it is due. `inbound_ms` is the wait for the link into the box.
+  /// Returns the milliseconds after which a remote caller of this box may come back, if the link
+  /// can't carry its large answer until it is due. `inbound_ms` is the wait for the link into the
+  /// box.
   pub fn refuses_caller(
     &self,
     now: Time,
@@ -79,8 +78,8 @@
     is_refused.then_some(back_ms)
   }
 
-  /// Takes over what the link owes in fact, in milliseconds, where that is more than expected: answers
-  /// are counted from the start of their runs, and may be ready all together later.
+  /// Lengthens the queue to the milliseconds that the link really owes, if those are more. Answers
+  /// are counted from the start of their runs, and may all be ready together later.
   pub fn note_owed(&mut self, now: Time, owed_ms: f64) {
     self.queue.raise(now, owed_ms);
   }
@@ -90,7 +89,7 @@
     self.queue.add(now, to_f64(bytes));
   }
 
-  /// Returns whether a wait for the link is so long that a box declines a large answer which another
+  /// Returns whether a wait for the link is so long that a box declines a large answer that another
   /// box could give as well.
   pub fn is_long(wait_ms: f64) -> bool {
     wait_ms > Self::QUEUE_OPTIONAL_MAX_MS
