--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -81,6 +81,24 @@
   assert!(at_once * 2 > calls, "{at_once} of {calls} calls ran at once");
 }
 
+/// Load: calls beside runs that are hardly longer. Slots left free for the calls would be lost to
+/// callers, for a slot comes free well before a call would be late.
+#[test]
+fn no_slot_is_left_free_where_calls_hardly_wait() {
+  let reserved = |other_ms: f64| {
+    let mut reserve = CallReserve::default();
+    for index in 0..200 {
+      let (call, other) = (Ticket(2 * index), Ticket(2 * index + 1));
+      reserve.begin(call);
+      reserve.end(Time(index * 10), call, 20.0);
+      reserve.end(Time(index * 10), other, other_ms);
+    }
+    reserve.free_slots(Time(2_000), 12)
+  };
+  assert_eq!(reserved(80.0), 0, "the next slot comes after 7 ms");
+  assert!(reserved(500.0) > 0, "the next slot comes after 42 ms");
+}
+
 /// Guards against slots that stay empty when a service isn't called any more.
 #[test]
 fn slots_left_free_for_calls_are_used_once_calls_stop() {
