Ask again for the record of a request while boxes could not be asked

Cause: a question goes along the links that are up. A box that changes its relay at that moment was passed over, and the operator was told that no box remembers the request, with no neighbour missing.

Change: an answer counts the boxes that were asked. While there is no record and boxes in use were not asked, the question is asked again for two seconds, then the answer says how many could not be asked.

--- a/src/administration/why.rs
+++ b/src/administration/why.rs
@@ -72,21 +72,17 @@
   table.add_row([json!("reason"), json!(summary.reason)]);
 }
 
+/// Milliseconds for which a question is asked again while boxes in use were not asked. A box that
+/// starts or changes its relay has its links again sooner.
+const ASK_AGAIN_FOR_MS: u64 = 2_000;
+
+/// Milliseconds between two tries of a question.
+const ASK_AGAIN_AFTER_MS: u64 = 200;
+
 /// Shows the recorded steps of a request, whichever daemon handled it.
 pub async fn request(node: &Rc<Node>, id: &RequestId) -> Result<Answer> {
-  let replies = node.distribution.ask(FleetQuestion::Request { id: id.clone() }).await;
-  let mut records: Vec<RequestRecord> = replies
-    .reports
-    .into_iter()
-    .filter_map(|report| match report {
-      Report::Request(record) => Some(*record),
-      _ => None,
-    })
-    .collect();
+  let mut records = records_of(node, id).await?;
   records.sort_by_key(|record| record.unix_ms);
-  if records.is_empty() {
-    return Err(Error::NotFound { what: missing_record_reason(node, id, replies.missing) });
-  }
   let mut table = Table::new(&["step", "what"]);
   for record in &records {
     add_record(&mut table, record);
@@ -95,8 +91,35 @@
   Ok(Answer::table("", table).with_version(version))
 }
 
-/// Returns the reason why no box has a record of a request.
-fn missing_record_reason(node: &Node, id: &RequestId, missing: usize) -> String {
+/// Asks the fleet for the records of a request, again while there is none and boxes in use could
+/// not be asked.
+async fn records_of(node: &Rc<Node>, id: &RequestId) -> Result<Vec<RequestRecord>> {
+  let until = node.shared.now().time.after(ASK_AGAIN_FOR_MS);
+  loop {
+    let replies = node.distribution.ask(FleetQuestion::Request { id: id.clone() }).await;
+    let records: Vec<RequestRecord> = replies
+      .reports
+      .into_iter()
+      .filter_map(|report| match report {
+        Report::Request(record) => Some(*record),
+        _ => None,
+      })
+      .collect();
+    if !records.is_empty() {
+      return Ok(records);
+    }
+    let present = node.distribution.distributor().endpoints().present().count();
+    let unasked = present.saturating_sub(replies.asked);
+    if unasked == 0 || node.shared.now().time >= until {
+      return Err(Error::NotFound { what: missing_record_reason(node, id, unasked) });
+    }
+    monoio::time::sleep(Duration::from_millis(ASK_AGAIN_AFTER_MS)).await;
+  }
+}
+
+/// Returns the reason why no box has a record of a request, where `unasked` boxes in use could not
+/// be asked.
+fn missing_record_reason(node: &Node, id: &RequestId, unasked: usize) -> String {
   let distributor = node.distribution.distributor();
   let named = |endpoint: &&Endpoint| {
     let prefix = format!("{}-", endpoint.peer.box_id);
@@ -112,7 +135,7 @@
       "no box remembers request {id}: box {} carried it, and keeps its last requests only",
       carrier.peer.box_id
     ),
-    None => format!("no box remembers request {id}; {missing} neighbours did not answer in time"),
+    None => format!("no box remembers request {id}; {unasked} boxes in use could not be asked"),
   }
 }
 
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -5,7 +5,9 @@
 pub enum Action {
   /// Answer an operator's inquiry that was asked on this daemon.
   Answer {
-    /// Number of boxes that did not answer in time.
+    /// Number of boxes that were asked, with this one.
+    asked: usize,
+    /// Number of neighbours that did not answer in time.
     missing: usize,
     /// The collected reports.
     reports: Vec<Report>,
--- a/src/distribution/distributor/inquiries.rs
+++ b/src/distribution/distributor/inquiries.rs
@@ -17,7 +17,7 @@
     if let Question::Floor { box_id } = question {
       let version = self.floor_for(box_id);
       let reports = vec![Report::Floor { version }];
-      self.send(link, Message::Answer { id, reports });
+      self.send(link, Message::Answer { asked: 1, id, reports });
       return;
     }
     self.start_inquiry(&Asker::Neighbour(link, id), hops, question);
@@ -30,7 +30,8 @@
     let started =
       self.inquiries.start(self.now.time, asker.clone(), hops, targets.clone(), consulting, own);
     let Some(id) = started else {
-      self.answer(asker, 0, Vec::new());
+      let ended = Ended { asked: 0, asker: asker.clone(), missing: 0, reports: Vec::new() };
+      self.answer(ended);
       return;
     };
     if consulting {
@@ -100,7 +101,13 @@
     self.catalog.provenance().last().map_or(0, |provenance| provenance.applied_unix_ms)
   }
 
-  pub(super) fn inquiry_answered(&mut self, link: LinkId, id: InquiryId, reports: Vec<Report>) {
+  pub(super) fn inquiry_answered(
+    &mut self,
+    link: LinkId,
+    id: InquiryId,
+    asked: usize,
+    reports: Vec<Report>,
+  ) {
     let Some(peer) = self.links.get(&link).map(|link| link.peer.clone()) else {
       return;
     };
@@ -109,20 +116,21 @@
       self.close_link(link);
       return;
     }
-    self.inquiries.answered(id, link, reports);
+    self.inquiries.answered(id, link, asked, reports);
   }
 
   pub(super) fn finish_inquiries(&mut self) {
     for ended in self.inquiries.ended(self.now.time) {
-      self.answer(&ended.asker, ended.missing, ended.reports);
+      self.answer(ended);
     }
   }
 
-  fn answer(&mut self, asker: &Asker, missing: usize, reports: Vec<Report>) {
+  fn answer(&mut self, ended: Ended) {
+    let Ended { asked, asker, missing, reports } = ended;
     match asker {
-      Asker::Neighbour(link, id) => self.send(*link, Message::Answer { id: *id, reports }),
+      Asker::Neighbour(link, id) => self.send(link, Message::Answer { asked, id, reports }),
       Asker::Operator(token) => {
-        self.push_action(Action::Answer { missing, reports, token: *token });
+        self.push_action(Action::Answer { asked, missing, reports, token });
       }
     }
   }
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -4,7 +4,7 @@
 
 use super::{
   election::{Hall, Step},
-  inquiries::Asker,
+  inquiries::{Asker, Ended},
   watcher::WatchResult,
 };
 
@@ -165,7 +165,9 @@
     known.last_received_at = self.now.time;
     match message {
       Message::Accepted { version } => self.newer_version_accepted(version, Some(link)),
-      Message::Answer { id, reports } => self.inquiry_answered(link, id, reports),
+      Message::Answer { asked, id, reports } => {
+        self.inquiry_answered(link, id, asked, reports);
+      }
       Message::Ask { hops, id, question } => self.query_received(link, hops, id, &question),
       Message::Heartbeat(heartbeat) => self.heartbeat_received(link, &heartbeat),
       // Software rollouts are ordered on an outer platform only.
--- a/src/distribution/follower/inquiries.rs
+++ b/src/distribution/follower/inquiries.rs
@@ -44,10 +44,10 @@
 
   pub(super) fn finish_inquiries(&mut self) {
     for ended in self.inquiries.ended(self.now.time) {
-      let (missing, reports) = (ended.missing, ended.reports);
-      match ended.asker {
-        Asker::Neighbour(link, id) => self.send(link, Message::Answer { id, reports }),
-        Asker::Operator(token) => self.act(Action::Answer { missing, reports, token }),
+      let Ended { asked, asker, missing, reports } = ended;
+      match asker {
+        Asker::Neighbour(link, id) => self.send(link, Message::Answer { asked, id, reports }),
+        Asker::Operator(token) => self.act(Action::Answer { asked, missing, reports, token }),
       }
     }
   }
--- a/src/distribution/follower/mod.rs
+++ b/src/distribution/follower/mod.rs
@@ -4,7 +4,10 @@
 
 use {
   self::{endpoint_updates::UnsentEndpoint, reconnects::Reconnect},
-  super::{inquiries::Asker, watchers::Watchers},
+  super::{
+    inquiries::{Asker, Ended},
+    watchers::Watchers,
+  },
 };
 
 mod directory;
--- a/src/distribution/follower/neighbours.rs
+++ b/src/distribution/follower/neighbours.rs
@@ -229,7 +229,9 @@
     };
     known.last_received_at = now;
     match message {
-      Message::Answer { id, reports } => self.inquiries.answered(id, link, reports),
+      Message::Answer { asked, id, reports } => {
+        self.inquiries.answered(id, link, asked, reports);
+      }
       Message::Ask { hops: _, id, question } => self.neighbour_asked(link, id, &question),
       Message::Heartbeat(heartbeat) => self.heartbeat_received(link, &heartbeat),
       Message::Evacuations(received) => self.take_evacuations(&received, Some(link)),
--- a/src/distribution/inquiries.rs
+++ b/src/distribution/inquiries.rs
@@ -10,6 +10,8 @@
 
 #[derive(Clone, Debug)]
 struct Inquiry {
+  /// Number of boxes that answered, with this one.
+  asked: usize,
   asker: Asker,
   awaits_own_records: bool,
   deadline: Time,
@@ -28,6 +30,7 @@
 
 /// An inquiry that is complete or timed out.
 pub(super) struct Ended {
+  pub(super) asked: usize,
   pub(super) asker: Asker,
   pub(super) missing: usize,
   pub(super) reports: Vec<Report>,
@@ -57,15 +60,22 @@
     }
     self.last_id = self.last_id.next();
     let deadline = now.after(Self::TIMEOUT_PER_HOP_MS * u64::from(hops + 1));
-    let inquiry = Inquiry { asker, awaits_own_records, deadline, reports, waiting };
+    let inquiry = Inquiry { asked: 1, asker, awaits_own_records, deadline, reports, waiting };
     self.pending.insert(self.last_id, inquiry);
     Some(self.last_id)
   }
 
-  /// Handles the answer of a neighbour.
-  pub(super) fn answered(&mut self, id: InquiryId, link: LinkId, reports: Vec<Report>) {
+  /// Handles the answer of a neighbour that asked `asked` boxes.
+  pub(super) fn answered(
+    &mut self,
+    id: InquiryId,
+    link: LinkId,
+    asked: usize,
+    reports: Vec<Report>,
+  ) {
     if let Some(inquiry) = self.pending.get_mut(&id).filter(|one| one.waiting.contains(&link)) {
       inquiry.waiting.remove(&link);
+      inquiry.asked = inquiry.asked.saturating_add(asked);
       inquiry.reports.extend(reports);
     }
   }
@@ -95,6 +105,7 @@
     let taken = over.into_iter().filter_map(|id| self.pending.remove(&id));
     taken
       .map(|inquiry| Ended {
+        asked: inquiry.asked,
         asker: inquiry.asker,
         missing: inquiry.waiting.len(),
         reports: inquiry.reports,
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -11,6 +11,9 @@
   },
   /// The answer to an inquiry.
   Answer {
+    /// Number of boxes that were asked; 0 from daemons that don't count them.
+    #[serde(default)]
+    asked: usize,
     /// The asker's id of the inquiry.
     id: InquiryId,
     /// The collected reports.
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -17,6 +17,8 @@
 /// Result of an operator's inquiry to the fleet.
 #[derive(Debug, Default)]
 pub struct InquiryResult {
+  /// Number of boxes that were asked, with this one.
+  pub asked: usize,
   /// Number of neighbours that did not answer in time.
   pub missing: usize,
   /// The answers received.
@@ -117,9 +119,9 @@
 
   fn perform(self: &Rc<Self>, action: Action) {
     match action {
-      Action::Answer { missing, reports, token } => {
+      Action::Answer { asked, missing, reports, token } => {
         if let Some(answer) = self.questions.borrow_mut().remove(&token) {
-          answer.send(InquiryResult { missing, reports }).ok();
+          answer.send(InquiryResult { asked, missing, reports }).ok();
         }
       }
       Action::Apply(configuration) => self.shared.apply(configuration),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -9,7 +9,7 @@
     },
     distribution::{
       Acceptance, AcceptanceStep, Action, Distributor, Event, Identity, LinkId, Message, Moment,
-      Outcome, Profile, Update, keys,
+      Outcome, Profile, Question, Update, keys,
     },
     fake::Keyspace,
     fleet::{Endpoint, EndpointState, Peer},
@@ -98,6 +98,8 @@
 }
 
 pub struct World {
+  /// Number of boxes asked by each inquiry that ended.
+  pub asked: Vec<usize>,
   pub boxes: Vec<SimBox>,
   changes: Vec<SimChange>,
   connections: Vec<Connection>,
@@ -136,6 +138,7 @@
       state: EndpointState::Live,
     });
     let mut world = Self {
+      asked: Vec::new(),
       boxes: boxes.collect(),
       changes: Vec::new(),
       connections: Vec::new(),
@@ -447,6 +450,13 @@
     Reply::Changes { events, revision }
   }
 
+  /// Asks the fleet at a box for the record of a request.
+  pub fn ask(&mut self, index: usize) {
+    let question = Question::Request { id: "asked-1".parse().expect("an id") };
+    let life = self.boxes[index].life;
+    self.handle(index, life, Event::Asked { question, token: 1 });
+  }
+
   /// Runs the simulation until `until`.
   pub fn run_until(&mut self, until: u64) {
     while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
@@ -514,8 +524,8 @@
 
   fn perform(&mut self, index: usize, life: u64, action: Action) {
     match action {
-      Action::Answer { .. }
-      | Action::NewerVersionKnown(_)
+      Action::Answer { asked, .. } => self.asked.push(asked),
+      Action::NewerVersionKnown(_)
       | Action::EndpointsChanged
       | Action::EndpointsUpdated(_)
       | Action::EvacuationsChanged(_)
