Let one type decide when refused callers come back

Cause: four places decided it, with three constants of the same fraction of a caller's time.

Change: ReturnTime takes the kind of refusal, the time left and the forecast wait, and is used by dispatch, the decision on entry, and the decision on calls; EarlyReturns takes the longest wait of a caller from it. Dispatch knows the forecast already, so the proxy no longer corrects its time. No time that callers are told changes.

--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -42,7 +42,7 @@
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
       DispatchStep::Refuse(outcome) => {
         note_ended(shared, &forwarded.service, outcome.is_declined());
-        return Err(at_return_time(shared, forwarded, outcome));
+        return Err(outcome);
       }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
@@ -51,26 +51,6 @@
   }
 }
 
-/// Sets the time after which the caller of a full service should come back to when this box expects
-/// room there.
-fn at_return_time(
-  shared: &Shared,
-  forwarded: &ForwardedRequest,
-  outcome: AttemptOutcome,
-) -> AttemptOutcome {
-  let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
-    return outcome;
-  };
-  let now = shared.now().time;
-  let forecast =
-    shared.rooms.borrow().forecast(now, &forwarded.service, forwarded.urgency.priority);
-  let left_ms = forwarded.deadline.since_ms(now);
-  let time = ReturnTime { left_ms, wait_ms: forecast.map(|room| room.wait_ms) };
-  let at = shared.rng.borrow_mut().random_range(0.0..1.0);
-  let retry_after_ms = time.retry_after_ms(retry_after_ms, at);
-  AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
-}
-
 /// Records whether a request of a service found room.
 fn note_ended(shared: &Shared, service: &ServiceName, is_refused: bool) {
   shared.rooms.borrow_mut().note_ended(shared.now().time, service, is_refused);
--- a/src/requests/calls/call_trees.rs
+++ b/src/requests/calls/call_trees.rs
@@ -44,8 +44,6 @@
   const FAILED_MAX: f64 = 0.8;
   /// One of so many requests is tried nevertheless, which shows when calls succeed again.
   const PROBE_EVERY: u32 = 5;
-  /// Milliseconds after which a refused caller returns. Calls may succeed again by then.
-  const RETRY_AFTER_MS: u64 = 500;
 
   /// Records a run of a route and the calls that it made. `run_failed` tells that the run itself
   /// ended in a server error.
@@ -86,8 +84,8 @@
       return EntryDecision::Admit;
     }
     let left_ms = request.deadline.since_ms(now);
-    let refusal = tree.full_service(now, left_ms, wait_ms).or_else(|| tree.failing(now));
-    let Some((reason, retry_after_ms)) = refusal else {
+    let refusal = tree.full_service(now, left_ms, wait_ms).or_else(|| tree.failing(now, left_ms));
+    let Some((reason, time)) = refusal else {
       tree.refused = 0;
       return EntryDecision::Admit;
     };
@@ -96,7 +94,7 @@
       tree.refused = 0;
       return EntryDecision::Admit;
     }
-    EntryDecision::Refuse { reason, retry_after_ms }
+    EntryDecision::Refuse { reason, retry_after_ms: time.retry_after_ms(0.0) }
   }
 
   /// Drops routes that no longer exist.
@@ -151,29 +149,32 @@
     (-(now.since_ms(self.seen_at) as f64) / CallTrees::HALF_LIFE_MS).exp2()
   }
 
-  /// Returns why calls can't be in time, and the milliseconds after which to return, if a service
-  /// that runs usually call has no slot within `left_ms`.
+  /// Returns why calls can't be in time, and when to return, if a service that runs usually call has
+  /// no slot within `left_ms`.
   fn full_service(
     &self,
     now: Time,
     left_ms: u64,
     wait_ms: impl Fn(&ServiceName) -> Option<u64>,
-  ) -> Option<(&'static str, u64)> {
+  ) -> Option<(&'static str, ReturnTime)> {
     // Services with more than half a call a run.
     let needed = self.services.iter().filter(|one| one.calls * 2.0 > self.runs);
     let longest_ms = needed.filter_map(|one| wait_ms(&one.service)).max()?;
     let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
     let reason = "a service that its run calls has no room in time";
-    (is_known && longest_ms > left_ms).then_some((reason, longest_ms))
+    let wait_ms = Some(longest_ms);
+    let time = ReturnTime { kind: RefusalKind::CallsFull, left_ms, wait_ms };
+    (is_known && longest_ms > left_ms).then_some((reason, time))
   }
 
-  /// Returns why the request is unlikely to be served, and the milliseconds after which to return,
-  /// if most runs of the route fail because of a call.
-  fn failing(&self, now: Time) -> Option<(&'static str, u64)> {
+  /// Returns why the request is unlikely to be served, and when to return, if most runs of the route
+  /// fail because of a call.
+  fn failing(&self, now: Time, left_ms: u64) -> Option<(&'static str, ReturnTime)> {
     let is_known = self.runs * self.kept(now) >= CallTrees::RUNS_MIN;
     let is_failing = is_known && self.failed > self.runs * CallTrees::FAILED_MAX;
     let reason = "calls that its run needs fail at present";
-    is_failing.then_some((reason, CallTrees::RETRY_AFTER_MS))
+    let time = ReturnTime { kind: RefusalKind::CallsFail, left_ms, wait_ms: None };
+    is_failing.then_some((reason, time))
   }
 
   fn describe(&self, now: Time) -> String {
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -75,11 +75,6 @@
   const HEDGE_FACTOR: f64 = 1.2;
   /// `Retry-After` in milliseconds when there is no backend server.
   const NO_BACKEND_RETRY_MS: u64 = 1_000;
-  /// The fraction of its remaining time after which a caller retries a full service. Callers wait a
-  /// third of that time at most.
-  const RETRY_FRACTION: f64 = 0.33;
-  /// Random factor on the time until a caller retries.
-  const RETRY_JITTER: std::ops::Range<f64> = 0.8..1.2;
   /// Tries for one request, including those that reach no backend server. Bounds the work that a
   /// full service causes.
   const TRIES_MAX: usize = 7;
@@ -256,13 +251,11 @@
     if let Some(id) = self.fallback_answer {
       return DispatchStep::Answer { id };
     }
-    DispatchStep::Refuse(self.extend_retry_after(outcome, context))
+    DispatchStep::Refuse(self.at_return_time(outcome, context))
   }
 
-  /// Raises the retry time of a caller whose service is full. An immediate retry would meet the
-  /// same load and take a slot from a request that can still be in time. The random factor keeps
-  /// callers that were refused together from retrying together.
-  fn extend_retry_after(
+  /// Sets when the caller of a full service should come back.
+  fn at_return_time(
     &self,
     outcome: AttemptOutcome,
     context: &mut DispatchContext,
@@ -270,9 +263,12 @@
     let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
       return outcome;
     };
-    let left_ms = self.profile.deadline.since_ms(context.now);
-    let jitter = context.rng.random_range(Self::RETRY_JITTER);
-    let retry_after_ms = retry_after_ms.max(fraction_of(left_ms, Self::RETRY_FRACTION * jitter));
+    let time = ReturnTime {
+      kind: RefusalKind::Tried { told_ms: retry_after_ms },
+      left_ms: self.profile.deadline.since_ms(context.now),
+      wait_ms: context.room.map(|room| room.wait_ms),
+    };
+    let retry_after_ms = time.retry_after_ms(context.rng.random_range(0.0..1.0));
     AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
   }
 
--- a/src/requests/returns/early_returns.rs
+++ b/src/requests/returns/early_returns.rs
@@ -25,8 +25,6 @@
 impl EarlyReturns {
   /// Refused requests that are remembered.
   const REQUESTS_MAX: usize = 2_048;
-  /// Callers wait for a third of their remaining time at most, whatever they are told.
-  const LEFT_PARTS: u64 = 3;
   /// Percentage of the time told after which a return is no longer early, as clocks and timers
   /// differ.
   const EARLY_PERCENT: u64 = 80;
@@ -35,7 +33,7 @@
 
   /// Records that a caller with `left_ms` left was told to come back after `retry_after_ms`.
   pub fn told(&mut self, now: Time, fingerprint: Fingerprint, retry_after_ms: u64, left_ms: u64) {
-    let wait_ms = retry_after_ms.min(left_ms / Self::LEFT_PARTS);
+    let wait_ms = retry_after_ms.min(ReturnTime::latest_ms(left_ms));
     let back_at = now.after(wait_ms * Self::EARLY_PERCENT / 100);
     let until = now.after(wait_ms * Self::LATE_PERCENT / 100);
     // Of several callers with the same request, the first to be back counts.
--- a/src/requests/returns/mod.rs
+++ b/src/requests/returns/mod.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 
-pub use self::{early_returns::EarlyReturns, return_time::ReturnTime};
+pub use self::{early_returns::EarlyReturns, refusal_kind::RefusalKind, return_time::ReturnTime};
 
 mod early_returns;
+mod refusal_kind;
 mod return_time;
--- a/src/requests/returns/return_time.rs
+++ b/src/requests/returns/return_time.rs
@@ -1,32 +1,67 @@
-use super::urgency::fraction_of;
+use super::{urgency::fraction_of, *};
 
-/// When a caller whose service is full should come back.
-#[derive(Clone, Copy, Debug)]
+/// When a refused caller should come back.
+///
+/// All refusals for lack of room, and for calls that find none, take their time from here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReturnTime {
+  /// Why it is refused.
+  pub kind: RefusalKind,
   /// Milliseconds that the caller has left.
   pub left_ms: u64,
-  /// Milliseconds until this box expects the service to have room; `None` where it doesn't know.
+  /// Milliseconds until this box expects room; `None` where it doesn't know.
   pub wait_ms: Option<u64>,
 }
 
 impl ReturnTime {
-  /// The fraction of their remaining time that callers wait at most.
+  /// Milliseconds after which calls that fail at present may succeed again.
+  const CALLS_FAIL_MS: u64 = 500;
+  /// The part of the latest return over which callers that are refused on their entry are spread.
+  const ENTRY_SPREAD: f64 = 0.4;
+  /// The fraction of their remaining time that callers wait at most, whatever they are told.
   const LEFT_FRACTION: f64 = 0.33;
   /// The fraction of the wait over which the returns of callers that were refused together are
   /// spread, so that they come as slots become free.
   const SPREAD_FRACTION: f64 = 0.5;
   /// Shortest spread in milliseconds: a few rounds of short runs.
   const SPREAD_MIN_MS: u64 = 20;
+  /// Factor on the latest return where no wait is expected: least, and how much may be added.
+  const UNKNOWN_JITTER: (f64, f64) = (0.8, 0.4);
 
-  /// Returns the milliseconds after which the caller should come back: once there is room, spread
-  /// by `at` from 0 to 1, and at the latest when it comes back by itself. Returns `told_ms` where
-  /// no wait is expected or known.
-  pub fn retry_after_ms(self, told_ms: u64, at: f64) -> u64 {
-    let Some(wait_ms) = self.wait_ms.filter(|wait_ms| *wait_ms > 0) else {
-      return told_ms;
-    };
+  /// Returns the milliseconds after which the caller should come back. `at`, from 0 to 1, spreads
+  /// callers that are refused together.
+  pub fn retry_after_ms(self, at: f64) -> u64 {
+    let wait_ms = self.wait_ms.unwrap_or_default();
+    match self.kind {
+      RefusalKind::CallsFail => Self::CALLS_FAIL_MS,
+      RefusalKind::CallsFull => wait_ms,
+      RefusalKind::Entry => self.after_entry_ms(wait_ms, at),
+      RefusalKind::Tried { told_ms } if wait_ms == 0 => self.after_tries_ms(told_ms, at),
+      RefusalKind::Tried { .. } => self.after_wait_ms(wait_ms, at),
+    }
+  }
+
+  /// Returns the milliseconds after which a caller with `left_ms` left comes back at the latest.
+  pub fn latest_ms(left_ms: u64) -> u64 {
+    fraction_of(left_ms, Self::LEFT_FRACTION)
+  }
+
+  /// Late in the caller's time, and not before those that wait now have run.
+  fn after_entry_ms(self, wait_ms: u64, at: f64) -> u64 {
+    let part = Self::LEFT_FRACTION * (1.0 - Self::ENTRY_SPREAD * (1.0 - at));
+    fraction_of(self.left_ms, part).max(wait_ms.min(Self::latest_ms(self.left_ms))).max(1)
+  }
+
+  /// An immediate return would meet the same load, and take a slot from a request that can still be
+  /// in time.
+  fn after_tries_ms(self, told_ms: u64, at: f64) -> u64 {
+    let (least, added) = Self::UNKNOWN_JITTER;
+    told_ms.max(fraction_of(self.left_ms, Self::LEFT_FRACTION * (least + added * at)))
+  }
+
+  /// Once there is room, and at the latest when the caller comes back by itself.
+  fn after_wait_ms(self, wait_ms: u64, at: f64) -> u64 {
     let spread_ms = fraction_of(wait_ms, Self::SPREAD_FRACTION).max(Self::SPREAD_MIN_MS);
-    let latest_ms = fraction_of(self.left_ms, Self::LEFT_FRACTION);
-    (wait_ms + fraction_of(spread_ms, at)).min(latest_ms.max(1))
+    (wait_ms + fraction_of(spread_ms, at)).min(Self::latest_ms(self.left_ms).max(1))
   }
 }
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -17,11 +17,6 @@
   const BACKENDS_MAX: usize = 1_024;
   /// Free slots in percent from which every request enters.
   const FREE_MIN_PERCENT: u32 = 5;
-  /// The largest part of the time until its deadline that a refused caller waits before it returns,
-  /// so that it can still be served.
-  const RETRY_FRACTION: f64 = 0.33;
-  /// The part of that time over which the returns of refused callers are spread.
-  const RETRY_SPREAD: f64 = 0.4;
   /// Fewest reports, each weighted from 1 to 0 by age, for a forecast. Fewer backend servers may
   /// all be full while others have room.
   const REPORTS_MIN: f64 = 2.5;
@@ -141,8 +136,7 @@
     EntryDecision::Admit
   }
 
-  /// Returns the milliseconds after which a refused caller should return: once those that wait now
-  /// have run, and early enough that it can still be served.
+  /// Returns the milliseconds after which a refused caller should return.
   fn retry_after_ms(
     &self,
     now: Time,
@@ -151,11 +145,9 @@
     forecast: RoomForecast,
   ) -> u64 {
     let left_ms = request.deadline.since_ms(now);
+    let time = ReturnTime { kind: RefusalKind::Entry, left_ms, wait_ms: Some(forecast.wait_ms) };
     // The credit differs from refusal to refusal, so callers that are refused together are spread.
-    let spread = 1.0 - Self::RETRY_SPREAD * self.demand.credit(kind);
-    let spread_ms = urgency::fraction_of(left_ms, Self::RETRY_FRACTION * spread);
-    let latest_ms = urgency::fraction_of(left_ms, Self::RETRY_FRACTION);
-    spread_ms.max(forecast.wait_ms.min(latest_ms)).max(1)
+    time.retry_after_ms(1.0 - self.demand.credit(kind))
   }
 
   fn close_window(&mut self, now: Time) {
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -1,7 +1,9 @@
 //! Tests when refused callers come back and which come too early, without sockets.
 
 use ferryyoke::{
-  requests::{CallerClass, Demand, EarlyReturns, Limiter, LimiterDecision, ReturnTime, Ticket},
+  requests::{
+    CallerClass, Demand, EarlyReturns, Limiter, LimiterDecision, RefusalKind, ReturnTime, Ticket,
+  },
   values::{Digest, Fingerprint, Time},
 };
 
@@ -85,14 +87,31 @@
 /// Guards against a wave of refused callers that comes back at one moment, too early or too late.
 #[test]
 fn callers_return_when_there_is_room_and_not_together() {
-  let expected = ReturnTime { left_ms: 3_000, wait_ms: Some(300) };
-  let told: Vec<u64> =
-    [0.0, 0.25, 0.5, 0.75, 0.99].map(|at| expected.retry_after_ms(900, at)).to_vec();
+  let time = |told_ms, left_ms, wait_ms| ReturnTime {
+    kind: RefusalKind::Tried { told_ms },
+    left_ms,
+    wait_ms,
+  };
+  let expected = time(900, 3_000, Some(300));
+  let told: Vec<u64> = [0.0, 0.25, 0.5, 0.75, 0.99].map(|at| expected.retry_after_ms(at)).to_vec();
   assert!(told.iter().all(|ms| (300..=990).contains(ms)), "{told:?}");
   assert!(told.windows(2).all(|pair| pair[0] + 20 <= pair[1]), "{told:?}");
-  let late = ReturnTime { left_ms: 300, wait_ms: Some(5_000) };
-  assert!(late.retry_after_ms(0, 0.5) <= 100, "callers wait for a third of their time at most");
-  assert_eq!(ReturnTime { left_ms: 300, wait_ms: None }.retry_after_ms(77, 0.5), 77);
+  let late = time(0, 300, Some(5_000));
+  assert!(late.retry_after_ms(0.5) <= 100, "callers wait for a third of their time at most");
+  // Where no wait is known, about a third of their time, or longer if a backend server said so.
+  assert_eq!(time(177, 300, None).retry_after_ms(0.5), 177);
+  assert_eq!(time(77, 300, None).retry_after_ms(0.5), 99);
+}
+
+/// Guards the times that callers get where nothing is known of a wave or a burst.
+#[test]
+fn each_kind_of_refusal_keeps_its_time() {
+  let time = |kind, wait_ms| ReturnTime { kind, left_ms: 1_000, wait_ms };
+  let entry = time(RefusalKind::Entry, Some(0));
+  assert_eq!([0.0, 0.5, 1.0].map(|at| entry.retry_after_ms(at)), [198, 264, 330]);
+  assert_eq!(time(RefusalKind::Entry, Some(5_000)).retry_after_ms(0.0), 330);
+  assert_eq!(time(RefusalKind::CallsFull, Some(1_700)).retry_after_ms(0.0), 1_700);
+  assert_eq!(time(RefusalKind::CallsFail, None).retry_after_ms(0.0), 500);
 }
 
 /// Guards against callers that return as told, and wait behind first tries until they are too late.
