--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -137,6 +137,7 @@
       link_wait_ms: self.link_wait_ms(),
       load_percent: self.load_percent(),
       service_us: monitor.service_us(),
+      slot_load: self.slot_load(),
       slowdown: self.speed.borrow().known_slowdown(self.now().time),
     }
   }
@@ -147,6 +148,14 @@
     Condition { link_wait_ms: 0, load_percent: self.backend_load_percent(), ..self.condition() }
   }
 
+  /// Returns how many of the backend server's slots are taken.
+  fn slot_load(&self) -> SlotLoad {
+    if self.cold_rate().is_some() {
+      return SlotLoad::Cold;
+    }
+    SlotLoad::Percent(self.limiter.borrow().load_percent(self.now().time))
+  }
+
   /// Returns the backend server's load in percent of its slots, or of its rate while it is cold or names a limit.
   fn backend_load_percent(&self) -> u32 {
     let load_percent = self.limiter.borrow().load_percent(self.now().time);
--- a/src/node/evacuation_side.rs
+++ b/src/node/evacuation_side.rs
@@ -31,7 +31,7 @@
   }
 
   /// Returns the rate limit of the backend server while it is cold; `None` if it is not.
-  fn cold_rate(&self) -> Option<Rate> {
+  pub(super) fn cold_rate(&self) -> Option<Rate> {
     let is_cold = self.backend.borrow().is_cold(self.now().time);
     self.cold_start().filter(|_| is_cold).map(|cold| cold.rate)
   }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -8,26 +8,20 @@
   pub answer_sizes: RefCell<AnswerSizes>,
   /// Tries that arrived here from other daemons, with their answers.
   pub arrivals: RefCell<ReceivedAttempts<Rc<web::StoredResponse>>>,
-  /// Requests that run at the backend server.
-  pub running_requests: RefCell<RunningRequests>,
   /// The state of the backend server, as far as known.
   pub backend: RefCell<BackendRecord>,
   /// Connection pool to the backend server.
   pub backend_pool: Rc<web::Pool>,
-  /// Schedules the transfer of large bodies over the box's network link.
-  pub body_queue: RefCell<BodyQueue>,
   /// Selects backend servers.
   pub balancer: RefCell<Balancer>,
-  /// Limits retries.
-  pub retry_budget: RefCell<RetryBudget>,
+  /// Schedules the transfer of large bodies over the box's network link.
+  pub body_queue: RefCell<BodyQueue>,
   /// The calls that runs of each route make.
   pub call_trees: RefCell<CallTrees>,
-  /// Refused callers that are yet to come back.
-  pub early_returns: RefCell<EarlyReturns>,
-  /// The timeouts that callers usually have.
-  pub caller_timeouts: RefCell<CallerTimeouts>,
   /// Limits on what callers may send.
   pub caller_limits: Rc<Cell<ServerLimits>>,
+  /// The timeouts that callers usually have.
+  pub caller_timeouts: RefCell<CallerTimeouts>,
   /// Source of time.
   pub clock: Rc<dyn Clock>,
   /// Limits the rate of requests to the backend server while it is cold.
@@ -37,15 +31,17 @@
   pub(super) confirmed_at: Cell<Option<Time>>,
   /// Tracks the requests that run at the backend server, and finds suspects when its process ends.
   pub crash_detector: RefCell<CrashDetector>,
-  /// The rate limits of backend servers at other boxes.
-  pub heard_limits: RefCell<HeardLimits>,
-  /// The header names of callers and backend servers.
-  pub header_names: HeaderNames,
+  /// Refused callers that are yet to come back.
+  pub early_returns: RefCell<EarlyReturns>,
   endpoints: RefCell<ServiceEndpoints>,
   /// The data halls that the operators evacuate.
   pub(super) evacuated: RefCell<Rc<BTreeSet<DataHall>>>,
   /// When evidence on the backend server's answers was last reported.
   pub(super) evidence_at: Cell<Time>,
+  /// The header names of callers and backend servers.
+  pub header_names: HeaderNames,
+  /// The rate limits of backend servers at other boxes.
+  pub heard_limits: RefCell<HeardLimits>,
   /// Whether an answer said that the backend server leaves, and the fleet was not told yet.
   pub(super) is_leaving_unannounced: Cell<bool>,
   /// Whether a timer runs that gives slots to requests which wait for the named rate limit.
@@ -57,8 +53,6 @@
   pub link_budget: RefCell<Option<LinkBudget>>,
   /// The log.
   pub log: Log,
-  /// Since when all requests go to other versions than that of this box's backend server.
-  pub(super) traffic_lost_at: Cell<Option<Time>>,
   /// The metrics.
   pub metrics: Metrics,
   /// Recent failure rate and service time of the backend server.
@@ -81,20 +75,26 @@
   pub quarantine: RefCell<Quarantine>,
   /// Rate limits of organisations.
   pub rate_limits: RefCell<RateLimits<futures_channel::oneshot::Sender<Admission>>>,
-  /// The room of each service.
-  pub rooms: RefCell<Rooms>,
-  /// How long runs of each route take.
-  pub run_times: RefCell<RunTimes>,
   /// Records of the latest requests.
   pub records: RefCell<RequestHistory>,
-  pub(super) refuses_work: Cell<bool>,
   /// Why the last configuration was refused; `None` once a later one is in force.
   refused_configuration: RefCell<Option<String>>,
+  pub(super) refuses_work: Cell<bool>,
+  /// Limits retries.
+  pub retry_budget: RefCell<RetryBudget>,
   /// Random number generator for decisions.
   pub rng: RefCell<ChaCha8Rng>,
+  /// The room of each service.
+  pub rooms: RefCell<Rooms>,
   router: RefCell<Rc<Router>>,
   /// Outcomes of requests at the backend server that are not reported to the fleet yet.
   pub(super) run_outcomes: RefCell<Vec<RunOutcome>>,
+  /// How long runs of each route take.
+  pub run_times: RefCell<RunTimes>,
+  /// Requests that run at the backend server.
+  pub running_requests: RefCell<RunningRequests>,
+  /// Number of operators' statements that are running.
+  pub running_statements: Cell<usize>,
   /// The settings.
   pub settings: Settings,
   /// How fast the backend server works.
@@ -103,13 +103,13 @@
   pub splitter: RefCell<Splitter>,
   /// Longest planned stop in milliseconds. Changes when the settings are read again.
   pub stop_deadline_ms: Cell<u64>,
-  /// Number of operators' statements that are running.
-  pub running_statements: Cell<usize>,
   /// The time limit of a planned stop, once it began.
   stopping: Cell<Option<StopLimit>>,
   store: Rc<dyn Store>,
   /// Which versions of services get which requests.
   pub traffic: RefCell<TrafficTable>,
+  /// Since when all requests go to other versions than that of this box's backend server.
+  pub(super) traffic_lost_at: Cell<Option<Time>>,
   /// Wakes requests that wait for a slot, or for the transfer of their body.
   pub waiters: RefCell<BTreeMap<Ticket, futures_channel::oneshot::Sender<()>>>,
 }
@@ -141,37 +141,35 @@
     let answer_budget = link_mbps.map(AnswerBudget::new);
     let link_budget = link_mbps.map(LinkBudget::new);
     let slots = settings.backend_server.slots as usize;
+    let stop_deadline_ms = Cell::new(settings.stop_deadline_ms);
     let pool = || Rc::new(web::Pool::new(Self::CONNECT_TIMEOUT_MS));
     Self {
       answer_budget: RefCell::new(answer_budget),
       answer_sizes: RefCell::default(),
       arrivals: RefCell::new(ReceivedAttempts::new(clock.now().time)),
-      running_requests: RefCell::default(),
       backend: RefCell::default(),
       backend_pool: pool(),
       balancer: RefCell::default(),
       body_queue: RefCell::new(BodyQueue::new(link_mbps.unwrap_or(f64::INFINITY))),
-      retry_budget: RefCell::default(),
       call_trees: RefCell::default(),
       caller_limits: Rc::default(),
       caller_timeouts: RefCell::default(),
+      clock,
       cold_start_limiter: RefCell::default(),
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
+      crash_detector: RefCell::default(),
       early_returns: RefCell::default(),
       endpoints: RefCell::default(),
-      clock,
-      crash_detector: RefCell::default(),
-      header_names,
-      heard_limits: RefCell::default(),
       evacuated: RefCell::default(),
       evidence_at: Cell::default(),
+      header_names,
+      heard_limits: RefCell::default(),
       is_leaving_unannounced: Cell::default(),
       is_pacing: Cell::default(),
       key_ring: RefCell::default(),
       limiter: RefCell::new(Limiter::new(slots, Self::QUEUE_DEFAULT)),
       link_budget: RefCell::new(link_budget),
-      traffic_lost_at: Cell::default(),
       log,
       metrics: Metrics::new(),
       monitor: RefCell::default(),
@@ -185,21 +183,24 @@
       quarantine: RefCell::default(),
       rate_limits: RefCell::default(),
       records: RefCell::default(),
-      rooms: RefCell::default(),
-      run_times: RefCell::default(),
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
+      retry_budget: RefCell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+      rooms: RefCell::default(),
       router: RefCell::default(),
       run_outcomes: RefCell::default(),
-      stop_deadline_ms: Cell::new(settings.stop_deadline_ms),
+      run_times: RefCell::default(),
+      running_requests: RefCell::default(),
+      running_statements: Cell::default(),
       settings,
       speed: RefCell::default(),
       splitter: RefCell::default(),
-      running_statements: Cell::default(),
+      stop_deadline_ms,
       stopping: Cell::default(),
       store,
       traffic: RefCell::default(),
+      traffic_lost_at: Cell::default(),
       waiters: RefCell::default(),
     }
   }
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -57,6 +57,7 @@
   let key: TryKey = headers::parsed(&head.headers, headers::TRY).ok_or_else(malformed)?;
   let seal: Digest = headers::parsed(&head.headers, headers::SEAL).ok_or_else(malformed)?;
   let mut forwarded = ForwardedRequest {
+    admitted_rank: None,
     answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).unwrap_or_default(),
     attempts_max: 1,
     calls: Vec::new(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -2,44 +2,71 @@
 
 use super::*;
 
-/// Refuses a request that should not be tried.
+/// Refuses a request that should not be tried. Sets the rank of others at backend servers.
 pub(super) fn check(
   shared: &Shared,
   route: &RouteName,
-  forwarded: &ForwardedRequest,
+  forwarded: &mut ForwardedRequest,
 ) -> std::result::Result<(), Refusal> {
+  let urgency = forwarded.urgency;
   let request = EntryRequest {
     deadline: forwarded.deadline,
     estimate: forwarded.estimate,
     organisation: forwarded.organisation.as_ref(),
     route,
     service: &forwarded.service,
-    urgency: forwarded.urgency,
+    urgency,
   };
   let now = shared.now().time;
-  // The forecast is of all backend servers of the service, not of those that may serve this one.
-  let is_bound = forwarded.regions.is_some() || forwarded.only_box.is_some();
   // Calls first, so that what room admits is tried.
   check_calls(shared, now, &forwarded.id, &request)?;
-  if is_bound { Ok(()) } else { check_room(shared, now, &request) }
+  // The forecast is of all backend servers of the service, not of those that may serve this one.
+  if forwarded.regions.is_some() || forwarded.only_box.is_some() {
+    return Ok(());
+  }
+  let priority = check_room(shared, now, &forwarded.id, &request)?;
+  forwarded.admitted_rank = (!urgency.is_call).then_some(urgency.priority);
+  forwarded.urgency.priority = priority;
+  Ok(())
 }
 
-/// Refuses a request that gets no part of its service's room.
+/// Refuses a request that gets no part of its service's room. Returns its rank at backend servers.
 fn check_room(
   shared: &Shared,
   now: Time,
+  id: &RequestId,
   request: &EntryRequest,
-) -> std::result::Result<(), Refusal> {
+) -> std::result::Result<u32, Refusal> {
   let (service, priority) = (request.service, request.urgency.priority);
   let decision = shared.rooms.borrow_mut().decide(now, request);
-  shared.metrics.count_entry(service.as_str(), priority, decision == EntryDecision::Admit);
-  let EntryDecision::Refuse { reason, retry_after_ms } = decision else {
-    return Ok(());
+  log_level_change(shared, service);
+  shared.metrics.count_entry(service.as_str(), priority, decision.is_admitted());
+  let refusal = match decision {
+    RoomDecision::Admit { priority } => return Ok(priority),
+    RoomDecision::Refuse(refusal) => refusal,
   };
-  let forecast = shared.rooms.borrow().forecast(now, service, priority);
-  let forecast = forecast.map_or("its room is unknown".into(), |one| one.to_string());
-  let reason = format!("{reason}: {service} has {forecast} at rank {priority}");
-  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
+  info!(
+    shared.log.logger, #Log::REQUEST, "a request is refused for lack of room";
+    "request_id" => id.as_str(), "route" => request.route.as_str(), "reason" => %refusal,
+    "organisation" => request.organisation.map_or("none", |name| name.as_str()),
+    "elapsed_ms" => request.urgency.elapsed_ms, "retry_after_ms" => refusal.retry_after_ms
+  );
+  let reason = refusal.to_string();
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, refusal.retry_after_ms))
+}
+
+/// Logs a change of the share of a service's demand that enters here: at most one for each window of
+/// the decision.
+fn log_level_change(shared: &Shared, service: &ServiceName) {
+  let Some(change) = shared.rooms.borrow_mut().take_level_change(service) else {
+    return;
+  };
+  info!(
+    shared.log.logger, "another share of a service's demand enters here";
+    "service" => service.as_str(), "before_percent" => change.before_percent,
+    "after_percent" => change.after_percent, "waiting_percent_of_slots" => change.excess_percent,
+    "reports" => change.reports, "ended" => change.ended, "refused" => change.refused
+  );
 }
 
 /// Refuses a request whose run is likely to fail because of the calls that it makes.
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -36,12 +36,12 @@
   loop {
     match decide(shared, &mut dispatch, forwarded, event) {
       DispatchStep::Answer { id } => {
-        note_ended(shared, &forwarded.service, false);
+        note_ended(shared, forwarded, false);
         return tries.finish(id, attempts);
       }
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
       DispatchStep::Refuse(outcome) => {
-        note_ended(shared, &forwarded.service, outcome.is_declined());
+        note_ended(shared, forwarded, lacks_slots(shared, &forwarded.service, &outcome, attempts));
         return Err(at_return_time(shared, forwarded, outcome));
       }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
@@ -71,9 +71,23 @@
   AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
 }
 
+/// Whether a request was refused as the last backend server that refused it has no free slot. Others
+/// are refused for the links of a box, or as the backend server is cold.
+fn lacks_slots(
+  shared: &Shared,
+  service: &ServiceName,
+  outcome: &AttemptOutcome,
+  attempts: &[Attempt],
+) -> bool {
+  let (now, rooms) = (shared.now().time, shared.rooms.borrow());
+  outcome.is_declined()
+    && attempts.last().is_some_and(|last| rooms.is_full(now, service, &last.box_id))
+}
+
 /// Records whether a request of a service found room.
-fn note_ended(shared: &Shared, service: &ServiceName, is_refused: bool) {
-  shared.rooms.borrow_mut().note_ended(shared.now().time, service, is_refused);
+fn note_ended(shared: &Shared, forwarded: &ForwardedRequest, is_refused: bool) {
+  let (now, rank) = (shared.now().time, forwarded.admitted_rank);
+  shared.rooms.borrow_mut().note_ended(now, &forwarded.service, rank, is_refused);
 }
 
 fn decide(
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -3,6 +3,9 @@
 /// A request that is being forwarded, with the data that each hop needs.
 #[derive(Clone, Debug)]
 pub struct ForwardedRequest {
+  /// Its own rank, if the room of its service admitted it; `None` if that was not asked. Its urgency
+  /// has the rank at backend servers.
+  pub admitted_rank: Option<u32>,
   /// Expected size of its answer in bytes.
   pub answer_bytes: u64,
   /// Largest number of backend servers to which it may be sent.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -108,7 +108,8 @@
   if !is_claimed && origin == Some(ClientLocation::Remote) {
     answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
   }
-  let forwarded = ForwardedRequest {
+  let mut forwarded = ForwardedRequest {
+    admitted_rank: None,
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
     calls: shared.call_trees.borrow().calls_of(&matched.route),
@@ -140,7 +141,7 @@
     return Ok(answer);
   }
   // What is beyond a rate limit does not count as demand for the service's room.
-  entry::check(shared, &matched.route, &forwarded)?;
+  entry::check(shared, &matched.route, &mut forwarded)?;
   let answer = forward::forward(shared, &forwarded, body, &mut recorder.record.attempts).await;
   if let Ok(answer) = &answer {
     record_answer_size(shared, &matched.route, answer);
--- a/src/requests/condition.rs
+++ b/src/requests/condition.rs
@@ -15,6 +15,8 @@
   pub load_percent: u32,
   /// Microseconds that a request currently takes; 0 where that is unknown.
   pub service_us: u64,
+  /// Running and waiting requests in percent of the slots alone.
+  pub slot_load: SlotLoad,
   /// How much longer work takes there at this moment; `None` where that is unknown.
   pub slowdown: Option<Slowdown>,
 }
@@ -24,8 +26,8 @@
     let slowdown_percent = self.slowdown.map_or(0, Slowdown::percent);
     write!(
       f,
-      "{},{},{},{slowdown_percent},{}",
-      self.load_percent, self.service_us, self.failures_permille, self.link_wait_ms
+      "{},{},{},{slowdown_percent},{},{}",
+      self.load_percent, self.service_us, self.failures_permille, self.link_wait_ms, self.slot_load
     )
   }
 }
@@ -36,16 +38,18 @@
   fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
     let malformed = || Self::Err::Number { found: text.into(), kind: "condition" };
     let mut parts = text.split(',');
-    let mut next = || parts.next().and_then(|part| part.parse::<u64>().ok()).ok_or_else(&malformed);
+    let mut next = || parts.next().and_then(|part| part.parse::<u64>().ok()).ok_or_else(malformed);
     let narrow = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
     let (load, service_us, failures) = (next()?, next()?, next()?);
     // Daemons of earlier versions send only these three.
     let (slowdown, link_wait_ms) = (next().unwrap_or(0), next().unwrap_or(0));
+    let slot_load = parts.next().map(SlotLoad::from).unwrap_or_default();
     Ok(Self {
       failures_permille: narrow(failures).min(1_000),
       link_wait_ms,
       load_percent: narrow(load),
       service_us,
+      slot_load,
       slowdown: (slowdown > 0).then(|| Slowdown::from_percent(narrow(slowdown))),
     })
   }
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -58,11 +58,11 @@
   /// full, 15 of 16 requests find a free slot by then.
   const IMMEDIATE_TRIES_MAX: usize = 4;
   /// The same where the service as a whole is known to be full: a free slot is a matter of chance.
-  const IMMEDIATE_TRIES_MAX_KNOWN: usize = 1;
+  const IMMEDIATE_TRIES_MAX_IF_FULL: usize = 1;
   /// Full queues after which a request is refused: the next box is likely to be full too.
   const FULL_QUEUES_MAX: usize = 4;
   /// The same where the service as a whole is known to be full.
-  const FULL_QUEUES_MAX_KNOWN: usize = 2;
+  const FULL_QUEUES_MAX_IF_FULL: usize = 2;
   /// The fraction of the time until the answer is due that a new connection may take, so that a
   /// request to a box that crashed or is partitioned can still go elsewhere in time.
   const CONNECT_FRACTION: f64 = 0.25;
@@ -222,7 +222,8 @@
     context: &DispatchContext,
   ) -> bool {
     let is_full = context.room.is_some_and(|room| room.is_full());
-    let full_queues_max = if is_full { Self::FULL_QUEUES_MAX_KNOWN } else { Self::FULL_QUEUES_MAX };
+    let full_queues_max =
+      if is_full { Self::FULL_QUEUES_MAX_IF_FULL } else { Self::FULL_QUEUES_MAX };
     let is_late = outcome.is_declined() && context.now >= self.profile.urgency.wait_until;
     self.arrived() >= self.profile.attempts_max as usize
       || self.ended.len() + self.lost >= Self::TRIES_MAX
@@ -291,7 +292,7 @@
     let asked = self.ended.iter().filter(|one| one.outcome.is_declined()).count();
     let is_full = context.room.is_some_and(|room| room.is_full());
     let asked_max =
-      if is_full { Self::IMMEDIATE_TRIES_MAX_KNOWN } else { Self::IMMEDIATE_TRIES_MAX };
+      if is_full { Self::IMMEDIATE_TRIES_MAX_IF_FULL } else { Self::IMMEDIATE_TRIES_MAX };
     if asked < asked_max {
       let tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
       let choice = self.choose_except(&tried, context);
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -54,12 +54,16 @@
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
   returns::{EarlyReturns, ReturnTime},
-  room::{EntryDecision, EntryRequest, RoomForecast, RoomRow, Rooms},
+  room::{
+    EntryDecision, EntryRequest, LevelChange, RoomDecision, RoomForecast, RoomRefusal, RoomRow,
+    Rooms,
+  },
   route_match::RouteMatch,
   router::Router,
   run_end::RunEnd,
   running_requests::RunningRequests,
   selection_criteria::SelectionCriteria,
+  slot_load::SlotLoad,
   splitter::Splitter,
   stop_limit::StopLimit,
   suspect::Suspect,
@@ -115,6 +119,7 @@
 mod run_end;
 mod running_requests;
 mod selection_criteria;
+mod slot_load;
 mod splitter;
 mod stop_limit;
 mod suspect;
--- a/src/requests/room/admission_level.rs
+++ b/src/requests/room/admission_level.rs
@@ -40,7 +40,7 @@
   /// Fewest reports that close a window before [`Self::WINDOW_MAX_MS`].
   const REPORTS_MIN: u32 = 4;
   /// The lowest level, below which every kind of request is at its floor.
-  const SHARE_MIN: f64 = DemandMix::FLOOR;
+  const SHARE_MIN: f64 = DemandMix::TRY_FLOOR_MIN;
   /// Shortest window in milliseconds.
   const WINDOW_MIN_MS: u64 = 250;
   /// Longest window in milliseconds, at a box that takes few requests.
@@ -67,29 +67,48 @@
     self.refused += u32::from(is_refused);
   }
 
-  /// Adapts the level once the window is long enough. Returns whether it did.
-  pub fn close_window(&mut self, now: Time) -> bool {
+  /// Returns the admitted share of the demand in percent.
+  #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  pub fn percent(&self) -> u32 {
+    (self.share * 100.0).round() as u32
+  }
+
+  /// Adapts the level once the window is long enough. Returns the level before and after; `None`
+  /// while the window goes on.
+  pub fn close_window(&mut self, now: Time) -> Option<LevelChange> {
     let age_ms = now.since_ms(self.window_start);
     let is_complete = self.reports >= Self::REPORTS_MIN && age_ms >= Self::WINDOW_MIN_MS;
     if !is_complete && age_ms < Self::WINDOW_MAX_MS {
-      return false;
+      return None;
     }
     let fall = (Self::GAIN * self.overload()).clamp(-Self::RISE_MAX, Self::FALL_MAX);
     // A window lasts longer only while no requests come, and then there is no overload.
     #[allow(clippy::cast_precision_loss)]
     let quiet_windows = (age_ms / Self::WINDOW_MAX_MS).saturating_sub(1) as f64;
     let rise = (1.0 + Self::RISE_MAX).powf(quiet_windows);
-    self.share = (self.share * (1.0 - fall) * rise).clamp(Self::SHARE_MIN, 1.0);
-    *self = Self { share: self.share, ..Self::new(now) };
-    true
+    let share = (self.share * (1.0 - fall) * rise).clamp(Self::SHARE_MIN, 1.0);
+    let closed = std::mem::replace(self, Self { share, ..Self::new(now) });
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let excess_percent = (closed.mean_excess() * 100.0).round() as u32;
+    Some(LevelChange {
+      after_percent: self.percent(),
+      before_percent: closed.percent(),
+      ended: closed.ended,
+      excess_percent,
+      refused: closed.refused,
+      reports: closed.reports,
+    })
+  }
+
+  fn mean_excess(&self) -> f64 {
+    self.excess / f64::from(self.reports.max(1))
   }
 
   /// Returns by how much the demand of the window exceeds the room, as a share; negative where
   /// there was room.
   fn overload(&self) -> f64 {
-    let excess = self.excess / f64::from(self.reports.max(1));
     let refused = f64::from(self.refused) / f64::from(self.ended.max(1));
-    let queued = excess - Self::EXCESS_AIM;
+    let queued = self.mean_excess() - Self::EXCESS_AIM;
     if refused <= Self::REFUSED_AIM {
       return queued;
     }
--- a/src/requests/room/backend_room.rs
+++ b/src/requests/room/backend_room.rs
@@ -7,8 +7,8 @@
   pub load_percent: u32,
   /// Microseconds that a run takes there; 0 where that is unknown.
   pub service_us: u64,
-  /// Slots, weighted by the speed of the backend server.
-  pub speed_slots: f64,
+  /// Thousandths of slots, weighted by the speed of the backend server; at least 1.
+  pub speed_slots_thousandths: u64,
   /// When it told this.
   pub told_at: Time,
 }
@@ -18,40 +18,42 @@
   /// dozen requests a second hears of most backend servers of a large service.
   pub const AGE_MAX_MS: u64 = 3_000;
 
-  /// Reads a report. After a refusal all slots count as taken, whatever load was measured when it
-  /// was sent.
-  pub fn read(now: Time, slots: u32, condition: Condition, is_refusal: bool) -> Self {
+  /// Reads a report; `None` where it tells nothing of the room, as the backend server is cold.
+  ///
+  /// A refusal by a daemon that does not tell the load of the slots alone counts as one for lack of
+  /// slots, whatever load was measured when it was sent.
+  pub fn read(now: Time, slots: u32, condition: Condition, is_refusal: bool) -> Option<Self> {
     const FULL_PERCENT: u32 = 100;
     let least_percent = if is_refusal { FULL_PERCENT } else { 0 };
+    let load_percent = match condition.slot_load {
+      SlotLoad::Cold => return None,
+      SlotLoad::Percent(load_percent) => load_percent,
+      SlotLoad::Untold => condition.load_percent.max(least_percent),
+    };
     let slowdown = condition.slowdown.unwrap_or_default();
-    Self {
-      load_percent: condition.load_percent.max(least_percent),
+    let speed_slots = u64::from(slots.max(1)) * 100_000 / u64::from(slowdown.percent());
+    Some(Self {
+      load_percent,
       service_us: condition.service_us,
-      speed_slots: f64::from(slots.max(1)) * 100.0 / f64::from(slowdown.percent()),
+      speed_slots_thousandths: speed_slots.max(1),
       told_at: now,
-    }
+    })
   }
 
-  /// Returns the weight of this report, which falls from 1 to 0 with its age.
-  #[allow(clippy::cast_precision_loss)]
-  pub fn freshness(&self, now: Time) -> f64 {
-    let age_ms = now.since_ms(self.told_at).min(Self::AGE_MAX_MS);
-    1.0 - age_ms as f64 / Self::AGE_MAX_MS as f64
+  /// Whether no slot is free.
+  pub fn is_full(&self) -> bool {
+    self.load_percent >= 100
   }
 
-  /// Returns the free slots as a share of all.
-  pub fn free_share(&self) -> f64 {
-    f64::from(100_u32.saturating_sub(self.load_percent)) / 100.0
+  /// Returns the free slots in percent of all.
+  pub fn free_percent(&self) -> u32 {
+    100_u32.saturating_sub(self.load_percent)
   }
 
-  /// Returns the milliseconds for which a request that arrives now waits for a slot, if all that
+  /// Returns the microseconds for which a request that arrives now waits for a slot, if all that
   /// wait there go first; 0 where a slot is free.
-  #[allow(clippy::cast_precision_loss)]
-  pub fn wait_ms(&self) -> f64 {
-    if self.load_percent < 100 {
-      return 0.0;
-    }
-    let rounds = f64::from(self.load_percent - 100) / 100.0;
-    rounds * self.service_us as f64 / 1_000.0
+  pub fn wait_us(&self) -> u64 {
+    let waiting_percent = u64::from(self.load_percent.saturating_sub(100));
+    self.service_us.saturating_mul(waiting_percent) / 100
   }
 }
--- a/src/requests/room/demand_mix.rs
+++ b/src/requests/room/demand_mix.rs
@@ -5,6 +5,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandMix {
   kinds: BTreeMap<RequestKind, KindDemand>,
+  /// What became of the requests of each rank.
+  ranks: BTreeMap<u32, RankService>,
 }
 
 /// Requests that are admitted alike, in the order in which they get the room.
@@ -12,9 +14,20 @@
 pub(super) struct RequestKind {
   /// The rank, 0 first.
   pub priority: u32,
-  /// False for requests whose callers return after a refusal and can still be in time. They go
-  /// first, as they have less time left.
-  pub is_fresh: bool,
+  /// The order within the rank.
+  pub turn: Turn,
+}
+
+/// The order of requests within a rank, first to last.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Turn {
+  /// Its caller returns after a refusal and can still be in time. It has less time left than
+  /// others.
+  ReturnInTime,
+  /// Its caller's first try.
+  FirstTry,
+  /// Its caller returns and can't be in time.
+  LateReturn,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,10 +39,34 @@
   work_us: f64,
 }
 
+/// The recent requests of one rank.
+#[derive(Clone, Copy, Debug, Default)]
+struct RankService {
+  /// Decayed number of first tries.
+  asked: f64,
+  /// Decayed number of admitted requests that found room at a backend server.
+  served: f64,
+}
+
+impl RankService {
+  /// First tries from which on the share of them that was served is taken for that of the rank.
+  const ASKED_MIN: f64 = 4.0;
+  /// Decay with each window, slower than that of the demand, as a box gets few requests of a rank.
+  const DECAY: f64 = 0.95;
+
+  /// Whether callers of this rank were served less often than its floor says.
+  fn is_below_floor(self) -> bool {
+    self.asked >= Self::ASKED_MIN && self.served < self.asked * DemandMix::FLOOR
+  }
+}
+
 impl DemandMix {
-  /// Share of each kind that is admitted in any case, so that no kind is served less than a quarter
-  /// as often as all.
+  /// Share of each rank's callers that is admitted in any case, so that no rank is served less than
+  /// a quarter as often as all.
   pub const FLOOR: f64 = 0.25;
+  /// Least share of tries that is admitted in any case, however many of them are returns: that of
+  /// callers that try four times.
+  pub const TRY_FLOOR_MIN: f64 = Self::FLOOR / 4.0;
   /// Largest rank that is told apart; less urgent ones count as this one.
   const PRIORITY_MAX: u32 = 15;
   /// Decay of the demand with each window, so that the mix follows a burst within a second or two.
@@ -37,16 +74,28 @@
 
   /// Returns the kind of a request. `may_be_in_time` tells that its answer can still be in time.
   pub fn kind_of(urgency: &Urgency, may_be_in_time: bool) -> RequestKind {
-    RequestKind {
-      priority: urgency.priority.min(Self::PRIORITY_MAX),
-      is_fresh: urgency.elapsed_ms == 0 || !may_be_in_time,
-    }
+    let turn = match (urgency.elapsed_ms, may_be_in_time) {
+      (0, _) => Turn::FirstTry,
+      (_, true) => Turn::ReturnInTime,
+      (_, false) => Turn::LateReturn,
+    };
+    RequestKind { priority: urgency.priority.min(Self::PRIORITY_MAX), turn }
   }
 
   /// Adds a request that arrived, of `work_us` microseconds.
   #[allow(clippy::cast_precision_loss)]
   pub fn add(&mut self, kind: RequestKind, work_us: u64) {
     self.kinds.entry(kind).or_default().work_us += work_us.max(1) as f64;
+    if kind.turn == Turn::FirstTry {
+      self.ranks.entry(kind.priority).or_default().asked += 1.0;
+    }
+  }
+
+  /// Adds an admitted request of rank `priority` that found room.
+  pub fn add_served(&mut self, priority: u32) {
+    if let Some(rank) = self.ranks.get_mut(&priority.min(Self::PRIORITY_MAX)) {
+      rank.served += 1.0;
+    }
   }
 
   /// Reduces the weight of all that arrived so far.
@@ -55,20 +104,49 @@
       demand.work_us *= Self::DECAY;
     }
     self.kinds.retain(|_, demand| demand.work_us >= 1.0);
+    for rank in self.ranks.values_mut() {
+      rank.asked *= RankService::DECAY;
+      rank.served *= RankService::DECAY;
+    }
   }
 
   /// Returns the part of a kind that is admitted if `share` of all work is: its floor, and of what
   /// is left above all floors as much as the kinds before it leave.
   pub fn admitted_part(&self, kind: RequestKind, share: f64) -> f64 {
-    let total: f64 = self.kinds.values().map(|demand| demand.work_us).sum();
-    let own = self.kinds.get(&kind).map_or(0.0, |demand| demand.work_us);
+    let own = self.work_us(kind);
     if own <= 0.0 {
       return 1.0;
     }
-    let above_floor = 1.0 - Self::FLOOR;
-    let before: f64 = self.kinds.range(..kind).map(|(_, demand)| demand.work_us).sum();
-    let left = (share - Self::FLOOR).max(0.0) * total - before * above_floor;
-    Self::FLOOR + left.clamp(0.0, own * above_floor) / own
+    let (mut left, mut floor) = (0.0, 0.0);
+    for (other, demand) in &self.kinds {
+      let other_floor = self.floor(*other);
+      left += (share - other_floor) * demand.work_us;
+      if *other < kind {
+        left -= (1.0 - other_floor) * demand.work_us;
+      }
+      if *other == kind {
+        floor = other_floor;
+      }
+    }
+    floor + (left / own).clamp(0.0, 1.0 - floor)
+  }
+
+  /// Returns the part of a kind that is admitted in any case.
+  ///
+  /// The floor of a rank is of the work that callers ask for with their first tries. It is shared
+  /// with their returns, for otherwise a caller that returns gets it twice, at the cost of the ranks
+  /// before. Late returns get none of it.
+  fn floor(&self, kind: RequestKind) -> f64 {
+    if kind.turn == Turn::LateReturn {
+      return 0.0;
+    }
+    let work_us = |turn: Turn| self.work_us(RequestKind { turn, ..kind });
+    let (first_us, returns_us) = (work_us(Turn::FirstTry), work_us(Turn::ReturnInTime));
+    (Self::FLOOR * first_us / (first_us + returns_us).max(1.0)).max(Self::TRY_FLOOR_MIN)
+  }
+
+  fn work_us(&self, kind: RequestKind) -> f64 {
+    self.kinds.get(&kind).map_or(0.0, |demand| demand.work_us)
   }
 
   /// Adds the part of an admission that a request earns to its kind's credit. Returns whether the
@@ -83,6 +161,16 @@
     is_admitted
   }
 
+  /// Returns the rank at backend servers of an admitted request of rank `priority`: the most urgent
+  /// one that asks, where fewer callers of its own were served lately than its floor says. At its own
+  /// rank it would wait there behind all others, mostly until it is refused.
+  pub fn priority_at_backends(&self, priority: u32) -> u32 {
+    let rank = self.ranks.get(&priority.min(Self::PRIORITY_MAX));
+    let first = self.kinds.keys().next().map(|kind| kind.priority);
+    let first = first.filter(|_| rank.is_some_and(|rank| rank.is_below_floor()));
+    first.map_or(priority, |first| first.min(priority))
+  }
+
   /// Returns the unused admissions of a kind, from 0 to 1.
   pub fn credit(&self, kind: RequestKind) -> f64 {
     self.kinds.get(&kind).map_or(0.0, |demand| demand.credit)
--- a/src/requests/room/rooms.rs
+++ b/src/requests/room/rooms.rs
@@ -51,8 +51,8 @@
     self.services.get(service)?.forecast(now, priority)
   }
 
-  /// Records the condition of a backend server, which came with an answer, or with a refusal for
-  /// lack of room.
+  /// Records the condition of a backend server, which came with an answer, or with a refusal that
+  /// another backend server might not have given.
   pub fn note_report(
     &mut self,
     now: Time,
@@ -66,19 +66,31 @@
     }
   }
 
+  /// Whether a backend server last told that all of its slots are taken.
+  pub fn is_full(&self, now: Time, service: &ServiceName, box_id: &BoxId) -> bool {
+    self.services.get(service).is_some_and(|room| room.is_full(now, box_id))
+  }
+
   /// Records the end of a request that was tried, and whether it was refused for lack of room.
-  pub fn note_ended(&mut self, now: Time, service: &ServiceName, is_refused: bool) {
+  /// `rank` is its own rank if [`Rooms::decide`] admitted it.
+  pub fn note_ended(
+    &mut self,
+    now: Time,
+    service: &ServiceName,
+    rank: Option<u32>,
+    is_refused: bool,
+  ) {
     if let Some(service) = self.service(now, service) {
-      service.note_ended(is_refused);
+      service.note_ended(rank, is_refused);
     }
   }
 
   /// Decides whether a request is tried.
-  pub fn decide(&mut self, now: Time, request: &EntryRequest) -> EntryDecision {
+  pub fn decide(&mut self, now: Time, request: &EntryRequest) -> RoomDecision {
     let configuration = self.configuration.clone();
     let (weight, total) = (self.default_weight, self.total_weight);
     let Some(service) = self.service(now, request.service) else {
-      return EntryDecision::Admit;
+      return RoomDecision::Admit { priority: request.urgency.priority };
     };
     let entitlement_of = |name: &OrganisationName| {
       if total <= 0.0 {
@@ -91,6 +103,11 @@
     service.decide(now, request, entitlement_of)
   }
 
+  /// Returns the last change of a service's level that was not taken yet.
+  pub fn take_level_change(&mut self, service: &ServiceName) -> Option<LevelChange> {
+    self.services.get_mut(service)?.take_level_change()
+  }
+
   /// Returns the state of a service where requests compete for it, created on first use.
   fn service(&mut self, now: Time, service: &ServiceName) -> Option<&mut ServiceRoom> {
     if !self.contested.contains(service) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -5,7 +5,9 @@
 use {
   ferryyoke::{
     fleet::Endpoint,
-    requests::{BackendMonitor, Balancer, Completion, Condition, SelectionCriteria, Slowdown},
+    requests::{
+      BackendMonitor, Balancer, Completion, Condition, SelectionCriteria, SlotLoad, Slowdown,
+    },
     values::Time,
   },
   rand::SeedableRng,
@@ -127,13 +129,18 @@
     link_wait_ms: 30,
     load_percent: 133,
     service_us: 98_765,
+    slot_load: SlotLoad::Percent(90),
     slowdown: Some(Slowdown::from_percent(140)),
   };
-  assert_eq!(condition.to_string().parse(), Ok(condition));
+  for slot_load in [SlotLoad::Percent(90), SlotLoad::Cold, SlotLoad::Untold] {
+    let condition = Condition { slot_load, ..condition };
+    assert_eq!(condition.to_string().parse(), Ok(condition));
+  }
   let unknown = Condition { slowdown: None, ..condition };
   assert_eq!(unknown.to_string().parse(), Ok(unknown));
-  let of_earlier_version = Condition { link_wait_ms: 0, ..unknown };
+  let of_earlier_version = Condition { link_wait_ms: 0, slot_load: SlotLoad::Untold, ..unknown };
   assert_eq!("133,98765,12".parse(), Ok(of_earlier_version));
+  assert_eq!("133,98765,12,0,0".parse(), Ok(of_earlier_version));
   for text in ["", "1,2", "1,2,x", "-1,2,3"] {
     assert!(text.parse::<Condition>().is_err(), "{text}");
   }
--- a/tests/requests_fuzz.rs
+++ b/tests/requests_fuzz.rs
@@ -9,7 +9,7 @@
     fleet::{Endpoint, EndpointState, Peer},
     requests::{
       Balancer, Completion, Condition, Demand, Limiter, LimiterDecision, RetryBudget, Router,
-      SelectionCriteria, Slowdown, Ticket, Verdict,
+      SelectionCriteria, SlotLoad, Slowdown, Ticket, Verdict,
     },
     values::{Incarnation, Time, Version},
   },
@@ -191,12 +191,21 @@
   }
 }
 
+fn some_slot_load(u: &mut Unstructured) -> Result<SlotLoad> {
+  Ok(match u.int_in_range(0..=2)? {
+    0 => SlotLoad::Cold,
+    1 => SlotLoad::Percent(u.int_in_range(0..=500)?),
+    _ => SlotLoad::Untold,
+  })
+}
+
 fn some_condition(u: &mut Unstructured) -> Result<Option<Condition>> {
   let condition = Condition {
     failures_permille: u.int_in_range(0..=1_000)?,
     link_wait_ms: u.int_in_range(0..=500)?,
     load_percent: u.int_in_range(0..=500)?,
     service_us: u.int_in_range(0..=90_000)?,
+    slot_load: some_slot_load(u)?,
     slowdown: u.arbitrary::<Option<u16>>()?.map(|one| Slowdown::from_percent(one.into())),
   };
   Ok(u.arbitrary::<bool>()?.then_some(condition))
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -9,9 +9,9 @@
     fleet::Endpoint,
     requests::{
       AttemptOutcome, Balancer, CallerClass, Completion, Condition, Demand, Dispatch,
-      DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, Limiter,
-      LimiterDecision, RequestProfile, RetryBudget, RoomForecast, Rooms, RunEstimate, Slowdown,
-      Ticket, TryId, TryOrder, Urgency,
+      DispatchContext, DispatchEvent, DispatchStep, EntryRequest, Limiter, LimiterDecision,
+      RequestProfile, RetryBudget, RoomDecision, RoomForecast, Rooms, RunEstimate, SlotLoad,
+      Slowdown, Ticket, TryId, TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, OrganisationName, Rate, RouteName, ServiceName, Time, Version},
@@ -37,6 +37,10 @@
   Levels,
   /// Each box admits its equal share of the room that backend servers report.
   Shares,
+  /// One box keeps the room of the service, and each request draws from it before it is tried.
+  Ledger,
+  /// Each box adapts a price for work; a request enters if it would lose more by not being served.
+  Price,
 }
 
 /// One kind of request.
@@ -48,7 +52,7 @@
   pub work_ms: u64,
 }
 
-/// What became of the requests of one kind or organisation.
+/// What became of some of the requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
   pub asked: u32,
@@ -59,6 +63,16 @@
   /// Refusals after tries.
   pub refused_after_tries: u32,
   pub tries: u32,
+  /// Tries at backend servers of other data halls.
+  pub tries_elsewhere: u32,
+}
+
+/// Which requests a tally is of.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Asked {
+  pub at_box: usize,
+  pub load: usize,
+  pub organisation: usize,
 }
 
 impl Tally {
@@ -69,10 +83,8 @@
 
 #[derive(Clone, Copy)]
 struct Caller {
-  at_box: usize,
+  asked: Asked,
   first_at: u64,
-  load: usize,
-  organisation: usize,
   returns: u32,
 }
 
@@ -81,11 +93,13 @@
   deadline: Time,
   dispatch: Dispatch,
   due: Time,
+  priority: u32,
   work_ms: u64,
 }
 
 enum Event {
   Enter(Caller),
+  Drawn(Caller),
   TryArrives { backend: usize, id: TryId, may_queue: bool, request: u64 },
   RunEnds { backend: usize, ticket: Ticket },
   WaitEnds { backend: usize, ticket: Ticket },
@@ -96,22 +110,39 @@
   balancer: Balancer,
   budget: RetryBudget,
   rooms: Rooms,
+  /// By load, what [`Policy::Ledger`] and [`Policy::Price`] owe of the floor, from 0 to 1.
+  floor_credit: Vec<f64>,
+  /// For [`Policy::Price`]: the price, and the reports and waiting requests per slot of its window.
+  price: (f64, f64, f64, u64),
   /// Work in milliseconds that [`Policy::Shares`] may still admit, and since when.
   tokens: (f64, u64),
 }
 
+/// The share of first tries that enters in any case, as in the product.
+const FLOOR: f64 = 0.25;
+/// Data halls, over which boxes and backend servers are spread evenly.
+pub const HALLS: usize = 3;
+/// Milliseconds for which the ledger is lost when its box ends.
+const LEDGER_LOST_MS: u64 = 3_000;
+
 pub struct RoomWorld {
   backends: Vec<Limiter>,
-  pub by_load: Vec<Tally>,
-  pub by_organisation: Vec<Tally>,
   /// Boxes that reach no backend server and hear from none.
   pub cut: BTreeSet<usize>,
   endpoints: Vec<Endpoint>,
   entrances: Vec<Entrance>,
   events: BTreeMap<(u64, u64), Event>,
+  /// Relative demand at the boxes of each data hall.
+  pub hall_weights: [f64; HALLS],
+  /// Work in milliseconds that the ledger holds, and since when.
+  ledger: (f64, u64),
+  /// When the box with the ledger ends.
+  pub ledger_ends_at: u64,
   pub lost_news: f64,
   pub loads: Vec<Load>,
   next: u64,
+  /// What became of requests that are not counted.
+  not_tallied: Tally,
   pub now: u64,
   /// Relative demand of each organisation.
   pub organisations: Vec<f64>,
@@ -123,6 +154,9 @@
   short_at: u64,
   /// How long work takes at each backend server, in percent.
   pub slowdowns: Vec<u32>,
+  tallied_from: u64,
+  tallies: BTreeMap<Asked, Tally>,
+  waiting: BTreeSet<(usize, Ticket)>,
 }
 
 pub const SLOTS: u32 = 9;
@@ -167,6 +201,36 @@
   configuration
 }
 
+/// Draws the work of a request from a bucket that fills at `rate` milliseconds of work each
+/// millisecond. A second of it may be saved; lower ranks leave the last half to the highest one.
+fn draw(tokens: &mut (f64, u64), now: u64, rate: f64, work_ms: f64, priority: u32) -> bool {
+  let saved = (tokens.0 + rate * (now - tokens.1) as f64).min(rate * 1_000.0);
+  let kept = if priority == 0 { 0.0 } else { rate * 500.0 };
+  let admits = saved >= work_ms + kept;
+  *tokens = (if admits { saved - work_ms } else { saved }, now);
+  admits
+}
+
+/// Adds `part` of an admission to a credit, and spends a whole one.
+fn owes(credit: &mut f64, part: f64) -> bool {
+  *credit += part;
+  let is_whole = *credit >= 1.0;
+  *credit -= if is_whole { 1.0 } else { 0.0 };
+  is_whole
+}
+
+impl Entrance {
+  /// Adapts the price by the queues that answers told of, with the gains of the product's levels.
+  fn close_price_window(&mut self, now: u64) {
+    let (price, reports, excess, since) = self.price;
+    if now - since < 250 || reports < 4.0 && now - since < 1_000 {
+      return;
+    }
+    let rise = (0.15 * (excess / reports.max(1.0) - 1.0)).clamp(-0.03, 0.1);
+    self.price = ((price * (1.0 + rise)).clamp(0.25, 64.0), 0.0, 0.0, now);
+  }
+}
+
 impl RoomWorld {
   pub fn new(
     seed: u64,
@@ -183,24 +247,28 @@
       Entrance {
         balancer: Balancer::default(),
         budget: RetryBudget::default(),
+        floor_credit: vec![0.0; loads.len()],
+        price: (1.0, 0.0, 0.0, 0),
         rooms,
         tokens: (0.0, 0),
       }
     };
-    let hall = |index: usize| format!("hall-{}", index % 3);
+    let hall = |index: usize| format!("hall-{}", index % HALLS);
     Self {
       backends: (0..backends).map(|_| Limiter::new(SLOTS as usize, 24)).collect(),
-      by_load: vec![Tally::default(); loads.len()],
-      by_organisation: vec![Tally::default(); organisations.len()],
       cut: BTreeSet::new(),
       endpoints: (0..backends)
         .map(|index| endpoint(&format!("box-{index}"), &hall(index), SLOTS))
         .collect(),
       entrances: (0..boxes).map(|_| entrance()).collect(),
       events: BTreeMap::new(),
+      hall_weights: [1.0; HALLS],
+      ledger: (0.0, 0),
+      ledger_ends_at: u64::MAX,
       lost_news: 0.0,
       loads: loads.to_vec(),
       next: 0,
+      not_tallied: Tally::default(),
       now: 0,
       organisations: organisations.to_vec(),
       policy,
@@ -209,9 +277,47 @@
       running: BTreeMap::new(),
       short_at: 0,
       slowdowns: vec![100; backends],
+      tallied_from: 0,
+      tallies: BTreeMap::new(),
+      waiting: BTreeSet::new(),
     }
   }
 
+  /// Returns what became of the requests that `counts` selects.
+  pub fn tally(&self, counts: impl Fn(&Asked) -> bool) -> Tally {
+    let selected = self.tallies.iter().filter(|(asked, _)| counts(asked));
+    selected.fold(Tally::default(), |sum, (_, one)| Tally {
+      asked: sum.asked + one.asked,
+      in_time: sum.in_time + one.in_time,
+      late: sum.late + one.late,
+      refused_with_room: sum.refused_with_room + one.refused_with_room,
+      refused_after_tries: sum.refused_after_tries + one.refused_after_tries,
+      tries: sum.tries + one.tries,
+      tries_elsewhere: sum.tries_elsewhere + one.tries_elsewhere,
+    })
+  }
+
+  /// Returns the share of the requests of each load that was answered in time at the boxes that
+  /// `counts` selects.
+  pub fn shares_in_time(&self, counts: impl Fn(usize) -> bool) -> Vec<f64> {
+    let share =
+      |load| self.tally(|asked| asked.load == load && counts(asked.at_box)).share_in_time();
+    (0..self.loads.len()).map(share).collect()
+  }
+
+  /// Counts from now on, and only requests whose first try is still to come.
+  pub fn begin_tallies(&mut self) {
+    self.tallies.clear();
+    self.tallied_from = self.now;
+  }
+
+  fn tally_of(&mut self, caller: Caller) -> &mut Tally {
+    if caller.first_at < self.tallied_from {
+      return &mut self.not_tallied;
+    }
+    self.tallies.entry(caller.asked).or_default()
+  }
+
   fn schedule(&mut self, after_ms: u64, event: Event) {
     self.next += 1;
     self.events.insert((self.now + after_ms, self.next), event);
@@ -230,23 +336,50 @@
         if first_at >= end {
           break;
         }
-        let at_box = self.rng.random_range(0..self.entrances.len());
+        let at_box = self.draw_box();
         let organisation = self.draw_organisation();
-        let caller = Caller { at_box, first_at, load, organisation, returns: 0 };
+        let asked = Asked { at_box, load, organisation };
+        let caller = Caller { asked, first_at, returns: 0 };
         self.schedule(first_at - start, Event::Enter(caller));
       }
     }
+    self.play_until(end);
+  }
+
+  /// Lets all requests that were asked end, while nobody asks.
+  pub fn drain(&mut self) {
+    self.play_until(self.now + TIMEOUT_MS);
+  }
+
+  fn play_until(&mut self, end: u64) {
     while self.events.first_key_value().is_some_and(|((at, _), _)| *at < end) {
       let ((at, _), event) = self.events.pop_first().expect("not empty");
-      self.now = at;
-      if self.free_share() < 0.25 {
-        self.short_at = at;
+      if at > self.now {
+        self.now = at;
+        self.note_free_share();
       }
       self.handle(event);
     }
     self.now = end;
   }
 
+  fn note_free_share(&mut self) {
+    if self.free_share() < 0.25 {
+      self.short_at = self.now;
+    }
+  }
+
+  fn draw_box(&mut self) -> usize {
+    let most = self.hall_weights.iter().copied().fold(0.0, f64::max);
+    loop {
+      let at_box = self.rng.random_range(0..self.entrances.len());
+      let weight = self.hall_weights[at_box % HALLS] / most;
+      if weight >= 1.0 || self.rng.random::<f64>() < weight {
+        return at_box;
+      }
+    }
+  }
+
   fn draw_organisation(&mut self) -> usize {
     let total: f64 = self.organisations.iter().sum();
     let mut drawn = self.rng.random::<f64>() * total;
@@ -259,7 +392,10 @@
 
   fn handle(&mut self, event: Event) {
     match event {
-      Event::Enter(caller) => self.enter(caller),
+      Event::Enter(caller) if self.policy == Policy::Ledger => {
+        self.schedule(2 * HOP_MS, Event::Drawn(caller));
+      }
+      Event::Enter(caller) | Event::Drawn(caller) => self.enter(caller),
       Event::TryArrives { backend, id, may_queue, request } => {
         self.try_arrives(backend, id, may_queue, request);
       }
@@ -268,7 +404,7 @@
         self.leave(backend, ticket, outcome);
       }
       Event::WaitEnds { backend, ticket } => {
-        if self.running.contains_key(&(backend, ticket)) && self.waits(backend, ticket) {
+        if self.waiting.contains(&(backend, ticket)) {
           self.leave(backend, ticket, AttemptOutcome::declined("no slot in time", 100));
         }
       }
@@ -278,12 +414,6 @@
     }
   }
 
-  fn waits(&self, backend: usize, ticket: Ticket) -> bool {
-    !self.events.values().any(|event| {
-      matches!(event, Event::RunEnds { backend: at, ticket: of } if (*at, *of) == (backend, ticket))
-    })
-  }
-
   /// Returns the free slots as a share of all, weighted by speed.
   fn free_share(&self) -> f64 {
     let speeds = || self.slowdowns.iter().map(|slowdown| 100.0 / f64::from(*slowdown));
@@ -293,20 +423,21 @@
   }
 
   fn enter(&mut self, caller: Caller) {
-    let load = self.loads[caller.load];
+    let load = self.loads[caller.asked.load];
     let now = Time(self.now);
-    let elapsed_ms = self.now - caller.first_at;
-    if caller.returns == 0 {
-      self.by_load[caller.load].asked += 1;
-      self.by_organisation[caller.organisation].asked += 1;
+    let is_first = caller.returns == 0;
+    let elapsed_ms = if is_first { 0 } else { self.now - caller.first_at };
+    if is_first {
+      self.tally_of(caller).asked += 1;
     }
     let deadline = Time(caller.first_at + TIMEOUT_MS);
     let handling = Handling { target_ms: Some(load.target_ms), ..Handling::default() };
     let urgency = Urgency::of(now, deadline, &handling, load.priority, false, elapsed_ms);
     let estimate = RunEstimate { spread_percent: 30, usual_us: load.work_ms * 1_000 };
-    if let Some(retry_after_ms) = self.refuses(caller, deadline, estimate, urgency) {
+    let mut urgency = urgency;
+    if let Some(retry_after_ms) = self.refuses(caller, deadline, estimate, &mut urgency) {
       if self.now - self.short_at >= 1_000 {
-        self.by_load[caller.load].refused_with_room += 1;
+        self.tally_of(caller).refused_with_room += 1;
       }
       return self.come_back(caller, retry_after_ms);
     }
@@ -328,7 +459,8 @@
     let dispatch = Dispatch::new(profile);
     self.next += 1;
     let (id, due) = (self.next, Time(caller.first_at + load.target_ms));
-    self.requests.insert(id, Request { caller, deadline, dispatch, due, work_ms });
+    let priority = urgency.priority;
+    self.requests.insert(id, Request { caller, deadline, dispatch, due, priority, work_ms });
     self.advance(id, DispatchEvent::Started);
   }
 
@@ -338,14 +470,18 @@
     caller: Caller,
     deadline: Time,
     estimate: RunEstimate,
-    urgency: Urgency,
+    urgency: &mut Urgency,
   ) -> Option<u64> {
     let (now, boxes) = (self.now, self.entrances.len() as f64);
-    let entrance = &mut self.entrances[caller.at_box];
-    match self.policy {
-      Policy::Open => None,
+    let slots = self.slowdowns.iter().map(|slowdown| 100.0 / f64::from(*slowdown)).sum::<f64>()
+      * f64::from(SLOTS);
+    let Asked { at_box, load, organisation: by } = caller.asked;
+    let entrance = &mut self.entrances[at_box];
+    let work_ms = estimate.usual_us as f64 / 1_000.0;
+    let admits = match self.policy {
+      Policy::Open => true,
       Policy::Levels => {
-        let name = organisation(caller.organisation);
+        let name = organisation(by);
         let organisation = (self.organisations.len() > 1).then_some(&name);
         let (route, service) = ("route-0".parse().expect("a name"), service());
         let estimate = Some(estimate);
@@ -355,25 +491,33 @@
           organisation,
           route: &route,
           service: &service,
-          urgency,
+          urgency: *urgency,
+        };
+        return match entrance.rooms.decide(Time(now), &request) {
+          RoomDecision::Admit { priority } => {
+            urgency.priority = priority;
+            None
+          }
+          RoomDecision::Refuse(refusal) => Some(refusal.retry_after_ms),
         };
-        match entrance.rooms.decide(Time(now), &request) {
-          EntryDecision::Admit => None,
-          EntryDecision::Refuse { retry_after_ms, .. } => Some(retry_after_ms),
-        }
       }
-      Policy::Shares => {
-        // A second of its share may be saved; lower ranks leave the last half to higher ones.
-        let rate = self.endpoints.len() as f64 * f64::from(SLOTS) / boxes;
-        let (saved, since) = entrance.tokens;
-        let saved = (saved + rate * (now - since) as f64).min(rate * 1_000.0);
-        let work_ms = estimate.usual_us as f64 / 1_000.0;
-        let kept = if urgency.priority == 0 { 0.0 } else { rate * 500.0 };
-        let admits = saved >= work_ms + kept;
-        entrance.tokens = (if admits { saved - work_ms } else { saved }, now);
-        (!admits).then(|| deadline.since_ms(Time(now)) / 3)
+      Policy::Shares => draw(&mut entrance.tokens, now, slots / boxes, work_ms, urgency.priority),
+      Policy::Ledger => {
+        let is_lost = now.checked_sub(self.ledger_ends_at).is_some_and(|ms| ms < LEDGER_LOST_MS);
+        let is_first = caller.returns == 0;
+        let owed = is_first && owes(&mut entrance.floor_credit[load], FLOOR);
+        is_lost || draw(&mut self.ledger, now, slots, work_ms, urgency.priority) || owed
       }
-    }
+      Policy::Price => {
+        entrance.close_price_window(now);
+        // What a request loses, for each 250 ms of work: half as much with each rank.
+        let value = 0.5_f64.powi(urgency.priority.cast_signed()) * 250.0 / work_ms;
+        let floor = if caller.returns == 0 { FLOOR } else { 0.0 };
+        let part = (value / entrance.price.0).clamp(floor, 1.0);
+        owes(&mut entrance.floor_credit[load], part)
+      }
+    };
+    (!admits).then(|| deadline.since_ms(Time(now)) / 3)
   }
 
   /// Lets a refused caller return once, if it still has time.
@@ -387,16 +531,17 @@
   fn advance(&mut self, id: u64, event: DispatchEvent) {
     let request = self.requests.get_mut(&id).expect("under way");
     let caller = request.caller;
-    let entrance = &mut self.entrances[caller.at_box];
-    let (now, priority) = (Time(self.now), self.loads[caller.load].priority);
-    let room: Option<RoomForecast> = (self.policy == Policy::Levels)
+    let at_box = caller.asked.at_box;
+    let entrance = &mut self.entrances[at_box];
+    let (now, priority) = (Time(self.now), request.priority);
+    let room: Option<RoomForecast> = (!matches!(self.policy, Policy::Open | Policy::Shares))
       .then(|| entrance.rooms.forecast(now, &service(), priority))
       .flatten();
     let mut context = DispatchContext {
       balancer: &mut entrance.balancer,
       budget: &mut entrance.budget,
       candidates: &self.endpoints,
-      data_hall: &format!("hall-{}", caller.at_box % 3).parse().expect("a name"),
+      data_hall: &format!("hall-{}", at_box % HALLS).parse().expect("a name"),
       evacuated: &BTreeSet::new(),
       is_drained: &|_: &BoxId| false,
       now,
@@ -409,19 +554,18 @@
       DispatchStep::Answer { .. } => {
         let is_late = now > request.due;
         self.requests.remove(&id);
-        self.entrances[caller.at_box].rooms.note_ended(now, &service(), false);
-        for tally in
-          [&mut self.by_load[caller.load], &mut self.by_organisation[caller.organisation]]
-        {
-          tally.late += u32::from(is_late);
-          tally.in_time += u32::from(!is_late);
-        }
+        let rank = Some(self.loads[caller.asked.load].priority);
+        self.entrances[at_box].rooms.note_ended(now, &service(), rank, false);
+        let tally = self.tally_of(caller);
+        tally.late += u32::from(is_late);
+        tally.in_time += u32::from(!is_late);
       }
       DispatchStep::Refuse(outcome) => {
         self.requests.remove(&id);
         let is_declined = outcome.is_declined();
-        self.entrances[caller.at_box].rooms.note_ended(now, &service(), is_declined);
-        self.by_load[caller.load].refused_after_tries += 1;
+        let rank = Some(self.loads[caller.asked.load].priority);
+        self.entrances[at_box].rooms.note_ended(now, &service(), rank, is_declined);
+        self.tally_of(caller).refused_after_tries += 1;
         let AttemptOutcome::NotRun { retry_after_ms, .. } = outcome else { return };
         self.come_back(caller, retry_after_ms);
       }
@@ -433,11 +577,14 @@
   fn start(&mut self, request: u64, order: &TryOrder) {
     let caller = self.requests[&request].caller;
     let box_id = &order.endpoint.peer.box_id;
-    self.by_load[caller.load].tries += 1;
-    self.entrances[caller.at_box].balancer.started(box_id);
+    let at_box = caller.asked.at_box;
+    self.entrances[at_box].balancer.started(box_id);
     let backend = self.endpoints.iter().position(|one| one.peer.box_id == *box_id).expect("known");
+    let tally = self.tally_of(caller);
+    tally.tries += 1;
+    tally.tries_elsewhere += u32::from(backend % HALLS != at_box % HALLS);
     let (id, may_queue) = (order.id, order.may_queue);
-    if self.cut.contains(&caller.at_box) {
+    if self.cut.contains(&at_box) {
       let outcome = AttemptOutcome::not_run("unreachable", 0);
       let condition = Condition::default();
       return self.schedule(50, Event::TryEnds { backend, condition, id, outcome, request });
@@ -448,13 +595,13 @@
   fn try_arrives(&mut self, backend: usize, id: TryId, may_queue: bool, request: u64) {
     let Some(known) = self.requests.get(&request) else { return };
     let (due, deadline, work_ms) = (known.due, known.deadline, known.work_ms);
-    let load = self.loads[known.caller.load];
-    let class: CallerClass = format!("org-{}", known.caller.organisation).parse().expect("a name");
+    let priority = known.priority;
+    let class: CallerClass =
+      format!("org-{}", known.caller.asked.organisation).parse().expect("a name");
     let now = Time(self.now);
     self.next += 1;
     let ticket = Ticket(self.next);
-    let demand =
-      Demand { due, priority: load.priority, wait_until: due, ..Demand::new(class, deadline) };
+    let demand = Demand { due, priority, wait_until: due, ..Demand::new(class, deadline) };
     let limiter = &mut self.backends[backend];
     match limiter.arrive(now, ticket, demand) {
       LimiterDecision::Admitted => {
@@ -463,6 +610,7 @@
       }
       LimiterDecision::Queued { max_wait_ms } if may_queue => {
         self.running.insert((backend, ticket), (request, id));
+        self.waiting.insert((backend, ticket));
         self.schedule(max_wait_ms, Event::WaitEnds { backend, ticket });
       }
       LimiterDecision::Queued { .. } => {
@@ -482,8 +630,10 @@
 
   fn leave(&mut self, backend: usize, ticket: Ticket, outcome: AttemptOutcome) {
     let Some((request, id)) = self.running.remove(&(backend, ticket)) else { return };
+    self.waiting.remove(&(backend, ticket));
     let admitted = self.backends[backend].leave(Time(self.now), ticket);
     for ticket in admitted {
+      self.waiting.remove(&(backend, ticket));
       let (request, _) = self.running[&(backend, ticket)];
       let work_ms = self.requests.get(&request).map_or(1, |known| known.work_ms);
       self.begin_run(backend, ticket, work_ms);
@@ -492,9 +642,11 @@
   }
 
   fn answer(&mut self, backend: usize, id: TryId, request: u64, outcome: AttemptOutcome) {
+    let load_percent = self.backends[backend].load_percent(Time(self.now));
     let condition = Condition {
-      load_percent: self.backends[backend].load_percent(Time(self.now)),
+      load_percent,
       service_us: 250_000,
+      slot_load: SlotLoad::Percent(load_percent),
       slowdown: Some(Slowdown::from_percent(self.slowdowns[backend])),
       ..Condition::default()
     };
@@ -510,7 +662,7 @@
     request: u64,
   ) {
     let Some(known) = self.requests.get(&request) else { return };
-    let (now, at_box) = (Time(self.now), known.caller.at_box);
+    let (now, at_box) = (Time(self.now), known.caller.asked.at_box);
     let is_heard = !self.cut.contains(&at_box) && self.rng.random::<f64>() >= self.lost_news;
     let entrance = &mut self.entrances[at_box];
     let endpoint = &self.endpoints[backend];
@@ -523,6 +675,8 @@
     entrance.balancer.completed(now, &endpoint.peer.box_id, completion);
     entrance.balancer.ended(&endpoint.peer.box_id);
     if let Some(condition) = heard {
+      entrance.price.1 += 1.0;
+      entrance.price.2 += f64::from(condition.load_percent.saturating_sub(100)) / 100.0;
       entrance.rooms.note_report(now, endpoint, condition, outcome.is_declined());
     }
     self.advance(request, DispatchEvent::Ended { body_resendable: true, id, outcome });
