Pass credit for retries of calls on with the request

Cause: 0.4 of the fleet's share for a called service stays with the boxes that take callers in, which hardly retry. Calls were given up for want of credit meanwhile, and with each the run of its parent was lost.

Change: what such a box earns for calls beyond its savings goes with the request, and earns credit at the daemon beside the backend server with the calls that this run makes, at most as much as these earn themselves. It is sent with one try at a time, and ends with the run.

Savings of one retry a daemon keep it from using more. Not played with daemons.

In the test of random fleets, the calls of a run are made by one daemon now, as in the code, not each by another.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -59,6 +59,7 @@
   let mut forwarded = ForwardedRequest {
     answer_bytes: headers::parsed(&head.headers, headers::ANSWER_BYTES).unwrap_or_default(),
     attempts_max: 1,
+    call_credit: headers::parsed(&head.headers, headers::CALL_CREDIT).unwrap_or_default(),
     calls: None,
     caller_service: headers::parsed(&head.headers, headers::CALLER_SERVICE)
       .ok_or_else(malformed)?,
@@ -93,6 +94,7 @@
     "expect",
     headers::ANSWER_BYTES,
     headers::BACKEND_LIMIT,
+    headers::CALL_CREDIT,
     headers::CALLER_SERVICE,
     headers::DUE_MS,
     headers::ELAPSED_MS,
@@ -172,6 +174,7 @@
       "request_id" => forwarded.id.as_str(), "line" => forwarded.head.line(),
       "fingerprint" => %forwarded.fingerprint,
       "outcome" => outcome,
+      "call_credit" => %forwarded.call_credit,
       "instance" => self.process.as_ref().map_or("none".into(), ToString::to_string),
       "waited_us" => self.slot_us.unwrap_or(now_us) - arrived_us,
       "took_us" => now_us - self.slot_us.unwrap_or(now_us),
@@ -224,6 +227,7 @@
   }
   let run = RunGuard::begin(shared, &forwarded.id, forwarded.fingerprint)?;
   shared.running_requests.borrow_mut().set_deadline(&forwarded.id, forwarded.deadline);
+  shared.running_requests.borrow_mut().add_call_credit(&forwarded.id, &forwarded.call_credit);
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
   let exchange = exchange(shared, forwarded, body, transfer_slot, slot, run);
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -27,6 +27,9 @@
   body: RequestBody,
   attempts: &mut Vec<Attempt>,
 ) -> AttemptResult {
+  if let Some(passed) = shared.running_requests.borrow_mut().call_credit(&forwarded.id) {
+    shared.retry_budget.borrow_mut().earn_passed(&forwarded.service, passed);
+  }
   let calls_done = shared.running_requests.borrow().calls_done(&forwarded.id);
   let retry_weight = RetryWeight::of(forwarded.urgency.is_call, calls_done);
   let dispatch = Dispatch::new(forwarded.profile(&body));
@@ -182,6 +185,9 @@
   if let Some(limit) = limit {
     headers::set(request_headers, headers::BACKEND_LIMIT, limit);
   }
+  if !forwarded.call_credit.is_empty() {
+    headers::set(request_headers, headers::CALL_CREDIT, &forwarded.call_credit);
+  }
   headers::set(request_headers, headers::CALLER_CLASS, &forwarded.class);
   headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
   let urgency = forwarded.urgency;
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -7,6 +7,8 @@
   pub answer_bytes: u64,
   /// Largest number of backend servers to which it may be sent.
   pub attempts_max: u32,
+  /// Credit for retries of the calls that its run makes.
+  pub call_credit: CallCredit,
   /// Thousandths of a call that its run makes to each service; `None` where that is unknown.
   pub calls: Option<Vec<(ServiceName, u32)>>,
   /// The service of its caller.
@@ -111,9 +113,10 @@
     }
   }
 
-  /// Returns the same request for a try that may or may not queue.
-  pub fn with_queueing(&self, may_queue: bool) -> Self {
-    Self { may_queue, ..self.clone() }
+  /// Returns the same request for a try.
+  pub fn for_try(&self, order: &TryOrder) -> Self {
+    let (call_credit, may_queue) = (order.call_credit.clone(), order.may_queue);
+    Self { call_credit, may_queue, ..self.clone() }
   }
 
   /// Returns the text that the forwarding daemon seals, so that no other process can impersonate
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -16,6 +16,9 @@
 /// On a refusal between daemons: set if the request reached a backend server, which rejected
 /// it, or may have reached one.
 pub const ARRIVED: &str = "x-ferryyoke-arrived";
+/// Between daemons: credit for retries of the calls that the run makes, see
+/// [`crate::requests::CallCredit`].
+pub const CALL_CREDIT: &str = "x-ferryyoke-call-credit";
 /// Between daemons: on an answer, the calls that the run made, see [`crate::requests::RunCalls`];
 /// empty where it made none. Daemons of earlier versions send none where none was made.
 pub const CALLS: &str = "x-ferryyoke-calls";
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -111,6 +111,7 @@
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
+    call_credit: CallCredit::default(),
     calls: shared.call_trees.borrow().calls_of(&matched.route),
     caller_service: shared.own_service(),
     class,
--- a/src/proxy/tries.rs
+++ b/src/proxy/tries.rs
@@ -38,7 +38,7 @@
   ) {
     let key = TryKey(shared.make_seed());
     let order = Rc::new(order);
-    let (running_shared, forwarded) = (shared.clone(), forwarded.with_queueing(order.may_queue));
+    let (running_shared, forwarded) = (shared.clone(), forwarded.for_try(&order));
     let ordered = order.clone();
     let running =
       Box::pin(
--- a/src/requests/calls/mod.rs
+++ b/src/requests/calls/mod.rs
@@ -4,10 +4,11 @@
 use super::*;
 
 pub use self::{
-  call_reserve::CallReserve, call_trees::CallTrees, retry_weight::RetryWeight, run_calls::RunCalls,
-  service_calls::ServiceCalls,
+  call_credit::CallCredit, call_reserve::CallReserve, call_trees::CallTrees,
+  retry_weight::RetryWeight, run_calls::RunCalls, service_calls::ServiceCalls,
 };
 
+mod call_credit;
 mod call_reserve;
 mod call_trees;
 mod retry_weight;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -6,6 +6,9 @@
 /// A state machine without I/O: each event returns one step, which the proxy carries out.
 #[derive(Debug)]
 pub struct Dispatch {
+  /// Credit for retries of the calls that the run makes. It goes along with one try at a time, and
+  /// comes back if that one did not run.
+  call_credit: CallCredit,
   /// Thousandths of a call that a run of the request makes to each service; `None` where that is
   /// unknown.
   calls: Option<Vec<(ServiceName, u32)>>,
@@ -36,6 +39,8 @@
 #[derive(Debug)]
 struct RunningTry {
   box_id: BoxId,
+  /// What was sent along.
+  call_credit: CallCredit,
   /// When its box is asked whether it arrived; `None` for the daemon's own box.
   check_at: Option<Time>,
   /// Milliseconds until it is asked again, doubled with each question.
@@ -88,6 +93,7 @@
   /// Creates the state of a request of which no try has started, and whose run makes no calls.
   pub fn new(profile: RequestProfile) -> Self {
     Self {
+      call_credit: CallCredit::default(),
       calls: Some(Vec::new()),
       ended: Vec::new(),
       fallback_answer: None,
@@ -142,7 +148,7 @@
       DispatchEvent::Started => {
         context.budget.earn(&self.profile.service);
         if let Some(calls) = &self.calls {
-          context.budget.earn_for(calls);
+          self.call_credit = context.budget.earn_for(calls);
         }
         let step = self.try_next(context);
         self.hedge_at = self.hedge_time(context);
@@ -181,7 +187,7 @@
     let Some(index) = self.running.iter().position(|one| one.id == id) else {
       return DispatchStep::Wait;
     };
-    self.running.remove(index);
+    self.call_credit.add_all(&self.running.remove(index).call_credit);
     self.lost += 1;
     if !self.running.is_empty() {
       return DispatchStep::Wait;
@@ -208,6 +214,9 @@
     };
     let ended = self.running.remove(index);
     let is_answer = matches!(outcome, AttemptOutcome::Answered { .. });
+    if matches!(outcome, AttemptOutcome::NotRun { .. }) {
+      self.call_credit.add_all(&ended.call_credit);
+    }
     self.full_queues += usize::from(ended.may_queue && outcome.is_declined());
     self.ended.push(EndedTry { box_id: ended.box_id, outcome: outcome.clone() });
     let is_hedged = !self.running.is_empty();
@@ -383,9 +392,24 @@
     let check_interval_ms = self.check_interval_ms(&box_id, may_queue, context);
     let is_elsewhere = box_id != *context.own_box;
     let check_at = is_elsewhere.then(|| context.now.after(check_interval_ms));
-    self.running.push(RunningTry { box_id, check_at, check_interval_ms, id, may_queue });
+    let call_credit = std::mem::take(&mut self.call_credit);
+    self.running.push(RunningTry {
+      box_id,
+      call_credit: call_credit.clone(),
+      check_at,
+      check_interval_ms,
+      id,
+      may_queue,
+    });
     let (connect_ms, verdicts) = (self.connect_ms(context.now), choice.relevant_verdicts());
-    DispatchStep::Try(Box::new(TryOrder { connect_ms, endpoint, id, may_queue, verdicts }))
+    DispatchStep::Try(Box::new(TryOrder {
+      call_credit,
+      connect_ms,
+      endpoint,
+      id,
+      may_queue,
+      verdicts,
+    }))
   }
 
   /// Milliseconds after which the box of a try is asked whether it arrived. A try that may queue is
--- a/src/requests/dispatch_step.rs
+++ b/src/requests/dispatch_step.rs
@@ -24,6 +24,8 @@
 /// A try to start.
 #[derive(Clone, Debug)]
 pub struct TryOrder {
+  /// Credit for retries of the calls that the run makes, which is sent along.
+  pub call_credit: CallCredit,
   /// Connect timeout in milliseconds, if a new connection to the box is needed.
   pub connect_ms: u64,
   /// The backend server.
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -98,15 +98,30 @@
 
   /// Adds what one request earns at the services that its run calls, for the calls of its retries.
   /// `calls` are in thousandths of a call to each service. Boxes that make such calls earn the same
-  /// again for retries of the calls themselves.
-  pub fn earn_for(&mut self, calls: &[(ServiceName, u32)]) {
+  /// again for retries of the calls themselves. Returns what exceeds the savings, for
+  /// [`RetryBudget::earn_passed`] where the calls are made.
+  pub fn earn_for(&mut self, calls: &[(ServiceName, u32)]) -> CallCredit {
     let limits = self.limits;
+    let mut passed = CallCredit::default();
     for (called, permille) in calls.iter().filter(|(_, permille)| *permille > 0) {
       let earned = u64::from(limits.earned) * u64::from(*permille) / 1_000;
-      let known = self.credit_of(called);
       let earned = u32::try_from(earned).unwrap_or(u32::MAX);
-      known.credit = known.credit.saturating_add(earned).min(limits.saved_max.max(known.credit));
+      let known = self.credit_of(called);
+      let saved = earned.min(limits.saved_max.saturating_sub(known.credit));
+      known.credit += saved;
+      passed.add(called, earned - saved);
     }
+    passed
+  }
+
+  /// Adds what one call to a service earns out of the credit that was passed on to its run: as much
+  /// as the call itself at most, so that credit counts in the same time as the calls that earned
+  /// it, and a wrong figure at most doubles what calls earn.
+  pub fn earn_passed(&mut self, service: &ServiceName, passed: &mut CallCredit) {
+    let limits = self.limits;
+    let known = self.credit_of(service);
+    let room = limits.saved_max.saturating_sub(known.credit);
+    known.credit += passed.take(service, limits.earned.min(room));
   }
 
   /// Returns the credit of a service, which begins with [`RetryBudget::start`].
--- a/src/requests/running_requests.rs
+++ b/src/requests/running_requests.rs
@@ -12,6 +12,8 @@
 /// A running request.
 #[derive(Clone, Debug, Default)]
 struct RunningRequest {
+  /// Credit for retries of its calls, passed on by the box that took the request in.
+  call_credit: CallCredit,
   /// Whether a call that it needs failed.
   call_failed: bool,
   /// The calls that it made.
@@ -35,6 +37,19 @@
     }
   }
 
+  /// Adds credit for retries of the calls of a running request, which ends with it.
+  pub fn add_call_credit(&mut self, id: &RequestId, credit: &CallCredit) {
+    if let Some(request) = self.running.get_mut(id.as_str()) {
+      request.call_credit.add_all(credit);
+    }
+  }
+
+  /// Returns the credit for retries of its calls of the request that needs this one, if any.
+  pub fn call_credit(&mut self, id: &RequestId) -> Option<&mut CallCredit> {
+    let parent = self.parent_of(id)?.to_string();
+    self.running.get_mut(&parent).map(|one| &mut one.call_credit).filter(|one| !one.is_empty())
+  }
+
   /// Records that a run of a request ended.
   pub fn end(&mut self, id: &RequestId) {
     let Some(request) = self.running.get_mut(id.as_str()) else {
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -3,9 +3,9 @@
 use {
   ferryyoke::{
     requests::{
-      CallReserve, CallTrees, CallerClass, Demand, EntryDecision, EntryRequest, Limiter,
-      LimiterDecision, RetryBudget, RetryLimits, RetryWeight, RunCalls, RunningRequests, Ticket,
-      Urgency,
+      CallCredit, CallReserve, CallTrees, CallerClass, Demand, EntryDecision, EntryRequest,
+      Limiter, LimiterDecision, RetryBudget, RetryLimits, RetryWeight, RunCalls, RunningRequests,
+      Ticket, Urgency,
     },
     values::{RequestId, RouteName, ServiceName, Time},
   },
@@ -350,6 +350,13 @@
   outer: (f64, f64),
 }
 
+/// A run that begins some time after its request was sent.
+struct PendingRun {
+  begins_at: usize,
+  credit: CallCredit,
+  is_repeat: bool,
+}
+
 /// A fleet that retries each failure as often as its budgets allow.
 struct RetryingFleet {
   arrivals: Arrivals,
@@ -360,7 +367,11 @@
   /// Whether some daemons get more requests than others.
   is_skewed: bool,
   outer: ServiceName,
+  pending: Vec<PendingRun>,
   rng: ChaCha8Rng,
+  /// Runs begin up to so many steps after their request was sent.
+  steps_max: usize,
+  step: usize,
 }
 
 impl RetryingFleet {
@@ -371,8 +382,8 @@
   }
 
   /// Sends a request to the called service. `is_repeat` tells that a repeated run calls it.
-  fn send_inner(&mut self, is_repeat: bool) {
-    let index = self.pick();
+  fn send_inner(&mut self, index: usize, is_repeat: bool, passed: &mut CallCredit) {
+    self.daemons[index].budget.earn_passed(&self.inner, passed);
     self.daemons[index].budget.earn(&self.inner);
     *(if is_repeat { &mut self.arrivals.inner.1 } else { &mut self.arrivals.inner.0 }) += 1.0;
     while self.rng.random_bool(self.failing)
@@ -382,28 +393,50 @@
     }
   }
 
-  fn run_outer(&mut self, is_repeat: bool) {
+  fn run_outer(&mut self, mut pending: PendingRun) {
+    let index = self.pick();
     // Calls are drawn one by one, so that runs differ.
     let most = 6;
     for _ in 0..most {
       if self.rng.random_bool(self.calls_mean / f64::from(most)) {
-        self.send_inner(is_repeat);
+        self.send_inner(index, pending.is_repeat, &mut pending.credit);
       }
     }
   }
 
+  /// Sends a request of the outer service to a box, on a way that may lose its credit.
+  fn begin_outer(&mut self, credit: CallCredit, is_repeat: bool) {
+    let is_lost = self.rng.random_bool(0.05);
+    let credit = if is_lost { CallCredit::default() } else { credit };
+    let begins_at = self.step + self.rng.random_range(0..=self.steps_max);
+    self.pending.push(PendingRun { begins_at, credit, is_repeat });
+  }
+
+  fn advance(&mut self) {
+    self.step += 1;
+    while let Some(index) = self.pending.iter().position(|one| one.begins_at < self.step) {
+      let pending = self.pending.swap_remove(index);
+      self.run_outer(pending);
+    }
+    if self.rng.random_bool(0.6) {
+      let index = self.pick();
+      self.send_inner(index, false, &mut CallCredit::default());
+    } else {
+      self.send_outer();
+    }
+  }
+
   fn send_outer(&mut self) {
     let index = self.pick();
     let daemon = &mut self.daemons[index];
     daemon.budget.earn(&self.outer);
-    if let Some(calls) = &daemon.calls {
-      daemon.budget.earn_for(calls);
-    }
+    let calls = daemon.calls.as_ref();
+    let passed = calls.map(|calls| daemon.budget.earn_for(calls)).unwrap_or_default();
     self.arrivals.outer.0 += 1.0;
-    self.run_outer(false);
+    self.begin_outer(passed, false);
     while self.rng.random_bool(self.failing) && self.daemons[index].spend_outer(&self.outer) {
       self.arrivals.outer.1 += 1.0;
-      self.run_outer(true);
+      self.begin_outer(CallCredit::default(), true);
     }
   }
 }
@@ -433,18 +466,24 @@
     let daemons: Vec<_> = (0..daemons).map(new_daemon).collect();
     let calls_mean = f64::from(calls_permille) / 1_000.0;
     let requests = rng.random_range(10..20_000);
-    let (arrivals, is_skewed) = (Arrivals::default(), seed % 2 == 0);
-    let mut fleet =
-      RetryingFleet { arrivals, calls_mean, daemons, failing, inner, is_skewed, outer, rng };
+    let mut fleet = RetryingFleet {
+      arrivals: Arrivals::default(),
+      calls_mean,
+      daemons,
+      failing,
+      inner,
+      is_skewed: seed % 2 == 0,
+      outer,
+      pending: Vec::new(),
+      rng,
+      step: 0,
+      steps_max: if seed % 4 < 2 { 0 } else { requests / WINDOWS / 2 },
+    };
     // Each window begins and ends at one of so many equally long steps.
     let mut sums = vec![Arrivals::default()];
     for _ in 0..WINDOWS {
       for _ in 0..requests / WINDOWS {
-        if fleet.rng.random_bool(0.6) {
-          fleet.send_inner(false);
-        } else {
-          fleet.send_outer();
-        }
+        fleet.advance();
       }
       sums.push(fleet.arrivals);
     }
@@ -480,6 +519,138 @@
   assert!(above.is_empty(), "{} windows: {above:#?}", above.len());
 }
 
+/// Guards against credit that multiplies on its way, and against daemons that are believed more than
+/// the share.
+#[test]
+fn credit_passed_on_with_a_request_is_used_once_and_within_the_share() {
+  let (inner, other) = (service("inner"), service("other"));
+  let new_budget = || {
+    let mut budget = RetryBudget::default();
+    budget.set_limits(RetryLimits { earned: 80, saved_max: 1_000 });
+    budget
+  };
+  let mut sender = new_budget();
+  let calls = [(inner.clone(), 1_500), (other.clone(), 500)];
+  let passed = sender.earn_for(&calls);
+  assert_eq!(passed.to_string(), "inner:120,other:40", "its savings begin full");
+  assert!(sender.spend(&inner));
+  assert_eq!(sender.earn_for(&calls).to_string(), "other:40", "it saves for its own retries");
+  let mut credit: CallCredit = passed.to_string().parse().expect("credit");
+  assert_eq!(credit, passed);
+  let mut receiver = new_budget();
+  receiver.earn_passed(&inner, &mut credit);
+  assert_eq!(credit, passed, "its savings are full");
+  assert!(receiver.spend(&inner));
+  receiver.earn_passed(&inner, &mut credit);
+  assert_eq!(credit.to_string(), "inner:40,other:40", "no more than a call earns itself");
+  receiver.earn_passed(&inner, &mut credit);
+  receiver.earn_passed(&inner, &mut credit);
+  assert_eq!(credit.to_string(), "other:40");
+  for _ in 0..11 {
+    receiver.earn(&inner);
+  }
+  assert!(receiver.spend(&inner), "120 passed on, and 880 earned");
+  let mut absurd: CallCredit = format!("inner:{}", u32::MAX).parse().expect("credit");
+  for _ in 0..13 {
+    assert!(!receiver.spend(&inner));
+    receiver.earn_passed(&inner, &mut absurd);
+  }
+  assert!(receiver.spend(&inner));
+  let excess: CallCredit = "a:1,b:2,c:3,d:4,e:5".parse().expect("credit");
+  assert_eq!(excess.to_string(), "a:1,b:2,c:3,d:4");
+  assert!("".parse::<CallCredit>().expect("no credit").is_empty());
+  assert!("inner".parse::<CallCredit>().is_err());
+  assert!("inner:-1".parse::<CallCredit>().is_err());
+}
+
+/// Guards against credit that is kept by a box after its run ended, or used by another run's calls.
+#[test]
+fn credit_passed_on_ends_with_its_run() {
+  let (mut running, inner) = (RunningRequests::default(), service("inner"));
+  let (parent, call) = (id("5cbe2b43"), id("5cbe2b43.77"));
+  let credit: CallCredit = "inner:80".parse().expect("credit");
+  running.add_call_credit(&parent, &credit);
+  running.begin(&parent);
+  assert_eq!(running.call_credit(&call), None, "it did not run then");
+  running.add_call_credit(&parent, &credit);
+  assert_eq!(running.call_credit(&id("77.5cbe2b43")), None, "no call of it");
+  assert_eq!(running.call_credit(&call).map(|credit| credit.take(&inner, 50)), Some(50));
+  assert_eq!(running.call_credit(&call).map(|credit| credit.take(&inner, 50)), Some(30));
+  assert_eq!(running.call_credit(&call), None, "all is used");
+  running.add_call_credit(&parent, &credit);
+  running.end(&parent);
+  running.begin(&parent);
+  assert_eq!(running.call_credit(&call), None);
+}
+
+/// What becomes of requests while the service that their runs call rejects 40% of what arrives.
+struct RejectedCalls {
+  /// Calls without repeats.
+  calls: f64,
+  repeats: f64,
+  /// Runs that called the service.
+  runs: f64,
+  /// Those of them whose calls all succeeded.
+  saved: f64,
+}
+
+/// Sends requests to a fleet of which each box takes callers in, and a third runs the requests.
+fn reject_calls(seed: u64, boxes: usize, is_passed_on: bool) -> RejectedCalls {
+  let (mut rng, inner) = (ChaCha8Rng::seed_from_u64(seed), service("inner"));
+  let limits = RetryLimits::share(0.2, 60, boxes);
+  let mut budgets = vec![RetryBudget::default(); boxes];
+  for budget in &mut budgets {
+    budget.set_limits(limits);
+  }
+  let calls = [(inner.clone(), 1_400)];
+  let mut ended = RejectedCalls { calls: 0.0, repeats: 0.0, runs: 0.0, saved: 0.0 };
+  for _ in 0..4_000 {
+    let (taker, runner) = (rng.random_range(0..boxes), rng.random_range(0..boxes / 3));
+    let mut passed = budgets[taker].earn_for(&calls);
+    if rng.random_bool(0.3) {
+      continue;
+    }
+    let budget = &mut budgets[runner];
+    ended.runs += 1.0;
+    let is_saved = (0..2).all(|calls_done| {
+      if is_passed_on {
+        budget.earn_passed(&inner, &mut passed);
+      }
+      budget.earn(&inner);
+      ended.calls += 1.0;
+      let weight = RetryWeight::of(true, calls_done);
+      // Three tries at most.
+      (0..3).any(|tries| {
+        let is_tried = tries == 0 || budget.spend_for(&inner, weight, &[]);
+        ended.repeats += f64::from(u8::from(is_tried && tries > 0));
+        is_tried && rng.random_bool(0.6)
+      })
+    });
+    ended.saved += f64::from(u8::from(is_saved));
+  }
+  ended
+}
+
+/// Guards against calls that are given up for want of credit while that of the boxes which take
+/// callers in is never used.
+#[test]
+fn credit_passed_on_saves_runs_whose_calls_are_rejected() {
+  for (boxes, seed) in
+    [13, 30, 75].into_iter().flat_map(|boxes| (0..5).map(move |seed| (boxes, seed)))
+  {
+    let [before, after] = [false, true].map(|is_passed| reject_calls(seed, boxes, is_passed));
+    let [saved_before, saved_after] = [&before, &after].map(|one| one.saved / one.runs);
+    println!(
+      "{boxes} boxes, seed {seed}: {saved_before:.3} of the runs saved, then {saved_after:.3}, by \
+       {:.3} and {:.3} repeats a call",
+      before.repeats / before.calls,
+      after.repeats / after.calls
+    );
+    assert!(saved_after > saved_before, "{boxes} boxes, seed {seed}");
+    assert!(after.repeats <= 0.2 * after.calls + 60.0, "{} repeats", after.repeats);
+  }
+}
+
 /// Guards against daemons that retry less for good where no calls are made, and against more
 /// savings for retries of unknown calls than their repeats may use.
 #[test]
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -9,11 +9,11 @@
     fleet::{Endpoint, EndpointState},
     requests::{
       AttemptOutcome, Balancer, Completion, Condition, Dispatch, DispatchContext, DispatchEvent,
-      DispatchStep, RequestProfile, RetryBudget, RetryLimits, RoomForecast, TryId, TryOrder,
-      Urgency,
+      DispatchStep, RequestProfile, RetryBudget, RetryLimits, RetryWeight, RoomForecast, TryId,
+      TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
-    values::{BoxId, DataHall, Time},
+    values::{BoxId, DataHall, ServiceName, Time},
   },
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
@@ -499,3 +499,24 @@
   assert!(lost > 100, "{lost} tries never arrived");
   assert!(hedged > 0, "no second try ran beside a first");
 }
+
+/// Guards against credit for retries of calls that is lost with each box that declines the request,
+/// or that is given twice.
+#[test]
+fn credit_for_calls_goes_with_one_try_at_a_time() {
+  let name: ServiceName = "called".parse().expect("a name");
+  let mut dispatch =
+    Dispatch::new(profile(true)).with_calls(RetryWeight::default(), Some(vec![(name, 500)]));
+  let mut daemon = Daemon::new(8);
+  daemon.budget.set_limits(RetryLimits { earned: 1_000, saved_max: 1_000 });
+  let first = daemon.start(&mut dispatch);
+  assert_eq!(first.call_credit.to_string(), "called:500", "savings begin full");
+  let second = ordered(daemon.end(&mut dispatch, first.id, full()));
+  assert_eq!(second.call_credit, first.call_credit, "the first one did not run");
+  let event = DispatchEvent::NeverArrived { body_resendable: true, id: second.id };
+  let third = ordered(daemon.handle(&mut dispatch, event));
+  assert_eq!(third.call_credit, first.call_credit, "the second one never arrived");
+  let lost = AttemptOutcome::Unknown { reason: "lost".into() };
+  let fourth = ordered(daemon.end(&mut dispatch, third.id, lost));
+  assert!(fourth.call_credit.is_empty(), "the third one may have run: {}", fourth.call_credit);
+}
