Leave slots free for calls where that saves more than it costs

Cause: the rule compared the wait for a slot with the run time of a call. It left slots free where calls would have come in time without them, and callers of the called service lost them.

Change: a daemon compares the requests that slots left idle cost with those that calls too late for their parents cost. For that, a call is due no later than its parent's answer should be there, which the daemon beside the parent knows.

Tests: calls_find_a_slot_beside_long_runs asked that calls run at once though they have 3 s for 55 ms of work, where waiting loses no caller a request and free slots do; it has calls due in 150 ms now, asks also that one in twenty at most is late, and another test asks that those with 3 s leave no slot free and are never late. The tests of CallReserve tell when calls are due, as its signature has it.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -227,6 +227,7 @@
   }
   let run = RunGuard::begin(shared, &forwarded.id, forwarded.fingerprint)?;
   shared.running_requests.borrow_mut().set_deadline(&forwarded.id, forwarded.deadline);
+  shared.running_requests.borrow_mut().set_due(&forwarded.id, forwarded.urgency.due);
   shared.running_requests.borrow_mut().add_call_credit(&forwarded.id, &forwarded.call_credit);
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -91,14 +91,16 @@
   let only_box = check_quarantine(shared, fingerprint, &service)?;
   let lane = shared.traffic.borrow_mut().next_lane(&service, &mut shared.rng.borrow_mut());
   let is_watched = shared.traffic.borrow().of(&service).order_revision.is_some();
-  let parent_due = shared.running_requests.borrow().parent_deadline(&incoming.id);
+  let parent_deadline = shared.running_requests.borrow().parent_deadline(&incoming.id);
+  let parent_due = shared.running_requests.borrow().parent_due(&incoming.id);
   let kind = RouteKind::of(&service, handling);
   let estimate = shared.run_times.borrow().estimate(&matched.route, &kind);
   let urgency = Urgency::of(now, deadline, handling, rank, is_call, elapsed_ms).within_parent(
     deadline,
-    parent_due,
+    parent_deadline,
     estimate.map_or(0, RunEstimate::mean_ms_rounded),
   );
+  let urgency = urgency.due_with_parent(parent_due);
   recorder.due = urgency.due;
   recorder.deadline = deadline;
   // A request with a claim may have run before: only its claim tells.
--- a/src/requests/limiter.rs
+++ b/src/requests/limiter.rs
@@ -76,7 +76,8 @@
   pub fn arrive(&mut self, now: Time, ticket: Ticket, demand: Demand) -> LimiterDecision {
     let is_behind = self.waiting.iter().any(|one| one.is_call || !demand.is_call);
     if self.has_room_for(now, demand.is_call) && !is_behind {
-      self.run(now, ticket, demand.class, demand.is_call);
+      let call_due_ms = demand.is_call.then(|| demand.due.since_ms(now));
+      self.run(now, ticket, demand.class, call_due_ms);
       return LimiterDecision::Admitted;
     }
     let max_wait_ms = self.max_wait_ms(now, &demand);
@@ -139,9 +140,11 @@
     self.pacer.as_ref().is_some_and(|pacer| pacer.wait_ms(now, 0) > 0)
   }
 
-  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass, is_call: bool) {
-    if is_call {
-      self.call_reserve.begin(ticket);
+  /// Gives a slot to a request. `call_due_ms` tells within how many milliseconds of its arrival the
+  /// answer of a call is due.
+  fn run(&mut self, now: Time, ticket: Ticket, class: CallerClass, call_due_ms: Option<u64>) {
+    if let Some(due_ms) = call_due_ms {
+      self.call_reserve.begin(now, ticket, due_ms, self.slots);
     }
     self.running.insert(ticket, (class, now));
     if let Some(pacer) = &mut self.pacer {
@@ -214,6 +217,10 @@
     if let Some(index) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) {
       let gave_up = self.waiting.swap_remove(index);
       self.record_wait(now, &gave_up);
+      // One that was only asked whether it could run at once goes elsewhere.
+      if gave_up.is_call && now > gave_up.since {
+        self.call_reserve.miss(now);
+      }
     }
     self.admit(now)
   }
@@ -227,7 +234,8 @@
       };
       let waiting = self.waiting.swap_remove(next);
       self.record_wait(now, &waiting);
-      self.run(now, waiting.ticket, waiting.class, waiting.is_call);
+      let call_due_ms = waiting.is_call.then(|| waiting.due.since_ms(waiting.since));
+      self.run(now, waiting.ticket, waiting.class, call_due_ms);
       admitted.push(waiting.ticket);
     }
     admitted
--- a/src/requests/running_requests.rs
+++ b/src/requests/running_requests.rs
@@ -20,6 +20,8 @@
   calls: RunCalls,
   /// When its answer is due at the latest; `None` where that is unknown.
   deadline: Option<Time>,
+  /// When its answer should be there; `None` where that is unknown.
+  due: Option<Time>,
   /// Runs under way; at least 1.
   runs: u32,
 }
@@ -61,6 +63,18 @@
     }
   }
 
+  /// Records when the answer of a running request should be there.
+  pub fn set_due(&mut self, id: &RequestId, due: Time) {
+    if let Some(request) = self.running.get_mut(id.as_str()) {
+      request.due = request.due.max(Some(due));
+    }
+  }
+
+  /// Returns when the answer of the request that needs this call should be there, if that is known.
+  pub fn parent_due(&self, id: &RequestId) -> Option<Time> {
+    self.parent_of(id).and_then(|parent| self.running.get(parent)).and_then(|one| one.due)
+  }
+
   /// Returns whether the request is a call made for a running one.
   pub fn is_call(&self, id: &RequestId) -> bool {
     self.parent_of(id).is_some()
--- a/src/requests/urgency.rs
+++ b/src/requests/urgency.rs
@@ -35,6 +35,14 @@
     Self { due, wait_until, ..self }
   }
 
+  /// Makes a call due no later than its parent, which should be answered at `parent_due`, if that
+  /// is known.
+  #[must_use]
+  pub fn due_with_parent(self, parent_due: Option<Time>) -> Self {
+    let parent_due = parent_due.filter(|_| self.is_call);
+    Self { due: parent_due.map_or(self.due, |parent_due| self.due.min(parent_due)), ..self }
+  }
+
   /// Returns the urgency of a request that arrives now, `elapsed_ms` after its caller's first try.
   /// `is_call` tells that a running request made it.
   ///
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -44,18 +44,27 @@
   calls
 }
 
-/// Guards against short calls that wait for long runs of other requests, while their parents hold
-/// slots elsewhere.
-#[test]
-fn calls_find_a_slot_beside_long_runs() {
+/// What becomes of short calls beside long runs for more than all slots.
+struct BesideLongRuns {
+  at_once: u32,
+  calls: u32,
+  late: u32,
+  /// Runs of other requests that ended.
+  others: u32,
+}
+
+/// Plays 20 s of calls whose answers are due after `due_ms`.
+fn beside_long_runs(due_ms: u64) -> BesideLongRuns {
   let mut rng = ChaCha8Rng::seed_from_u64(5);
   let mut limiter = Limiter::new(9, 36);
-  let (mut ends, mut at_once, mut calls) = (Vec::<(u64, Ticket)>::new(), 0, 0);
+  let mut ends = Vec::<(u64, Ticket)>::new();
   let mut admitted: Vec<Ticket> = Vec::new();
+  let mut seen = BesideLongRuns { at_once: 0, calls: 0, late: 0, others: 0 };
   for now in 0..20_000_u64 {
     let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
     ends = running;
     for (_, ticket) in ended {
+      seen.others += u32::from(now > 5_000 && ticket.0 % 2 == 0);
       admitted.extend(limiter.leave(Time(now), ticket));
     }
     // Runs of 550 ms for more than all slots, and calls of 55 ms for two of nine.
@@ -64,10 +73,12 @@
         continue;
       }
       let ticket = Ticket(now * 2 + u64::from(is_call));
-      let decision = limiter.arrive(Time(now), ticket, demand(is_call, now + 3_000));
+      let due_ms = if is_call { due_ms } else { 3_000 };
+      let demand = Demand { wait_until: Time(now + 3_000), ..demand(is_call, now + due_ms) };
+      let decision = limiter.arrive(Time(now), ticket, demand);
       if is_call && now > 5_000 {
-        calls += 1;
-        at_once += u32::from(decision == LimiterDecision::Admitted);
+        seen.calls += 1;
+        seen.at_once += u32::from(decision == LimiterDecision::Admitted);
       }
       if decision == LimiterDecision::Admitted {
         admitted.push(ticket);
@@ -75,21 +86,41 @@
     }
     for ticket in admitted.drain(..) {
       let took_ms = if ticket.0 % 2 == 1 { 55 } else { 550 };
+      let is_late = ticket.0 % 2 == 1 && now + took_ms > ticket.0 / 2 + due_ms;
+      seen.late += u32::from(now > 5_000 && is_late);
       ends.push((now + took_ms, ticket));
     }
   }
+  seen
+}
+
+/// Guards against short calls that wait for long runs of other requests, and come too late for
+/// their parents, which held slots elsewhere.
+#[test]
+fn calls_find_a_slot_beside_long_runs() {
+  let BesideLongRuns { at_once, calls, late, .. } = beside_long_runs(150);
   assert!(at_once * 2 > calls, "{at_once} of {calls} calls ran at once");
+  assert!(late * 20 < calls, "{late} of {calls} calls were late");
+}
+
+/// Guards against slots left free for calls that come in time without them.
+#[test]
+fn long_runs_get_all_slots_where_calls_can_wait_for_one() {
+  let (tight, patient) = (beside_long_runs(150), beside_long_runs(3_000));
+  assert_eq!(patient.late, 0, "of {} calls", patient.calls);
+  // At least one slot of nine is left free for calls on average, where these can't wait.
+  assert!(patient.others > tight.others, "{} runs, and {}", patient.others, tight.others);
 }
 
 /// Load: calls beside runs that are hardly longer. Slots left free for the calls would be lost to
-/// callers, for a slot comes free well before a call would be late.
+/// callers, for a slot comes free well before a call would be late for its parent.
 #[test]
 fn no_slot_is_left_free_where_calls_hardly_wait() {
   let reserved = |other_ms: f64| {
     let mut reserve = CallReserve::default();
     for index in 0..200 {
       let (call, other) = (Ticket(2 * index), Ticket(2 * index + 1));
-      reserve.begin(call);
+      reserve.begin(Time(index * 10), call, 100, 12);
       reserve.end(Time(index * 10), call, 20.0);
       reserve.end(Time(index * 10), other, other_ms);
     }
@@ -105,7 +136,7 @@
   let mut reserve = CallReserve::default();
   for index in 0..400 {
     let now = Time(index * 10);
-    reserve.begin(Ticket(index));
+    reserve.begin(now, Ticket(index), 100, 9);
     reserve.end(now, Ticket(index), 30.0);
   }
   let end = Time(4_000);
@@ -200,6 +231,25 @@
   assert_eq!(other.within_parent(now.after(600), parent_due, 50), other);
 }
 
+/// Guards against calls that count as in time though their parent's answer is late by then.
+#[test]
+fn a_call_is_due_no_later_than_its_parent() {
+  let now = Time(1_000);
+  let (mut running, call) = (RunningRequests::default(), id("5cbe2b43.77"));
+  running.begin(&id("5cbe2b43"));
+  assert_eq!(running.parent_due(&call), None);
+  running.set_due(&id("5cbe2b43"), now.after(300));
+  running.set_due(&id("5cbe2b43"), now.after(200));
+  let parent_due = running.parent_due(&call);
+  assert_eq!(parent_due, Some(now.after(300)), "another run of it is due later");
+  let bound = urgency(now, true).due_with_parent(parent_due);
+  assert_eq!((bound.due, bound.wait_until), (now.after(300), now.after(1_000)));
+  let earlier = Urgency { due: now.after(100), ..urgency(now, true) };
+  assert_eq!(earlier.due_with_parent(parent_due), earlier);
+  let other = urgency(now, false);
+  assert_eq!(other.due_with_parent(parent_due), other, "no call");
+}
+
 /// Guards against a malformed or oversized header from another box.
 #[test]
 fn calls_of_a_run_pass_between_daemons() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod box_links;
 pub mod cached_source;
+pub mod call_world;
 pub mod command;
 pub mod endpoints;
 pub mod followers;
