Tell callers of full services to come back when room is expected

Cause: a refused caller was told the wait of those that wait now, within a fifth and a third of its time.

Change: ReturnSchedules keeps, for services for which ranks or organisations compete, what this box told to return in buckets of 50 ms, the work served, and the trend of first tries by rank. A caller gets the first bucket with room for it, or a time after its deadline where there is none. The reason of the refusal, the log and ferryyoke_returns_planned_total show the plan.

Tests: returns.rs plays waves, bursts and overload; the world of room.rs counts returns, and its dispatch plans with the same ReturnTime as the proxy.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -20,6 +20,8 @@
   pub balancer: RefCell<Balancer>,
   /// Limits retries.
   pub retry_budget: RefCell<RetryBudget>,
+  /// When refused callers of this box return.
+  pub return_schedules: RefCell<ReturnSchedules>,
   /// The calls that runs of each route make.
   pub call_trees: RefCell<CallTrees>,
   /// Refused callers that are yet to come back.
@@ -152,6 +154,7 @@
       balancer: RefCell::default(),
       body_queue: RefCell::new(BodyQueue::new(link_mbps.unwrap_or(f64::INFINITY))),
       retry_budget: RefCell::default(),
+      return_schedules: RefCell::default(),
       call_trees: RefCell::default(),
       caller_limits: Rc::default(),
       caller_timeouts: RefCell::default(),
@@ -234,6 +237,8 @@
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
     self.rooms.borrow_mut().configure(configuration.clone());
+    let (now, rooms) = (self.now().time, self.rooms.borrow());
+    self.return_schedules.borrow_mut().configure(now, rooms.contested());
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -17,11 +17,11 @@
     urgency: forwarded.urgency,
   };
   let now = shared.now().time;
-  // The forecast is of all backend servers of the service, not of those that may serve this one.
-  let is_bound = forwarded.regions.is_some() || forwarded.only_box.is_some();
   // Calls first, so that what room admits is tried.
   check_calls(shared, now, &forwarded.id, &request)?;
-  if is_bound { Ok(()) } else { check_room(shared, now, &request) }
+  planned_return::note_first_try(shared, forwarded);
+  // The forecast is of all backend servers of the service, not of those that may serve this one.
+  if forwarded.is_bound() { Ok(()) } else { check_room(shared, now, &request, forwarded) }
 }
 
 /// Refuses a request that gets no part of its service's room.
@@ -29,6 +29,7 @@
   shared: &Shared,
   now: Time,
   request: &EntryRequest,
+  forwarded: &ForwardedRequest,
 ) -> std::result::Result<(), Refusal> {
   let (service, priority) = (request.service, request.urgency.priority);
   let decision = shared.rooms.borrow_mut().decide(now, request);
@@ -39,6 +40,10 @@
   let forecast = shared.rooms.borrow().forecast(now, service, priority);
   let forecast = forecast.map_or("its room is unknown".into(), |one| one.to_string());
   let reason = format!("{reason}: {service} has {forecast} at rank {priority}");
+  let plan = planned_return::plan(shared, forwarded, RefusalKind::Entry);
+  let (reason, retry_after_ms) = plan.map_or((reason.clone(), retry_after_ms), |plan| {
+    (format!("{reason}; {plan}"), plan.after_ms())
+  });
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
 
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -37,12 +37,13 @@
     match decide(shared, &mut dispatch, forwarded, event) {
       DispatchStep::Answer { id } => {
         note_ended(shared, &forwarded.service, false);
+        planned_return::note_served(shared, forwarded);
         return tries.finish(id, attempts);
       }
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
       DispatchStep::Refuse(outcome) => {
         note_ended(shared, &forwarded.service, outcome.is_declined());
-        return Err(outcome);
+        return Err(planned_return::adjust(shared, forwarded, outcome));
       }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -111,6 +111,11 @@
     }
   }
 
+  /// Whether only some of the backend servers of its service may serve it.
+  pub fn is_bound(&self) -> bool {
+    self.regions.is_some() || self.only_box.is_some()
+  }
+
   /// Returns the same request for a try that may or may not queue.
   pub fn with_queueing(&self, may_queue: bool) -> Self {
     Self { may_queue, ..self.clone() }
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -135,6 +135,7 @@
   let admitted = AdmittedRequest::admit(shared, member).await?;
   if is_claimed {
     admitted.spend_token();
+    planned_return::note_first_try(shared, &forwarded);
     let answer = handle_claimed(shared, recorder, incoming, forwarded, body).await?;
     RunWork::learn(shared, &matched.route, &kind, &answer);
     return Ok(answer);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,9 +16,10 @@
     AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallerClass, Claim,
     ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch,
     DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId,
-    LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RequestKey,
-    RequestProfile, RequestRecord, RetryWeight, RouteKind, RouteMatch, RunCalls, RunEnd,
-    RunEstimate, RunId, Sender, Ticket, TryId, TryOrder, Urgency,
+    LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RefusalKind,
+    RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan, ReturnTime,
+    RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId, TryOrder,
+    Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -60,6 +61,7 @@
 mod outbound_turns;
 mod paced_body;
 mod peer_notices;
+mod planned_return;
 mod refusal;
 mod request_body;
 mod returnable_body;
--- a/src/requests/returns/mod.rs
+++ b/src/requests/returns/mod.rs
@@ -2,8 +2,21 @@
 
 use super::*;
 
-pub use self::{early_returns::EarlyReturns, refusal_kind::RefusalKind, return_time::ReturnTime};
+use self::{
+  return_schedule::ReturnSchedule,
+  work_trend::{WorkForecast, WorkTrend},
+};
+
+pub use self::{
+  early_returns::EarlyReturns, refusal_kind::RefusalKind, refused_caller::RefusedCaller,
+  return_plan::ReturnPlan, return_schedules::ReturnSchedules, return_time::ReturnTime,
+};
 
 mod early_returns;
 mod refusal_kind;
+mod refused_caller;
+mod return_plan;
+mod return_schedule;
+mod return_schedules;
 mod return_time;
+mod work_trend;
--- a/src/requests/room/rooms.rs
+++ b/src/requests/room/rooms.rs
@@ -45,6 +45,11 @@
     self.configuration = Some(configuration);
   }
 
+  /// Returns the services for which requests of several ranks or organisations compete.
+  pub fn contested(&self) -> impl Iterator<Item = &ServiceName> {
+    self.contested.iter()
+  }
+
   /// Returns what a request of rank `priority` may expect of a service; `None` where this box does
   /// not know enough.
   pub fn forecast(&self, now: Time, service: &ServiceName, priority: u32) -> Option<RoomForecast> {
--- a/src/telemetry/labels.rs
+++ b/src/telemetry/labels.rs
@@ -31,6 +31,13 @@
   pub service: String,
 }
 
+/// The labels of the return of a refused caller.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ReturnLabels {
+  /// `with-room`, `before-room` or `no-room`.
+  pub plan: &'static str,
+}
+
 /// Labels of bytes sent and received on links.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ByteLabels {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use {
-  self::labels::{ByteLabels, EntryLabels, LinkLabels, RequestLabels, StoreLabels},
+  self::labels::{ByteLabels, EntryLabels, LinkLabels, RequestLabels, ReturnLabels, StoreLabels},
   prometheus_client::{
     metrics::{
       counter::Counter,
@@ -56,6 +56,8 @@
   pub requests_early: Counter,
   /// Requests refused here before any try because calls that their run needs would fail.
   pub requests_refused_for_calls: Counter,
+  /// Refused callers that were told when to come back.
+  returns: Family<ReturnLabels, Counter>,
   /// Requests refused here because their organisation exceeded its rate limit.
   pub requests_over_limit: Counter,
   store_calls: Family<StoreLabels, Counter>,
@@ -149,6 +151,11 @@
         "requests_early",
         "Requests refused before any try because their callers were told to come back later",
       ),
+      returns: registered(
+        of,
+        "returns_planned",
+        "Refused callers that were told when to come back, by whether room is expected then",
+      ),
       requests_refused_for_calls: registered(
         of,
         "requests_refused_for_calls",
@@ -176,6 +183,11 @@
     self.entries.get_or_create(&labels).inc();
   }
 
+  /// Counts a refused caller that was told when to come back.
+  pub fn count_return(&self, plan: &'static str) {
+    self.returns.get_or_create(&ReturnLabels { plan }).inc();
+  }
+
   /// Records the duration of a request to the head of its answer, in seconds.
   pub fn record_request(&self, service: &str, class: &str, outcome: &str, seconds: f64) {
     let labels = RequestLabels {
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -1,10 +1,16 @@
 //! Tests when refused callers come back and which come too early, without sockets.
 
-use ferryyoke::{
-  requests::{
-    CallerClass, Demand, EarlyReturns, Limiter, LimiterDecision, RefusalKind, ReturnTime, Ticket,
+mod support;
+
+use {
+  ferryyoke::{
+    requests::{
+      CallerClass, Demand, EarlyReturns, Limiter, LimiterDecision, RefusalKind, RefusedCaller,
+      ReturnPlan, ReturnSchedules, ReturnTime, Ticket,
+    },
+    values::{Digest, Fingerprint, ServiceName, Time},
   },
-  values::{Digest, Fingerprint, Time},
+  support::room_world::{Load, Policy, RoomWorld, SLOTS, Tally, service},
 };
 
 fn fingerprint(number: u64) -> Fingerprint {
@@ -146,3 +152,119 @@
   assert!(limiter.leave(Time(5), Ticket(1)).is_empty(), "nobody is left to take the slot");
   assert_eq!(limiter.running(), 0);
 }
+
+/// A schedule of a service that serves 20 requests of 100 ms a second for this box, and of which
+/// `fresh_of` gives the first tries in each window of 250 ms.
+fn schedules(fresh_of: impl Fn(u64) -> u64) -> (ReturnSchedules, Time) {
+  let (mut schedules, service) = (ReturnSchedules::default(), service());
+  schedules.configure(Time(0), [&service].into_iter());
+  for window in 0..8 {
+    let now = Time(window * 250);
+    (0..fresh_of(window)).for_each(|_| schedules.note_first_try(now, &service, 0, 100_000));
+    (0..5).for_each(|_| schedules.note_served(now, &service, 100_000));
+  }
+  (schedules, Time(2_000))
+}
+
+fn refused(left_ms: u64, due_ms: u64) -> RefusedCaller {
+  let time = ReturnTime { kind: RefusalKind::Entry, left_ms, wait_ms: Some(0) };
+  RefusedCaller { due_ms, priority: 0, time, work_us: 100_000 }
+}
+
+/// Guards against more callers that return together than the service can run then.
+#[test]
+fn what_returns_fits_the_room() {
+  let (mut schedules, now) = schedules(|_| 5);
+  let plans: Vec<ReturnPlan> =
+    (0..40).filter_map(|_| schedules.plan(now, &service(), &refused(3_000, 3_000), 0.5)).collect();
+  let with_room = |plan: &&ReturnPlan| matches!(plan, ReturnPlan::WithRoom { .. });
+  // One in each 50 ms of the 990 ms that callers wait at most.
+  assert_eq!(plans.iter().filter(with_room).count(), 19);
+  let mut told: Vec<u64> = plans.iter().filter(with_room).map(|plan| plan.after_ms()).collect();
+  told.sort_unstable();
+  assert!(told.windows(3).all(|three| three[2] - three[0] >= 50), "{told:?}");
+  // The others return before room is expected.
+  assert!(plans[19..].iter().all(|plan| matches!(plan, ReturnPlan::BeforeRoom { .. })));
+}
+
+/// Guards against callers that are told to return to a service that is full for longer than they
+/// wait.
+#[test]
+fn a_caller_without_any_room_is_told_a_time_after_its_deadline() {
+  // Its answer is overdue when it returns, and first tries take all of the room.
+  let (mut schedules, now) = schedules(|_| 8);
+  let plan = schedules.plan(now, &service(), &refused(3_000, 100), 0.5);
+  assert!(matches!(plan, Some(ReturnPlan::NoRoom { after_ms }) if after_ms > 3_000), "{plan:?}");
+  let other: ServiceName = "other".parse().expect("a name");
+  assert_eq!(schedules.plan(now, &other, &refused(3_000, 100), 0.5), None);
+}
+
+/// Load: demand that falls below the room, as at the end of a wave. Callers must return after that.
+#[test]
+fn the_end_of_a_wave_is_where_falling_demand_crosses_the_room() {
+  // By a request less in each window, demand crosses the room of 5 a window.
+  let (mut falling, now) = schedules(|window| 13 - window);
+  let plan = falling.plan(now, &service(), &refused(3_000, 100), 0.0);
+  let crossed = |plan| matches!(plan, Some(ReturnPlan::WithRoom { after_ms }) if after_ms >= 200);
+  assert!(crossed(plan), "{plan:?}");
+  let (mut rising, now) = schedules(|window| 1 + window);
+  let plan = rising.plan(now, &service(), &refused(3_000, 100), 0.0);
+  assert!(matches!(plan, Some(ReturnPlan::NoRoom { .. })), "{plan:?}");
+}
+
+/// Plays 20 s of demand in steps of 200 ms. Returns what became of all requests.
+#[allow(clippy::cast_precision_loss)]
+fn play(seed: u64, size: (usize, usize), is_planned: bool, demand_at: fn(f64) -> f64) -> Tally {
+  let slots = size.1 as f64 * f64::from(SLOTS);
+  let load = |share: f64, priority, target_ms, work_ms: u64| Load {
+    per_s: slots * share * 1_000.0 / work_ms as f64,
+    priority,
+    target_ms,
+    work_ms,
+  };
+  let loads = [load(0.5, 0, 500, 220), load(0.25, 1, 800, 290), load(0.25, 2, 2_000, 400)];
+  let mut world = RoomWorld::new(seed, size, &loads, &[1.0], Policy::Levels);
+  (world.plans_returns, world.returns_max) = (is_planned, 5);
+  (0..100).for_each(|step| world.run(200, demand_at(f64::from(step) / 5.0)));
+  world.by_load.iter().copied().reduce(Tally::plus).expect("three loads")
+}
+
+/// A name, and the demand at a time in seconds, as a multiple of what the service can take.
+type DemandCurve = (&'static str, fn(f64) -> f64);
+
+const DEMANDS: [DemandCurve; 3] = [
+  ("wave of 10 s", |at_s| 1.0 + 0.7 * (at_s / 10.0 * std::f64::consts::TAU).sin()),
+  ("bursts of 1.7", |at_s| if at_s % 6.0 < 2.0 { 1.7 } else { 0.9 }),
+  ("constant 1.4", |_| 1.4),
+];
+
+/// Load: a wave, bursts and lasting overload. Of the callers that return as told, a larger part must
+/// be served with a schedule than without, and as many of all requests in time. Prints the
+/// comparison of the design page: 13 boxes, and 75 with `RETURNS_TABLE` set.
+#[test]
+fn callers_that_return_by_schedule_are_served_more_often() {
+  let shown = if std::env::var_os("RETURNS_TABLE").is_some() { 2 } else { 1 };
+  for size in [(13, 8), (75, 42)].into_iter().take(shown) {
+    for (name, demand_at) in DEMANDS {
+      let tally_of = |is_planned| {
+        let plays = (1..=3).map(|seed| play(seed, size, is_planned, demand_at));
+        plays.reduce(Tally::plus).expect("three plays")
+      };
+      let (before, planned) = (tally_of(false), tally_of(true));
+      for (way, tally) in [("third", before), ("schedule", planned)] {
+        let asked = f64::from(tally.asked);
+        println!(
+          "| {} | {name} | {way} | {:.3} | {:.3} | {:.3} | {:.3} | {:.2} |",
+          size.0,
+          f64::from(tally.returned) / asked,
+          tally.share_of_returns_served(),
+          tally.share_in_time(),
+          f64::from(tally.late) / asked,
+          f64::from(tally.tries) / asked
+        );
+      }
+      assert!(planned.share_of_returns_served() > before.share_of_returns_served(), "{name}");
+      assert!(planned.share_in_time() >= before.share_in_time(), "{name}");
+    }
+  }
+}
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -10,8 +10,9 @@
     requests::{
       AttemptOutcome, Balancer, CallerClass, Completion, Condition, Demand, Dispatch,
       DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, Limiter,
-      LimiterDecision, RequestProfile, RetryBudget, RoomForecast, Rooms, RunEstimate, Slowdown,
-      Ticket, TryId, TryOrder, Urgency,
+      LimiterDecision, RefusalKind, RefusedCaller, RequestProfile, RetryBudget, ReturnPlan,
+      ReturnSchedules, ReturnTime, RoomForecast, Rooms, RunEstimate, Slowdown, Ticket, TryId,
+      TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, OrganisationName, Rate, RouteName, ServiceName, Time, Version},
@@ -58,10 +59,32 @@
   pub refused_with_room: u32,
   /// Refusals after tries.
   pub refused_after_tries: u32,
+  /// Returns of callers that were told a time before their deadline.
+  pub returned: u32,
+  /// Those of them that were answered.
+  pub returned_served: u32,
   pub tries: u32,
 }
 
 impl Tally {
+  #[must_use]
+  pub fn plus(self, other: Self) -> Self {
+    Self {
+      asked: self.asked + other.asked,
+      in_time: self.in_time + other.in_time,
+      late: self.late + other.late,
+      refused_after_tries: self.refused_after_tries + other.refused_after_tries,
+      refused_with_room: self.refused_with_room + other.refused_with_room,
+      returned: self.returned + other.returned,
+      returned_served: self.returned_served + other.returned_served,
+      tries: self.tries + other.tries,
+    }
+  }
+
+  pub fn share_of_returns_served(&self) -> f64 {
+    f64::from(self.returned_served) / f64::from(self.returned.max(1))
+  }
+
   pub fn share_in_time(&self) -> f64 {
     f64::from(self.in_time) / f64::from(self.asked.max(1))
   }
@@ -74,6 +97,8 @@
   load: usize,
   organisation: usize,
   returns: u32,
+  /// Whether it was told a time before its deadline.
+  told: bool,
 }
 
 struct Request {
@@ -96,6 +121,7 @@
   balancer: Balancer,
   budget: RetryBudget,
   rooms: Rooms,
+  schedules: ReturnSchedules,
   /// Work in milliseconds that [`Policy::Shares`] may still admit, and since when.
   tokens: (f64, u64),
 }
@@ -115,8 +141,12 @@
   pub now: u64,
   /// Relative demand of each organisation.
   pub organisations: Vec<f64>,
+  /// Whether refused callers are told to return by `ReturnSchedules`.
+  pub plans_returns: bool,
   policy: Policy,
   requests: BTreeMap<u64, Request>,
+  /// How often a caller returns.
+  pub returns_max: u32,
   rng: ChaCha8Rng,
   running: BTreeMap<(usize, Ticket), (u64, TryId)>,
   /// The last time at which less than a quarter of the slots was free.
@@ -180,10 +210,13 @@
     let entrance = || {
       let mut rooms = Rooms::default();
       rooms.configure(configuration.clone());
+      let mut schedules = ReturnSchedules::default();
+      schedules.configure(Time(0), [&service()].into_iter());
       Entrance {
         balancer: Balancer::default(),
         budget: RetryBudget::default(),
         rooms,
+        schedules,
         tokens: (0.0, 0),
       }
     };
@@ -203,8 +236,10 @@
       next: 0,
       now: 0,
       organisations: organisations.to_vec(),
+      plans_returns: false,
       policy,
       requests: BTreeMap::new(),
+      returns_max: 1,
       rng: ChaCha8Rng::seed_from_u64(seed),
       running: BTreeMap::new(),
       short_at: 0,
@@ -232,7 +267,7 @@
         }
         let at_box = self.rng.random_range(0..self.entrances.len());
         let organisation = self.draw_organisation();
-        let caller = Caller { at_box, first_at, load, organisation, returns: 0 };
+        let caller = Caller { at_box, first_at, load, organisation, returns: 0, told: false };
         self.schedule(first_at - start, Event::Enter(caller));
       }
     }
@@ -299,7 +334,11 @@
     if caller.returns == 0 {
       self.by_load[caller.load].asked += 1;
       self.by_organisation[caller.organisation].asked += 1;
+      let work_us = load.work_ms * 1_000;
+      let schedules = &mut self.entrances[caller.at_box].schedules;
+      schedules.note_first_try(now, &service(), load.priority, work_us);
     }
+    self.by_load[caller.load].returned += u32::from(caller.told);
     let deadline = Time(caller.first_at + TIMEOUT_MS);
     let handling = Handling { target_ms: Some(load.target_ms), ..Handling::default() };
     let urgency = Urgency::of(now, deadline, &handling, load.priority, false, elapsed_ms);
@@ -376,14 +415,31 @@
     }
   }
 
-  /// Lets a refused caller return once, if it still has time.
+  /// Lets a refused caller return, if it still has time. It waits for a third of that at most.
   fn come_back(&mut self, caller: Caller, after_ms: u64) {
-    let returns_in_time = self.now + after_ms < caller.first_at + TIMEOUT_MS;
-    if caller.returns == 0 && returns_in_time {
-      self.schedule(after_ms, Event::Enter(Caller { returns: 1, ..caller }));
+    let left_ms = (caller.first_at + TIMEOUT_MS).saturating_sub(self.now);
+    let planned = if self.plans_returns { self.plan(caller, left_ms) } else { None };
+    let after_ms = planned.map_or(after_ms, ReturnPlan::after_ms);
+    let told = after_ms < left_ms;
+    let after_ms = after_ms.min(ReturnTime::latest_ms(left_ms).max(1));
+    if caller.returns < self.returns_max && after_ms < left_ms {
+      self.schedule(after_ms, Event::Enter(Caller { returns: caller.returns + 1, told, ..caller }));
     }
   }
 
+  fn plan(&mut self, caller: Caller, left_ms: u64) -> Option<ReturnPlan> {
+    let (load, now) = (self.loads[caller.load], Time(self.now));
+    let entrance = &mut self.entrances[caller.at_box];
+    let wait_ms = Some(entrance.rooms.forecast(now, &service(), load.priority)?.wait_ms);
+    let refused = RefusedCaller {
+      due_ms: (caller.first_at + load.target_ms).saturating_sub(self.now),
+      priority: load.priority,
+      time: ReturnTime { kind: RefusalKind::Entry, left_ms, wait_ms },
+      work_us: load.work_ms * 1_000,
+    };
+    entrance.schedules.plan(now, &service(), &refused, self.rng.random())
+  }
+
   fn advance(&mut self, id: u64, event: DispatchEvent) {
     let request = self.requests.get_mut(&id).expect("under way");
     let caller = request.caller;
@@ -408,6 +464,9 @@
     match request.dispatch.handle(event, &mut context) {
       DispatchStep::Answer { .. } => {
         let is_late = now > request.due;
+        let work_us = self.loads[caller.load].work_ms * 1_000;
+        self.entrances[caller.at_box].schedules.note_served(now, &service(), work_us);
+        self.by_load[caller.load].returned_served += u32::from(caller.told);
         self.requests.remove(&id);
         self.entrances[caller.at_box].rooms.note_ended(now, &service(), false);
         for tally in
