--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -82,6 +82,8 @@
   pub(super) refuses_work: Cell<bool>,
   /// Limits retries.
   pub retry_budget: RefCell<RetryBudget>,
+  /// When refused callers of this box return.
+  pub return_schedules: RefCell<ReturnSchedules>,
   /// Random number generator for decisions.
   pub rng: RefCell<ChaCha8Rng>,
   /// The room of each service.
@@ -186,6 +188,7 @@
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
       retry_budget: RefCell::default(),
+      return_schedules: RefCell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       rooms: RefCell::default(),
       router: RefCell::default(),
@@ -235,6 +238,8 @@
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
     self.rooms.borrow_mut().configure(configuration.clone());
+    let (now, rooms) = (self.now().time, self.rooms.borrow());
+    self.return_schedules.borrow_mut().configure(now, rooms.contested());
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -20,11 +20,12 @@
   let now = shared.now().time;
   // Calls first, so that what room admits is tried.
   check_calls(shared, now, &forwarded.id, &request)?;
+  planned_return::note_first_try(shared, forwarded);
   // The forecast is of all backend servers of the service, not of those that may serve this one.
-  if forwarded.regions.is_some() || forwarded.only_box.is_some() {
+  if forwarded.is_bound() {
     return Ok(());
   }
-  let priority = check_room(shared, now, &forwarded.id, &request)?;
+  let priority = check_room(shared, now, &request, forwarded)?;
   forwarded.admitted_rank = (!urgency.is_call).then_some(urgency.priority);
   forwarded.urgency.priority = priority;
   Ok(())
@@ -34,8 +35,8 @@
 fn check_room(
   shared: &Shared,
   now: Time,
-  id: &RequestId,
   request: &EntryRequest,
+  forwarded: &ForwardedRequest,
 ) -> std::result::Result<u32, Refusal> {
   let (service, priority) = (request.service, request.urgency.priority);
   let decision = shared.rooms.borrow_mut().decide(now, request);
@@ -45,14 +46,17 @@
     RoomDecision::Admit { priority } => return Ok(priority),
     RoomDecision::Refuse(refusal) => refusal,
   };
+  let plan = planned_return::plan(shared, forwarded, RefusalKind::Entry);
+  let retry_after_ms = plan.map_or(refusal.retry_after_ms, ReturnPlan::after_ms);
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused for lack of room";
-    "request_id" => id.as_str(), "route" => request.route.as_str(), "reason" => %refusal,
+    "request_id" => forwarded.id.as_str(), "route" => request.route.as_str(),
+    "reason" => %refusal,
     "organisation" => request.organisation.map_or("none", |name| name.as_str()),
-    "elapsed_ms" => request.urgency.elapsed_ms, "retry_after_ms" => refusal.retry_after_ms
+    "elapsed_ms" => request.urgency.elapsed_ms, "retry_after_ms" => retry_after_ms
   );
-  let reason = refusal.to_string();
-  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, refusal.retry_after_ms))
+  let reason = plan.map_or(refusal.to_string(), |plan| format!("{refusal}; {plan}"));
+  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
 
 /// Logs a change of the share of a service's demand that enters here: at most one for each window of
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,8 +17,9 @@
     Claim, ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand,
     Dispatch, DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest,
     ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus,
-    RequestKey, RequestProfile, RequestRecord, RetryWeight, RoomDecision, RouteKind, RouteMatch,
-    RunCalls, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId, TryOrder, Urgency,
+    RefusalKind, RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan,
+    ReturnTime, RoomDecision, RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId, Sender,
+    Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -60,6 +61,7 @@
 mod outbound_turns;
 mod paced_body;
 mod peer_notices;
+mod planned_return;
 mod refusal;
 mod request_body;
 mod returnable_body;
