--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,7 +13,7 @@
   node::{BackendNotices, OutboundLink, Shared},
   organisations::{Admission, CallerOrganisation, Grant, KeyFault},
   requests::{
-    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallCredit, CallerClass,
+    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, CallCredit, CallerClass,
     Claim, ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand,
     Dispatch, DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest,
     ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus,
