Show operators what the runs of a service call

Cause: nobody could see what a route's runs call, how many of these calls fail, and whether retries are left there.

Change: show calls of SERVICE, from what answers told this box.

Not played with calls on real daemons.

The test of long runs also asks that these get nearly all slots that calls don't hold where calls can wait.

--- a/src/administration/mod.rs
+++ b/src/administration/mod.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 use crate::{
-  configuration::{Change, ChangeSummary, Configuration, Head, Object, ObjectName},
+  configuration::{Change, ChangeSummary, Configuration, Head, Object, ObjectName, Route},
   distribution::{
     Acceptance, AcceptanceStep, Archive, Event, Outcome, Question as FleetQuestion, Report, keys,
   },
--- a/src/administration/questions.rs
+++ b/src/administration/questions.rs
@@ -7,6 +7,7 @@
 /// Answers a question.
 pub async fn answer(node: &Rc<Node>, question: &Question) -> Result<Answer> {
   match question {
+    Question::Calls(service) => calls(node, service),
     Question::Change(id) => change(node, id).await,
     Question::Difference(from, to) => {
       let from = stored_versions::load(&node.shared, *from).await?;
@@ -249,6 +250,61 @@
   Ok(Answer::table(message, table))
 }
 
+/// Shows by route what recent runs of a service called, how many calls failed, and how many retries
+/// this box has left at the called services.
+fn calls(node: &Node, service: &ServiceName) -> Result<Answer> {
+  let held = node.shared.configuration().ok_or(Error::NoConfiguration)?;
+  let is_of = |route: &Route| {
+    let split = &route.handling.split;
+    route.service == *service || split.iter().any(|one| one.service == *service)
+  };
+  let routes: Vec<&RouteName> =
+    held.routes.iter().filter(|(_, route)| is_of(&route.value)).map(|(name, _)| name).collect();
+  if routes.is_empty() {
+    return Err(Error::NotFound { what: format!("no route leads to {service}") });
+  }
+  let (trees, budget) = (node.shared.call_trees.borrow(), node.shared.retry_budget.borrow());
+  let mut table = Table::new(&[
+    "route",
+    "runs",
+    "failed_for_calls_percent",
+    "calls",
+    "calls_in_1000_runs",
+    "failed_percent",
+    "mean_us",
+    "together_percent",
+    "retries_left",
+  ]);
+  let mut unknown = Vec::new();
+  for route in routes {
+    let Some(rows) = trees.rows(route) else {
+      unknown.push(route.as_str());
+      continue;
+    };
+    let (runs, runs_failed_percent) = trees.runs(node.shared.now().time, route);
+    for row in rows {
+      let left = f64::from(budget.left(&row.service)) / 1_000.0;
+      table.add_row([
+        json!(route.as_str()),
+        json!(runs),
+        json!(runs_failed_percent),
+        json!(row.service.as_str()),
+        json!(row.permille),
+        json!(row.failed_percent),
+        json!(row.mean_us),
+        json!(row.together_percent),
+        json!(left),
+      ]);
+    }
+  }
+  let message = if unknown.is_empty() {
+    String::new()
+  } else {
+    format!("no run told this box what it called: {}", unknown.join(", "))
+  };
+  Ok(Answer::table(message, table))
+}
+
 /// Lists the requests during which backend servers crashed, most crashes first, with their status
 /// in the quarantine.
 fn suspects(node: &Node) -> Answer {
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -3,6 +3,8 @@
 /// A statement that changes nothing.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Question {
+  /// What runs of a service's routes call, as this box knows it.
+  Calls(ServiceName),
   /// The result of a change, by its id.
   Change(ChangeId),
   /// The difference between two versions.
@@ -87,7 +89,8 @@
   }
 
   fn parse_show(cursor: &mut Cursor) -> Result<Self> {
-    const KEYWORDS: [&str; 13] = [
+    const KEYWORDS: [&str; 14] = [
+      "calls",
       "change",
       "drain",
       "drains",
@@ -106,9 +109,10 @@
     if keyword == "suspects" {
       return Ok(Self::Suspects);
     }
-    if keyword == "room" {
+    if ["calls", "room"].contains(&keyword) {
       cursor.expect_keyword("of")?;
-      return Ok(Self::Room(cursor.parse_value("the name of a service")?));
+      let service = cursor.parse_value("the name of a service")?;
+      return Ok(if keyword == "room" { Self::Room(service) } else { Self::Calls(service) });
     }
     if keyword == "change" {
       return Ok(Self::Change(cursor.parse_value("the id of a change")?));
@@ -140,6 +144,7 @@
 impl Display for Question {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
+      Self::Calls(service) => write!(f, "show calls of {service}"),
       Self::Change(id) => write!(f, "show change {id}"),
       Self::Difference(from, to) => write!(f, "difference {from} {to}"),
       Self::Explain { headers, host, method, path } => {
--- a/src/requests/calls/call_trees.rs
+++ b/src/requests/calls/call_trees.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 struct CalledService {
   calls: f64,
+  failed: f64,
   service: ServiceName,
   together: f64,
   took_us: f64,
@@ -95,6 +96,18 @@
     EntryDecision::Refuse { reason, retry_after_ms }
   }
 
+  /// Returns what runs of a route called; `None` while no run told which calls it made.
+  pub fn rows(&self, route: &RouteName) -> Option<Vec<CallRow>> {
+    let tree = self.routes.get(route).filter(|tree| tree.runs > 0.0)?;
+    Some(tree.services.iter().map(|one| one.row(tree.runs)).collect())
+  }
+
+  /// Returns how many recent runs of a route this box knows, and how many percent of them failed
+  /// because of a call.
+  pub fn runs(&self, now: Time, route: &RouteName) -> (u32, u32) {
+    self.routes.get(route).map_or((0, 0), |tree| tree.recent_runs(now))
+  }
+
   /// Drops routes that no longer exist.
   pub fn retain(&mut self, is_known: impl Fn(&RouteName) -> bool) {
     self.routes.retain(|route, _| is_known(route));
@@ -113,6 +126,7 @@
     self.failed = self.failed * kept + f64::from(u8::from(run_failed && calls.has_failed()));
     for one in &mut self.services {
       one.calls *= kept;
+      one.failed *= kept;
       one.together *= kept;
       one.took_us *= kept;
     }
@@ -133,10 +147,12 @@
     }
     if known.is_none() {
       let service = made.service.clone();
-      self.services.push(CalledService { calls: 0.0, service, together: 0.0, took_us: 0.0 });
+      let (calls, failed, together, took_us) = (0.0, 0.0, 0.0, 0.0);
+      self.services.push(CalledService { calls, failed, service, together, took_us });
     }
     let called = &mut self.services[index];
     called.calls += f64::from(made.count);
+    called.failed += f64::from(made.failed);
     called.together += f64::from(made.together);
     called.took_us += made.took_us as f64;
   }
@@ -172,23 +188,34 @@
     is_failing.then_some((reason, CallTrees::RETRY_AFTER_MS))
   }
 
+  /// Returns the number of recent runs, and how many percent of them failed because of a call.
+  #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  fn recent_runs(&self, now: Time) -> (u32, u32) {
+    let runs = self.runs.max(f64::MIN_POSITIVE);
+    ((self.runs * self.kept(now)).round() as u32, (self.failed / runs * 100.0).round() as u32)
+  }
+
   fn describe(&self, now: Time) -> String {
+    let (runs, failed_percent) = self.recent_runs(now);
+    let summary = format!("{runs} recent runs, {failed_percent}% failed for a call");
     let runs = self.runs.max(f64::MIN_POSITIVE);
-    let described = self.services.iter().map(|one| {
-      let calls = one.calls.max(f64::MIN_POSITIVE);
-      format!(
-        "; {:.2} calls a run to {}, {:.1} ms each, {:.0}% together",
-        one.calls / runs,
-        one.service,
-        one.took_us / calls / 1_000.0,
-        one.together / calls * 100.0
-      )
-    });
-    format!(
-      "{:.0} recent runs, {:.0}% failed for a call{}",
-      self.runs * self.kept(now),
-      self.failed / runs * 100.0,
-      described.collect::<String>()
-    )
+    let rows = self.services.iter().map(|one| one.row(runs).to_string());
+    std::iter::once(summary).chain(rows).collect::<Vec<String>>().join("; ")
+  }
+}
+
+impl CalledService {
+  /// Describes the calls of runs with the weight `runs`.
+  #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+  fn row(&self, runs: f64) -> CallRow {
+    let calls = self.calls.max(f64::MIN_POSITIVE);
+    let percent = |part: f64| (part / calls * 100.0).round() as u32;
+    CallRow {
+      failed_percent: percent(self.failed),
+      mean_us: (self.took_us / calls).round() as u64,
+      permille: (self.calls / runs * 1_000.0).round() as u32,
+      service: self.service.clone(),
+      together_percent: percent(self.together),
+    }
   }
 }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -19,7 +19,7 @@
   balancer::{Balancer, Choice},
   caller_class::CallerClass,
   caller_timeouts::CallerTimeouts,
-  calls::{CallCredit, CallReserve, CallTrees, RetryWeight, RunCalls, ServiceCalls},
+  calls::{CallCredit, CallReserve, CallRow, CallTrees, RetryWeight, RunCalls, ServiceCalls},
   claim::Claim,
   claim_outcome::ClaimOutcome,
   claim_record::ClaimRecord,
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -222,10 +222,14 @@
 
   /// Whether there is credit for the calls of a run. Full savings are enough for any number.
   fn can_call(&self, calls: &[(ServiceName, u32)]) -> bool {
-    calls.iter().all(|(called, permille)| {
-      let credit = self.services.get(called).map_or(self.start(), |known| known.credit);
-      credit >= (*permille).min(self.limits.saved_max)
-    })
+    calls
+      .iter()
+      .all(|(called, permille)| self.left(called) >= (*permille).min(self.limits.saved_max))
+  }
+
+  /// Returns the thousandths of a retry that are left for a service.
+  pub fn left(&self, service: &ServiceName) -> u32 {
+    self.services.get(service).map_or(self.start(), |known| known.credit)
   }
 
   /// Whether at least two retries are left: retries of failures have precedence over hedged tries.
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -3,9 +3,9 @@
 use {
   ferryyoke::{
     requests::{
-      CallCredit, CallReserve, CallTrees, CallerClass, Demand, EntryDecision, EntryRequest,
-      Limiter, LimiterDecision, RetryBudget, RetryLimits, RetryWeight, RunCalls, RunningRequests,
-      Ticket, Urgency,
+      CallCredit, CallReserve, CallRow, CallTrees, CallerClass, Demand, EntryDecision,
+      EntryRequest, Limiter, LimiterDecision, RetryBudget, RetryLimits, RetryWeight, RunCalls,
+      RunningRequests, Ticket, Urgency,
     },
     values::{RequestId, RouteName, ServiceName, Time},
   },
@@ -108,8 +108,9 @@
 fn long_runs_get_all_slots_where_calls_can_wait_for_one() {
   let (tight, patient) = (beside_long_runs(150), beside_long_runs(3_000));
   assert_eq!(patient.late, 0, "of {} calls", patient.calls);
-  // At least one slot of nine is left free for calls on average, where these can't wait.
   assert!(patient.others > tight.others, "{} runs, and {}", patient.others, tight.others);
+  // Calls hold two of nine slots; in 15 s the others have room for 190 runs of 550 ms.
+  assert!(patient.others > 180, "{} runs", patient.others);
 }
 
 /// Load: calls beside runs that are hardly longer. Slots left free for the calls would be lost to
@@ -194,6 +195,36 @@
   assert!(limiter.wake_at(now) >= Some(now.after(50)));
 }
 
+/// Guards against an answer to operators that counts calls of other routes, or old ones.
+#[test]
+fn operators_see_what_the_runs_of_a_route_call() {
+  let (mut trees, route, records) = (CallTrees::default(), route(), service("records"));
+  assert_eq!(trees.rows(&route), None, "unknown, not nothing");
+  let other: RouteName = "other".parse().expect("a name");
+  trees.record(Time(1_000), &other, &RunCalls::default(), false);
+  assert_eq!(trees.rows(&other), Some(Vec::new()), "nothing, not unknown");
+  for index in 0..100 {
+    let failed = index % 4 == 0;
+    trees.record(Time(1_000), &route, &run(failed), failed);
+  }
+  let row = CallRow {
+    failed_percent: 13,
+    mean_us: 55_000,
+    permille: 2_000,
+    service: records.clone(),
+    together_percent: 0,
+  };
+  assert_eq!(trees.rows(&route), Some(vec![row]));
+  assert_eq!(trees.runs(Time(1_000), &route), (100, 25));
+  assert_eq!(trees.runs(Time(2_000), &route), (50, 25), "half of them count a second later");
+  let mut budget = RetryBudget::default();
+  budget.set_limits(RetryLimits { earned: 80, saved_max: 2_000 });
+  assert_eq!(budget.left(&records), 2_000);
+  budget.earn(&records);
+  assert!(budget.spend(&records));
+  assert_eq!(budget.left(&records), 1_080);
+}
+
 /// Guards against services that were called once and take the places of those that each run calls.
 #[test]
 fn services_that_are_hardly_called_make_room_for_others() {
--- a/tests/language.rs
+++ b/tests/language.rs
@@ -9,7 +9,7 @@
 };
 
 /// Scripts with every kind of statement, in their printed form.
-const SCRIPTS: [&str; 34] = [
+const SCRIPTS: [&str; 35] = [
   "create route minutes path /minutes service archive",
   "create route minutes path /minutes service archive host minutes.example method GET repeatable no",
   "create route minutes path /minutes service archive header x-team \"the clerks\"",
@@ -22,6 +22,7 @@
   "rollback to 17",
   "allow request 00f1a2b3c4d5e6f7",
   "restore store",
+  "show calls of payments",
   "show room of payments",
   "show suspects",
   "set log level debug",
