Pass credit on for the calls of callers' requests only

Cause: only the first level of calls is charged. At a service two calls deep, by arithmetic, retries by the daemons of three services may take 1.2 of the share, and credit passed on twice made that likelier.

Change: a call passes no credit on for calls of its own. That retries of the outermost request aren't charged two calls deep is still open.

Measured: tests dispatch, calls, call_paths, request_decisions, requests_fuzz and room pass. No fleet three services deep was played.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -148,7 +148,10 @@
       DispatchEvent::Started => {
         context.budget.earn(&self.profile.service);
         if let Some(calls) = &self.calls {
-          self.call_credit = context.budget.earn_for(calls);
+          let passed = context.budget.earn_for(calls);
+          // Two calls deep, retries of the outermost request draw on the share as well.
+          self.call_credit =
+            if self.profile.urgency.is_call { CallCredit::default() } else { passed };
         }
         let step = self.try_next(context);
         self.hedge_at = self.hedge_time(context);
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -520,3 +520,18 @@
   let fourth = ordered(daemon.end(&mut dispatch, third.id, lost));
   assert!(fourth.call_credit.is_empty(), "the third one may have run: {}", fourth.call_credit);
 }
+
+/// Guards against a share of retries that is used by the daemons of three services.
+#[test]
+fn a_call_passes_no_credit_on_for_calls_of_its_own() {
+  let name: ServiceName = "called".parse().expect("a name");
+  let mut profile = profile(true);
+  profile.urgency.is_call = true;
+  let mut dispatch =
+    Dispatch::new(profile).with_calls(RetryWeight::Call, Some(vec![(name.clone(), 500)]));
+  let mut daemon = Daemon::new(8);
+  daemon.budget.set_limits(RetryLimits { earned: 1_000, saved_max: 1_000 });
+  let first = daemon.start(&mut dispatch);
+  assert!(first.call_credit.is_empty(), "{}", first.call_credit);
+  assert!(daemon.budget.spend(&name), "it saves for its own retries");
+}
