--- a/src/requests/returns/work_trend.rs
+++ b/src/requests/returns/work_trend.rs
@@ -65,8 +65,13 @@
     let offsets = || (0..count).map(|index| index as f64 - middle);
     let rise: f64 = offsets().zip(complete()).map(|(offset, work)| offset * (work - mean)).sum();
     let spread: f64 = offsets().map(|offset| offset * offset).sum();
+    let slope = rise / spread;
+    let errors = offsets().zip(complete()).map(|(offset, work)| work - mean - slope * offset);
+    let variance = errors.map(|error| error * error).sum::<f64>() / (count as f64 - 2.0) / spread;
+    // A slope that is no larger than its standard error says nothing.
+    let part = if slope == 0.0 { 0.0 } else { (1.0 - variance / (slope * slope)).max(0.0) };
     let age_ms = (middle + 1.0) * window_ms;
-    WorkForecast { age_ms, mean, slope: rise / spread / window_ms }
+    WorkForecast { age_ms, mean, slope: slope * part / window_ms }
   }
 
   fn advance(&mut self, now: Time) {
