Refuse returns of classes that come back early in series

Cause: a caller refused as early at one box was tried at the next. EarlyReturns forgot the request that was refused first, also if it was refused again since.

Change: EarlyClasses remembers, by organisation or caller class, how refused requests return. While most of those of a class return early in series and its service is full, its returns are refused at once, except those that this box told to come by now. EarlyReturns forgets first the request whose caller is back first. Log, metric, and the reason in why request.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,8 +18,8 @@
   organisations::{Admission, KeyRing, RateLimits},
   requests::{
     AnswerBudget, AnswerSizes, BackendMonitor, Balancer, BodyQueue, CallTrees, CallerTimeouts,
-    ColdStartLimiter, Condition, CrashDetector, EarlyReturns, HeardLimits, LimitHint, Limiter,
-    LinkBudget, NamedLimit, OpenExchanges, OutboundSchedule, OutboundTurn, Quarantine,
+    ColdStartLimiter, Condition, CrashDetector, EarlyClasses, EarlyReturns, HeardLimits, LimitHint,
+    Limiter, LinkBudget, NamedLimit, OpenExchanges, OutboundSchedule, OutboundTurn, Quarantine,
     QuarantineChange, ReceivedAttempts, RequestHistory, RequestRecord, RetryBudget, RetryLimits,
     ReturnSchedules, Rooms, RouteKind, Router, RunEnd, RunEstimate, RunId, RunTimes,
     RunningRequests, Slowdown, SpeedMonitor, Splitter, StopLimit, Ticket,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -24,6 +24,8 @@
   pub return_schedules: RefCell<ReturnSchedules>,
   /// The calls that runs of each route make.
   pub call_trees: RefCell<CallTrees>,
+  /// Classes whose callers come back too early.
+  pub early_classes: RefCell<EarlyClasses>,
   /// Refused callers that are yet to come back.
   pub early_returns: RefCell<EarlyReturns>,
   /// The timeouts that callers usually have.
@@ -161,6 +163,7 @@
       cold_start_limiter: RefCell::default(),
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
+      early_classes: RefCell::default(),
       early_returns: RefCell::default(),
       endpoints: RefCell::default(),
       clock,
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -101,13 +101,6 @@
   );
   recorder.due = urgency.due;
   recorder.deadline = deadline;
-  // A request with a claim may have run before: only its claim tells.
-  if !is_claimed {
-    recorder.fingerprint = check_early_return(shared, &incoming.id, fingerprint, urgency)?;
-  }
-  if !is_claimed && origin == Some(ClientLocation::Remote) {
-    answer_reservation::check_caller(shared, &incoming.id, &matched.route, urgency.due)?;
-  }
   let forwarded = ForwardedRequest {
     answer_bytes: shared.answer_sizes.borrow().expected_bytes(&matched.route),
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
@@ -132,6 +125,14 @@
     urgency,
     version: recorder.record.version,
   };
+  // A request with a claim may have run before: only its claim tells.
+  if !is_claimed {
+    recorder.fingerprint = early_return::check(shared, &forwarded)?;
+    early_return::check_class(shared, &forwarded)?;
+  }
+  if !is_claimed && origin == Some(ClientLocation::Remote) {
+    answer_reservation::check_caller(shared, &forwarded.id, &matched.route, urgency.due)?;
+  }
   let admitted = AdmittedRequest::admit(shared, member).await?;
   if is_claimed {
     admitted.spend_token();
@@ -153,30 +154,6 @@
   answer.map_err(Refusal::from)
 }
 
-/// Refuses a request, before any try, whose caller was told to come back later. Else returns the
-/// fingerprint under which a refusal of the request is remembered, if any.
-fn check_early_return(
-  shared: &Shared,
-  id: &RequestId,
-  fingerprint: Fingerprint,
-  urgency: Urgency,
-) -> std::result::Result<Option<Fingerprint>, Refusal> {
-  let (now, elapsed_ms) = (shared.now().time, urgency.elapsed_ms);
-  let returns = shared.early_returns.borrow();
-  let early_ms = match returns.check(now, fingerprint, elapsed_ms, urgency.is_call) {
-    Ok(fingerprint) => return Ok(fingerprint),
-    Err(early_ms) => early_ms,
-  };
-  shared.metrics.requests_early.inc();
-  info!(
-    shared.log.logger, #Log::REQUEST, "a request is refused because its caller came back early";
-    "request_id" => id.as_str(), "fingerprint" => %fingerprint, "elapsed_ms" => elapsed_ms,
-    "retry_after_ms" => early_ms
-  );
-  let reason = "its caller was told to come back later";
-  Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, early_ms))
-}
-
 /// Remembers when a refused caller was told to come back.
 fn note_told(shared: &Shared, recorder: &Recorder, refusal: &Refusal) {
   let now = shared.now().time;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -18,8 +18,8 @@
     DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId,
     LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RefusalKind,
     RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan, ReturnTime,
-    RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId, TryOrder,
-    Urgency,
+    RoomForecast, RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId, Sender, Ticket,
+    TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -47,6 +47,7 @@
 mod arrivals;
 mod attempt_result;
 mod claimed_run;
+mod early_return;
 mod egress;
 mod entry;
 mod exchange_guard;
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -53,7 +53,10 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
-  returns::{EarlyReturns, RefusalKind, RefusedCaller, ReturnPlan, ReturnSchedules, ReturnTime},
+  returns::{
+    EarlyClasses, EarlyReturns, RefusalKind, RefusedCaller, ReturnConduct, ReturnPlan,
+    ReturnSchedules, ReturnTime,
+  },
   room::{EntryDecision, EntryRequest, RoomForecast, RoomRow, Rooms},
   route_match::RouteMatch,
   router::Router,
--- a/src/requests/returns/early_returns.rs
+++ b/src/requests/returns/early_returns.rs
@@ -6,10 +6,13 @@
 /// callers that wait as told.
 #[derive(Clone, Debug, Default)]
 pub struct EarlyReturns {
-  /// By fingerprint of the request.
+  /// By fingerprint of the request, at most [`Self::REQUESTS_MAX`].
   expected: BTreeMap<Fingerprint, ExpectedReturn>,
-  /// The same in the order of their first refusals, for the oldest to be forgotten.
-  order: VecDeque<Fingerprint>,
+  /// Number of refusals recorded so far.
+  last: u64,
+  /// The same requests by when their callers are back, and by the number of the refusal: the first
+  /// is forgotten first.
+  order: BTreeMap<(Time, u64), Fingerprint>,
 }
 
 /// When the first refused caller of a request is expected back.
@@ -17,6 +20,14 @@
 struct ExpectedReturn {
   /// A return before this is early.
   back_at: Time,
+  /// Early returns of the request.
+  early: u32,
+  /// Whether the request returned as told.
+  is_back: bool,
+  /// The number of the refusal.
+  number: u64,
+  /// Until then, several callers may return with the request.
+  shared_until: Time,
   /// The caller is back by then, if it comes at all. Until then, a later refusal of the same
   /// request counts only if it allows an earlier return.
   until: Time,
@@ -28,6 +39,9 @@
   /// Percentage of the time told after which a return is no longer early, as clocks and timers
   /// differ.
   const EARLY_PERCENT: u64 = 80;
+  /// Early returns of one request that are a series. A single one may be of a caller that another
+  /// box refused.
+  const SERIES_MIN: u32 = 3;
   /// Percentage of the time told within which a caller is back, for the same reason.
   const LATE_PERCENT: u64 = 120;
 
@@ -36,21 +50,57 @@
     let wait_ms = retry_after_ms.min(ReturnTime::latest_ms(left_ms));
     let back_at = now.after(wait_ms * Self::EARLY_PERCENT / 100);
     let until = now.after(wait_ms * Self::LATE_PERCENT / 100);
-    // Of several callers with the same request, the first to be back counts.
-    if let Some(known) = self.expected.get_mut(&fingerprint) {
-      if now > known.until {
-        *known = ExpectedReturn { back_at, until };
-      } else if back_at < known.back_at {
-        *known = ExpectedReturn { back_at, until: known.until.max(until) };
-      }
-      return;
+    self.last += 1;
+    let fresh = ExpectedReturn {
+      back_at,
+      early: 0,
+      is_back: false,
+      number: self.last,
+      shared_until: Time::default(),
+      until,
+    };
+    let known = self.expected.get(&fingerprint).copied();
+    let expected = known.map_or(fresh, |known| known.refused_again(now, fresh));
+    self.insert(fingerprint, expected);
+  }
+
+  /// Replaces the expected return of a request. If there are too many, the request is forgotten whose
+  /// caller is back first.
+  fn insert(&mut self, fingerprint: Fingerprint, expected: ExpectedReturn) {
+    if let Some(known) = self.expected.insert(fingerprint, expected) {
+      self.order.remove(&(known.until, known.number));
     }
-    let is_full = self.order.len() >= Self::REQUESTS_MAX;
-    if let Some(oldest) = is_full.then(|| self.order.pop_front()).flatten() {
-      self.expected.remove(&oldest);
+    self.order.insert((expected.until, expected.number), fingerprint);
+    if self.expected.len() > Self::REQUESTS_MAX
+      && let Some((_, first)) = self.order.pop_first()
+    {
+      self.expected.remove(&first);
+    }
+  }
+
+  /// Records the return of a request, `elapsed_ms` after its caller's first try. Returns how its
+  /// caller conducted itself, once for each refusal; `None` where this box can't tell.
+  pub fn observe(
+    &mut self,
+    now: Time,
+    fingerprint: Fingerprint,
+    elapsed_ms: u64,
+  ) -> Option<ReturnConduct> {
+    let expected = self.expected.get_mut(&fingerprint).filter(|_| elapsed_ms > 0)?;
+    let is_certain = now > expected.shared_until;
+    if now < expected.back_at {
+      expected.early += 1;
+      let is_series = is_certain && expected.early == Self::SERIES_MIN;
+      return is_series.then_some(ReturnConduct::EarlySeries);
     }
-    self.order.push_back(fingerprint);
-    self.expected.insert(fingerprint, ExpectedReturn { back_at, until });
+    let is_first = !std::mem::replace(&mut expected.is_back, true);
+    let is_patient = is_certain && is_first && expected.early < Self::SERIES_MIN;
+    is_patient.then_some(ReturnConduct::AsTold)
+  }
+
+  /// Whether this box refused the request, and the time told is over.
+  pub fn is_back_as_told(&self, now: Time, fingerprint: Fingerprint) -> bool {
+    self.expected.get(&fingerprint).is_some_and(|expected| now >= expected.back_at)
   }
 
   /// Returns the milliseconds by which a request comes too early; `None` where it comes as told or
@@ -81,3 +131,20 @@
     self.early_ms(now, fingerprint, elapsed_ms).map_or(Ok(Some(fingerprint)), Err)
   }
 }
+
+impl ExpectedReturn {
+  /// Returns what is expected after the same request was refused once more. Of several callers, the
+  /// first to be back counts.
+  fn refused_again(self, now: Time, fresh: Self) -> Self {
+    let is_over = now > self.until || self.is_back && now > self.shared_until;
+    if is_over {
+      return Self { shared_until: self.shared_until, ..fresh };
+    }
+    let shared_until = self.shared_until.max(self.until).max(fresh.until);
+    if fresh.back_at < self.back_at {
+      let until = self.until.max(fresh.until);
+      return Self { early: self.early, shared_until, until, ..fresh };
+    }
+    Self { shared_until, ..self }
+  }
+}
--- a/src/requests/returns/mod.rs
+++ b/src/requests/returns/mod.rs
@@ -8,13 +8,16 @@
 };
 
 pub use self::{
-  early_returns::EarlyReturns, refusal_kind::RefusalKind, refused_caller::RefusedCaller,
-  return_plan::ReturnPlan, return_schedules::ReturnSchedules, return_time::ReturnTime,
+  early_classes::EarlyClasses, early_returns::EarlyReturns, refusal_kind::RefusalKind,
+  refused_caller::RefusedCaller, return_conduct::ReturnConduct, return_plan::ReturnPlan,
+  return_schedules::ReturnSchedules, return_time::ReturnTime,
 };
 
+mod early_classes;
 mod early_returns;
 mod refusal_kind;
 mod refused_caller;
+mod return_conduct;
 mod return_plan;
 mod return_schedule;
 mod return_schedules;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -54,6 +54,8 @@
   pub requests_held_back: Counter,
   /// Requests refused here before any try because their callers were told to come back later.
   pub requests_early: Counter,
+  /// Returns refused here before any try because their classes come back early in series.
+  pub requests_of_early_classes: Counter,
   /// Requests refused here before any try because calls that their run needs would fail.
   pub requests_refused_for_calls: Counter,
   /// Refused callers that were told when to come back.
@@ -156,6 +158,11 @@
         "returns_planned",
         "Refused callers that were told when to come back, by whether room is expected then",
       ),
+      requests_of_early_classes: registered(
+        of,
+        "requests_of_early_classes",
+        "Returns refused before any try because most callers of their class come back early in series",
+      ),
       requests_refused_for_calls: registered(
         of,
         "requests_refused_for_calls",
