--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -31,6 +31,8 @@
   pub(super) confirmed_at: Cell<Option<Time>>,
   /// Tracks the requests that run at the backend server, and finds suspects when its process ends.
   pub crash_detector: RefCell<CrashDetector>,
+  /// Classes whose callers come back too early.
+  pub early_classes: RefCell<EarlyClasses>,
   /// Refused callers that are yet to come back.
   pub early_returns: RefCell<EarlyReturns>,
   endpoints: RefCell<ServiceEndpoints>,
@@ -161,6 +163,7 @@
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
       crash_detector: RefCell::default(),
+      early_classes: RefCell::default(),
       early_returns: RefCell::default(),
       endpoints: RefCell::default(),
       evacuated: RefCell::default(),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,13 +13,13 @@
   node::{BackendNotices, OutboundLink, Shared},
   organisations::{Admission, CallerOrganisation, Grant, KeyFault},
   requests::{
-    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, CallCredit, CallerClass,
-    Claim, ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand,
-    Dispatch, DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest,
-    ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus,
-    RefusalKind, RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan,
-    ReturnTime, RoomDecision, RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId, Sender,
-    Ticket, TryId, TryOrder, Urgency,
+    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, CallCredit, CallerClass, Claim,
+    ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch,
+    DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId,
+    LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RefusalKind,
+    RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan, ReturnTime,
+    RoomDecision, RoomForecast, RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId,
+    Sender, Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -47,6 +47,7 @@
 mod arrivals;
 mod attempt_result;
 mod claimed_run;
+mod early_return;
 mod egress;
 mod entry;
 mod exchange_guard;
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -647,13 +647,14 @@
   fn try_arrives(&mut self, backend: usize, id: TryId, may_queue: bool, request: u64) {
     let Some(known) = self.requests.get(&request) else { return };
     let (due, deadline, work_ms) = (known.due, known.deadline, known.work_ms);
-    let priority = known.priority;
-    let class: CallerClass =
-      format!("org-{}", known.caller.asked.organisation).parse().expect("a name");
+    let (caller, priority) = (known.caller, known.priority);
+    let elapsed_ms = if caller.returns > 0 { self.now - caller.first_at } else { 0 };
+    let class: CallerClass = format!("org-{}", caller.asked.organisation).parse().expect("a name");
     let now = Time(self.now);
     self.next += 1;
     let ticket = Ticket(self.next);
-    let demand = Demand { due, priority, wait_until: due, ..Demand::new(class, deadline) };
+    let demand =
+      Demand { due, elapsed_ms, priority, wait_until: due, ..Demand::new(class, deadline) };
     let limiter = &mut self.backends[backend];
     match limiter.arrive(now, ticket, demand) {
       LimiterDecision::Admitted => {
