Count each data hall by its slots in the forecast of a service's room

Each data hall now counts by all of its slots, and the room is unknown where less than half of them are in halls that were heard of.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -235,6 +235,10 @@
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
     self.rooms.borrow_mut().configure(configuration.clone());
+    let contested: Vec<ServiceName> = self.rooms.borrow().contested().cloned().collect();
+    for service in &contested {
+      self.note_room_of(service);
+    }
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
@@ -334,9 +338,19 @@
         self.retry_budget.borrow_mut().set_limits(limits);
       }
     }
+    let services: BTreeSet<&ServiceName> = updates.iter().map(|one| &one.service).collect();
+    for service in services {
+      self.note_room_of(service);
+    }
     self.add_findings(updates);
   }
 
+  /// Tells where the backend servers of a service are to what knows its room.
+  fn note_room_of(&self, service: &ServiceName) {
+    let (now, endpoints) = (self.now().time, self.endpoints_of(service));
+    self.rooms.borrow_mut().set_endpoints(now, service, &endpoints);
+  }
+
   /// Applies other boxes' findings on requests that crash backend servers to the quarantine.
   fn add_findings(&self, updates: &[Endpoint]) {
     let mut quarantine = self.quarantine.borrow_mut();
--- a/src/requests/room/aged_sum.rs
+++ b/src/requests/room/aged_sum.rs
@@ -23,6 +23,10 @@
     self.timed -= i128::from(value) * i128::from(told_at.0);
   }
 
+  pub fn is_empty(&self) -> bool {
+    self.plain == 0
+  }
+
   /// Returns the sum without regard to age.
   #[allow(clippy::cast_precision_loss)]
   pub fn unweighted(&self) -> f64 {
--- a/src/requests/room/backend_room.rs
+++ b/src/requests/room/backend_room.rs
@@ -1,8 +1,9 @@
 use super::*;
 
 /// What one backend server last told of its room.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct BackendRoom {
+  pub data_hall: DataHall,
   /// Running and waiting requests in percent of the slots.
   pub load_percent: u32,
   /// Microseconds that a run takes there; 0 where that is unknown.
@@ -22,7 +23,12 @@
   ///
   /// A refusal by a daemon that does not tell the load of the slots alone counts as one for lack of
   /// slots, whatever load was measured when it was sent.
-  pub fn read(now: Time, slots: u32, condition: Condition, is_refusal: bool) -> Option<Self> {
+  pub fn read(
+    now: Time,
+    endpoint: &Endpoint,
+    condition: Condition,
+    is_refusal: bool,
+  ) -> Option<Self> {
     const FULL_PERCENT: u32 = 100;
     let least_percent = if is_refusal { FULL_PERCENT } else { 0 };
     let load_percent = match condition.slot_load {
@@ -31,8 +37,9 @@
       SlotLoad::Untold => condition.load_percent.max(least_percent),
     };
     let slowdown = condition.slowdown.unwrap_or_default();
-    let speed_slots = u64::from(slots.max(1)) * 100_000 / u64::from(slowdown.percent());
+    let speed_slots = u64::from(endpoint.slots.max(1)) * 100_000 / u64::from(slowdown.percent());
     Some(Self {
+      data_hall: endpoint.peer.data_hall.clone(),
       load_percent,
       service_us: condition.service_us,
       speed_slots_thousandths: speed_slots.max(1),
--- a/src/requests/room/rooms.rs
+++ b/src/requests/room/rooms.rs
@@ -51,6 +51,23 @@
     self.services.get(service)?.forecast(now, priority)
   }
 
+  /// Sets the backend servers of a service.
+  pub fn set_endpoints(&mut self, now: Time, service: &ServiceName, endpoints: &[Endpoint]) {
+    let Some(room) = self.service(now, service) else {
+      return;
+    };
+    let mut hall_slots: BTreeMap<DataHall, u64> = BTreeMap::new();
+    for endpoint in endpoints.iter().filter(|one| one.state == EndpointState::Live) {
+      *hall_slots.entry(endpoint.peer.data_hall.clone()).or_default() += u64::from(endpoint.slots);
+    }
+    room.set_hall_slots(hall_slots);
+  }
+
+  /// Returns the services whose requests this decides on.
+  pub fn contested(&self) -> impl Iterator<Item = &ServiceName> {
+    self.contested.iter()
+  }
+
   /// Records the condition of a backend server, which came with an answer, or with a refusal that
   /// another backend server might not have given.
   pub fn note_report(
@@ -60,7 +77,7 @@
     condition: Condition,
     is_refusal: bool,
   ) {
-    let room = BackendRoom::read(now, endpoint.slots, condition, is_refusal);
+    let room = BackendRoom::read(now, endpoint, condition, is_refusal);
     if let Some(service) = self.service(now, &endpoint.service) {
       service.note_report(&endpoint.peer.box_id, room);
     }
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -38,13 +38,19 @@
     }
   }
 
+  /// Sets the slots of each data hall.
+  pub fn set_hall_slots(&mut self, hall_slots: BTreeMap<DataHall, u64>) {
+    self.backends.set_hall_slots(hall_slots);
+  }
+
   /// Records what a backend server told of its room; `None` where its slots are no measure of it.
   pub fn note_report(&mut self, box_id: &BoxId, room: Option<BackendRoom>) {
     let Some(room) = room else {
       return self.backends.remove(box_id);
     };
+    let load_percent = room.load_percent;
     if self.backends.replace(box_id, room) {
-      self.level.add_report(room.load_percent);
+      self.level.add_report(load_percent);
     }
   }
 
