--- a/tests/room.rs
+++ b/tests/room.rs
@@ -33,21 +33,21 @@
   [kind(0.5, 0, 500, 220), kind(0.25, 1, 800, 290), kind(0.25, 2, 2_000, 400)]
 }
 
-/// Prints the comparison of the design page: the rows of 13 boxes, all with `ROOM_TABLE=full`, or the
-/// rows of one size and load, such as `ROOM_TABLE="985 1.7"`. The largest size is played for 3 s.
+/// Prints the comparison of the design page: the rows of 13 boxes, all with `ROOM_TABLE=full`, or those
+/// that begin like `ROOM_TABLE="985 1.7 Levels"`. The largest size is played for 3 s.
 #[test]
 fn table() {
   const LEDGER_ENDS_AT_PART: u64 = 3;
   let sizes = [(13, 8, 12_000), (75, 42, 12_000), (300, 160, 12_000), (985, 530, 3_000)];
   let wanted = std::env::var("ROOM_TABLE").unwrap_or("13".into());
-  let is_wanted = |boxes: usize, load: f64| {
-    let row = format!("{boxes} {load}");
+  let is_wanted = |boxes: usize, load: f64, policy: Policy| {
+    let row = format!("{boxes} {load} {policy:?}");
     wanted == "full" || row == wanted || row.starts_with(&format!("{wanted} "))
   };
   let policies = [Policy::Open, Policy::Shares, Policy::Ledger, Policy::Price, Policy::Levels];
   for (boxes, backends, for_ms) in sizes {
-    for load in [0.7, 1.0, 1.3, 1.7].into_iter().filter(|load| is_wanted(boxes, *load)) {
-      for policy in policies {
+    for load in [0.7, 1.0, 1.3, 1.7] {
+      for policy in policies.into_iter().filter(|policy| is_wanted(boxes, load, *policy)) {
         let mut world =
           RoomWorld::new(1, (boxes, backends), &loads(backends, load), &[1.0], policy);
         world.ledger_ends_at = for_ms / LEDGER_ENDS_AT_PART;
