--- a/crates/ferryyoke-soak/src/caller.rs
+++ b/crates/ferryyoke-soak/src/caller.rs
@@ -13,12 +13,38 @@
   pub kind: Kind,
   /// The result that the caller saw.
   pub outcome: Outcome,
+  /// What a refusal told.
+  pub refusal: Option<Refused>,
   /// When the request was sent.
   pub sent_ms: Ms,
   /// The caller's timeout in milliseconds.
   pub time_left_ms: Ms,
 }
 
+/// What a daemon tells a caller that it refuses.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+pub struct Refused {
+  /// Why.
+  pub reason: String,
+  /// When to come back, in milliseconds.
+  pub retry_after_ms: Option<Ms>,
+}
+
+/// What a caller asks for. It may ask again after a refusal.
+#[derive(Clone, Debug)]
+pub struct Asked {
+  /// The body.
+  pub body: Bytes,
+  /// Further headers.
+  pub headers: Vec<(&'static str, String)>,
+  /// The kind of request.
+  pub kind: Kind,
+  /// The method.
+  pub method: Method,
+  /// The path.
+  pub path: String,
+}
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -67,6 +93,17 @@
     }
   }
 
+  /// Returns a request with a random body, of which one in four reads makes a call.
+  pub fn ask(self, rng: &mut ChaCha8Rng) -> Asked {
+    let (method, body) = self.request(rng);
+    let path = format!("{}{}", self.path(), rng.random_range(0..100));
+    let mut headers = vec![(platform::KEY, platform::key(rng.random_range(0..4)))];
+    if self == Self::Read && rng.random_bool(0.25) {
+      headers.push((platform::CALLS, "1".into()));
+    }
+    Asked { body, headers, kind: self, method, path }
+  }
+
   /// Returns the method and a random body.
   pub fn request(self, rng: &mut ChaCha8Rng) -> (Method, Bytes) {
     let size = match self {
--- a/crates/ferryyoke-soak/src/commands.rs
+++ b/crates/ferryyoke-soak/src/commands.rs
@@ -33,7 +33,7 @@
     .about("Runs daemons on loopback under random faults and checks what callers and backend servers see")
     .arg(number("first", "1", "The first seed"))
     .arg(number("count", "1", "How many seeds to run, one after the other"))
-    .arg(number("boxes", "6", "How many boxes the fleet has"))
+    .arg(number("boxes", "8", "How many boxes the fleet has"))
     .arg(number("seconds", "24", "Seconds for which callers send requests in each run"))
     .arg(
       Arg::new("keep")
--- a/crates/ferryyoke-soak/src/fault_proxy.rs
+++ b/crates/ferryyoke-soak/src/fault_proxy.rs
@@ -11,6 +11,8 @@
 
 #[derive(Default)]
 struct State {
+  /// Bytes that were queued at the narrow link ahead of each small piece back from the listener.
+  ahead: RefCell<Vec<u64>>,
   /// Delay of every piece in milliseconds.
   delay_ms: Cell<Ms>,
   /// The bandwidth limit in each direction; `None` means unlimited.
@@ -21,6 +23,8 @@
   resets: Cell<u64>,
   /// Number of times that all open connections went silent for good. New connections work.
   severances: Cell<u64>,
+  /// Connections that went silent up to this number of severances carry again what was withheld.
+  resumed: Cell<u64>,
   /// Whether pieces towards the listener, and pieces back from it, are withheld.
   silent: Cell<(bool, bool)>,
 }
@@ -34,6 +38,12 @@
 }
 
 impl NarrowLink {
+  /// Returns the bytes that have yet to cross.
+  fn queued_bytes(&self, towards: bool) -> u64 {
+    let left = self.free_at[usize::from(towards)].saturating_duration_since(Instant::now());
+    u64::try_from(left.as_micros()).unwrap_or(u64::MAX) * self.kbytes_per_s / 1_000
+  }
+
   /// Queues `bytes` bytes. Returns when they arrive at the other end.
   fn send(&mut self, bytes: usize, towards: bool) -> Instant {
     let free_at = &mut self.free_at[usize::from(towards)];
@@ -47,7 +57,9 @@
   /// Polling interval of the injected faults in milliseconds.
   const LOOK_MS: Ms = 20;
   /// Maximum bytes of a piece.
-  const PIECE_BYTES: usize = 16_384;
+  pub(super) const PIECE_BYTES: usize = 16_384;
+  /// Maximum bytes of a piece that counts as small: the head of an answer and a short body.
+  const SMALL_BYTES: usize = 2_048;
 
   /// Starts a proxy in front of `target`.
   pub fn start(target: SocketAddr) -> Result<Self> {
@@ -74,6 +86,12 @@
     self.state.link.set(Some(NarrowLink { free_at: [Instant::now(); 2], kbytes_per_s }));
   }
 
+  /// Returns the bytes that were queued at the narrow link ahead of each small piece back from the listener since the
+  /// last call.
+  pub fn take_ahead(&self) -> Vec<u64> {
+    self.state.ahead.take()
+  }
+
   /// Resets all open connections.
   pub fn reset(&self) {
     self.state.resets.set(self.state.resets.get() + 1);
@@ -84,6 +102,11 @@
     self.state.severances.set(self.state.severances.get() + 1);
   }
 
+  /// Lets all silenced connections deliver what was withheld, and go on.
+  pub fn resume(&self) {
+    self.state.resumed.set(self.state.severances.get());
+  }
+
   /// Sets whether bytes towards the listener, and bytes back from it, are withheld.
   pub fn silence(&self, towards: bool, back: bool) {
     self.state.silent.set((towards, back));
@@ -165,7 +188,7 @@
       return;
     }
     let is_silent = |(first, second)| if towards { first } else { second };
-    let is_severed = || state.severances.get() != opened.severances;
+    let is_severed = || state.severances.get() > opened.severances.max(state.resumed.get());
     let is_reset = || state.resets.get() != opened.resets;
     while (is_silent(state.silent.get()) || is_severed()) && !is_reset() {
       pause().await;
@@ -174,6 +197,9 @@
       monoio::time::sleep(Duration::from_millis(state.delay_ms.get())).await;
     }
     if let Some(mut link) = state.link.get() {
+      if !towards && count <= FaultProxy::SMALL_BYTES {
+        state.ahead.borrow_mut().push(link.queued_bytes(towards));
+      }
       let crossed_at = link.send(count, towards);
       state.link.set(Some(link));
       monoio::time::sleep(crossed_at.saturating_duration_since(Instant::now())).await;
--- a/crates/ferryyoke-soak/src/inject.rs
+++ b/crates/ferryyoke-soak/src/inject.rs
@@ -1,4 +1,7 @@
-use super::{platform::Trouble, *};
+use super::{
+  platform::{Told, Trouble},
+  *,
+};
 
 use super::run::{LOOK_MS, Run};
 
@@ -46,6 +49,10 @@
         self.boxes[index].backend_server.set_trouble(Trouble::default());
         Ok(())
       }
+      Fault::Misreport { index, for_ms, told } => {
+        self.misreport(index, for_ms, told).await;
+        Ok(())
+      }
       Fault::Kill { indexes, down_ms } => self.kill(&indexes, down_ms).await,
       Fault::Reload { index } => self.boxes[index].signal("HUP").map(drop),
       Fault::Reset { index } => {
@@ -67,6 +74,10 @@
         }
         Ok(())
       }
+      Fault::Stall { index, for_ms } => {
+        self.stall(index, for_ms).await;
+        Ok(())
+      }
       Fault::StoreSevers { indexes } => {
         for index in &indexes {
           self.boxes[*index].store.sever();
@@ -96,6 +107,18 @@
     }
   }
 
+  async fn misreport(&self, index: usize, for_ms: Ms, told: Told) {
+    self.boxes[index].backend_server.tell(told);
+    pause(for_ms).await;
+    self.boxes[index].backend_server.tell(Told::True);
+  }
+
+  async fn stall(&self, index: usize, for_ms: Ms) {
+    self.boxes[index].sever();
+    self.record_box_faults(&[index], for_ms).await;
+    self.boxes[index].resume();
+  }
+
   pub(super) async fn write_foreign(&self, foreign: Foreign) -> Result {
     match foreign {
       Foreign::Configuration { form, for_ms } => {
@@ -104,7 +127,7 @@
           .write_foreign(platform::CONFIGURATION, platform::foreign_items().swap_remove(form))?;
         pause(for_ms).await;
         let added = self.record.borrow().changes.len() - 1;
-        self.store.accept(platform::configuration(&SoakBox::SERVICES, added))
+        self.store.accept(platform::shared_configuration(&SoakBox::SERVICES, added))
       }
       Foreign::Entry { form, index } => self
         .store
@@ -139,7 +162,9 @@
         self.store.go_back(Some(age_ms), away_ms).await;
         pause(rewritten_ms).await;
         let added = self.record.borrow().changes.len() - 1;
-        if let Err(err) = self.store.accept(platform::configuration(&SoakBox::SERVICES, added)) {
+        if let Err(err) =
+          self.store.accept(platform::shared_configuration(&SoakBox::SERVICES, added))
+        {
           self.violate(
             "the soak itself works",
             format!("restoring the configuration failed: {err:?}"),
@@ -194,7 +219,7 @@
   /// Adds a route, as the operators do.
   pub(super) fn change(&self) -> Result {
     let added = self.record.borrow().changes.len();
-    self.store.accept(platform::configuration(&SoakBox::SERVICES, added))?;
+    self.store.accept(platform::shared_configuration(&SoakBox::SERVICES, added))?;
     let now = self.now();
     self.record.borrow_mut().changes.push(now);
     Ok(())
@@ -280,6 +305,7 @@
         .header(platform::REQUEST_ID, CrashingRun::id(number, index, attempt))
         .header(platform::TIME_LEFT_MS, Self::ENDING_TIME_MS)
         .header(platform::CRASH_MS, &crash_ms)
+        .header(platform::KEY, platform::key(number))
         .body(web::full(body.clone()))
         .expect("the head is constant");
       let sending = pool.exchange(self.boxes[index].callers, request, 1 << 20);
--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -37,7 +37,7 @@
 };
 
 pub use self::{
-  caller::{Attempt, Kind, Outcome},
+  caller::{Asked, Attempt, Kind, Outcome, Refused},
   commands::execute,
   foreign::Foreign,
   plan::{Fault, Plan, Step},
@@ -57,6 +57,7 @@
 mod fault_spans;
 mod foreign;
 mod inject;
+mod load;
 mod plan;
 pub mod platform;
 mod record;
--- a/crates/ferryyoke-soak/src/plan.rs
+++ b/crates/ferryyoke-soak/src/plan.rs
@@ -44,12 +44,16 @@
   Kill { indexes: Vec<usize>, down_ms: Ms },
   /// Connections from other daemons to a box are reset.
   Reset { index: usize },
+  /// A backend server tells figures of its load and speed that are not its own.
+  Misreport { index: usize, for_ms: Ms, told: platform::Told },
   /// A daemon reloads its settings.
   Reload { index: usize },
   /// The operators add a route.
   Change,
   /// Open connections from other daemons to some boxes go silent for good. New connections work.
   Sever { indexes: Vec<usize> },
+  /// Open connections from other daemons to a box stand still, and then deliver what was withheld. New connections work.
+  Stall { index: usize, for_ms: Ms },
   /// Daemons are stopped as planned, one after the other, and started again.
   Stop { indexes: Vec<usize>, gap_ms: Ms },
   /// The store is unavailable; `lapse` tells whether leases expire meanwhile.
@@ -82,6 +86,10 @@
   const RESTORE_GAP_MAX_MS: Ms = 9_000;
   /// Upper limit of the milliseconds between two backend servers that begin to hang.
   const HANG_GAP_MAX_MS: Ms = 6_000;
+  /// Upper limit of the milliseconds between two backend servers that begin to tell wrong figures.
+  const MISREPORT_GAP_MAX_MS: Ms = 4_000;
+  /// Upper limit of the milliseconds between two boxes whose connections stand still.
+  const STALL_GAP_MAX_MS: Ms = 4_000;
   /// Milliseconds without faults at the start, in which the boxes discover each other.
   const QUIET_START_MS: Ms = 1_000;
   /// Milliseconds without new faults at the end, after which everything must work again.
@@ -101,6 +109,8 @@
     steps.extend(Self::endings(seed, length_ms));
     steps.extend(Self::restores(seed, length_ms));
     steps.extend(Self::hangs(seed, boxes, length_ms));
+    steps.extend(Self::misreports(seed, boxes, length_ms));
+    steps.extend(Self::stalls(seed, boxes, length_ms));
     steps.sort_by_key(|step| step.at_ms);
     Self { length_ms, steps }
   }
@@ -162,6 +172,40 @@
     }
   }
 
+  /// Backend servers that tell wrong figures. Uses its own random generator.
+  fn misreports(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(20));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(500..Self::MISREPORT_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let fault = Fault::Misreport {
+        for_ms: rng.random_range(500..8_000).min(length_ms - Self::QUIET_END_MS - at_ms),
+        index: rng.random_range(0..boxes),
+        told: *platform::Told::FALSE.choose(&mut rng).expect("there are some"),
+      };
+      steps.push(Step { at_ms, fault });
+    }
+  }
+
+  /// Connections that stand still for a while. Uses its own random generator.
+  fn stalls(seed: u64, boxes: usize, length_ms: Ms) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(44));
+    let mut steps = Vec::new();
+    let mut at_ms = Self::QUIET_START_MS;
+    loop {
+      at_ms += rng.random_range(500..Self::STALL_GAP_MAX_MS);
+      if at_ms + Self::QUIET_END_MS >= length_ms {
+        return steps;
+      }
+      let (index, for_ms) = (rng.random_range(0..boxes), rng.random_range(300..3_000));
+      steps.push(Step { at_ms, fault: Fault::Stall { index, for_ms } });
+    }
+  }
+
   /// Crashing requests, some of which overlap. Uses its own random generator.
   fn endings(seed: u64, length_ms: Ms) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -6,6 +6,8 @@
 }
 
 struct State {
+  /// Where it sends its calls: the daemon's address for callers.
+  callers: Option<SocketAddr>,
   control: SocketAddr,
   /// Number of crashes caused by a request or by [`BackendServer::lose_process`].
   crashes: u32,
@@ -30,6 +32,7 @@
   /// When the process started, in milliseconds since 1970. Strictly increases with each restart, also under the same
   /// id.
   started_unix_ms: u64,
+  told: Told,
   trouble: Trouble,
   /// Requests that it never answered because of its trouble.
   unanswered: u32,
@@ -61,6 +64,7 @@
     started: Instant,
   ) -> Self {
     let state = Rc::new(RefCell::new(State {
+      callers: None,
       control,
       crashes: 0,
       front,
@@ -77,6 +81,7 @@
       service: service.into(),
       started,
       started_unix_ms: unix_ms(),
+      told: Told::Missing,
       trouble: Trouble::default(),
       unanswered: 0,
     }));
@@ -135,6 +140,16 @@
     self.state.borrow_mut().limit_per_s = limit_per_s;
   }
 
+  /// Sets the address to which it sends calls for requests that ask for some.
+  pub fn call_through(&self, callers: SocketAddr) {
+    self.state.borrow_mut().callers = Some(callers);
+  }
+
+  /// Sets what it tells of its load and speed from now on, also in later processes.
+  pub fn tell(&self, told: Told) {
+    self.state.borrow_mut().told = told;
+  }
+
   /// Sets what goes wrong from now on, also in later processes.
   pub fn set_trouble(&self, trouble: Trouble) {
     self.state.borrow_mut().trouble = trouble;
@@ -182,6 +197,12 @@
     format!("{}@{}", self.instance, self.started_unix_ms)
   }
 
+  /// Returns what it tells of its load and speed now.
+  fn load(&self) -> Option<String> {
+    let answered = self.record.borrow().runs.len();
+    self.told.figures(self.running.get(), self.trouble.slowness, answered)
+  }
+
   /// Starts a new process without any state of the former one.
   fn begin_process(&mut self, keeps_id: bool) {
     if !keeps_id {
@@ -264,6 +285,12 @@
 /// The header with the minimum size of the answer in bytes.
 pub const ANSWER_BYTES: &str = "x-soak-answer-bytes";
 
+/// The header with the number of calls to the other service that the run makes, one after the other.
+pub const CALLS: &str = "x-soak-calls";
+
+/// The header with the load and speed of a backend server.
+const LOAD: &str = "x-server-load";
+
 /// The header of a crashing request: the milliseconds after which it ends the process that runs it.
 pub const CRASH_MS: &str = "x-soak-crash-ms";
 
@@ -295,6 +322,9 @@
     if let Ok(value) = instance.parse() {
       response.headers_mut().insert("x-instance-id", value);
     }
+    if let Some(value) = state.borrow().load().and_then(|load| load.parse().ok()) {
+      response.headers_mut().insert(LOAD, value);
+    }
     response
   };
   if request.uri().path() == "/health" {
@@ -315,19 +345,25 @@
     state.borrow_mut().unanswered += 1;
     return std::future::pending().await;
   }
-  let _running = Running::begin(&running);
+  let (has_key, organisation) = (header(KEY).is_some(), header(ORGANISATION));
+  let _running = {
+    let state = state.borrow();
+    let (at_ms, instance) = (elapsed_ms(state.started), state.process());
+    let (request_id, service) = (request_id.clone(), state.service.clone());
+    let ended_ms = None;
+    let run = record::Run { at_ms, ended_ms, has_key, instance, organisation, request_id, service };
+    Running::begin(&running, &state.record, state.started, run)
+  };
   let work_ms = {
     let mut state = state.borrow_mut();
-    let (at_ms, instance) = (elapsed_ms(state.started), state.process());
-    let (has_key, organisation) = (header(KEY).is_some(), header(ORGANISATION));
-    let request_id = request_id.clone();
-    let run = record::Run { at_ms, has_key, instance, organisation, request_id };
-    state.record.borrow_mut().runs.push(run);
     let told_ms = header(WORK_MS).and_then(|value| value.parse().ok());
     told_ms.unwrap_or_else(|| state.rng.random_range(2..60))
   };
   let answer_bytes = header(ANSWER_BYTES).and_then(|value| value.parse().ok()).unwrap_or(0);
   let crash_ms = header(CRASH_MS).and_then(|value| value.parse().ok());
+  let calls = header(CALLS).and_then(|value| value.parse().ok()).unwrap_or(0);
+  let left_ms = header(TIME_LEFT_MS).and_then(|value| value.parse().ok()).unwrap_or(0);
+  let began = Instant::now();
   let Ok(body) = web::collect(request.into_body(), 4 << 20).await else {
     return web::text(StatusCode::BAD_REQUEST, "the body ended early");
   };
@@ -339,6 +375,12 @@
     return std::future::pending().await;
   }
   monoio::time::sleep(Duration::from_millis(work_ms * trouble.slowness)).await;
+  for number in 0..calls {
+    let left_ms = Ms::saturating_sub(left_ms, elapsed_ms(began));
+    if !call(&state, &format!("{request_id}-c{number}"), left_ms).await {
+      return with_instance(web::text(StatusCode::INTERNAL_SERVER_ERROR, "a call failed"));
+    }
+  }
   let (is_mute, resets) = {
     let rng = &mut state.borrow_mut().rng;
     (rng.random_bool(trouble.mute_share), rng.random_bool(trouble.reset_share))
@@ -361,6 +403,9 @@
   if let Ok(value) = request_id.parse() {
     headers.insert(REQUEST_ID, value);
   }
+  if let Some(value) = state.borrow().load().and_then(|load| load.parse().ok()) {
+    headers.insert(LOAD, value);
+  }
   if state.borrow().is_leaving {
     headers.insert("server-leaving", http::HeaderValue::from_static("1"));
   }
@@ -371,6 +416,23 @@
   response
 }
 
-fn elapsed_ms(started: Instant) -> Ms {
+/// Calls the other service. Returns whether the call was answered.
+async fn call(state: &Rc<RefCell<State>>, id: &str, left_ms: Ms) -> bool {
+  let Some(callers) = state.borrow().callers else {
+    return false;
+  };
+  let request = Request::get(format!("{}{id}", configuration::CALL_PATH))
+    .header(http::header::HOST, "soak.example")
+    .header(REQUEST_ID, id)
+    .header(TIME_LEFT_MS, left_ms)
+    .body(web::empty())
+    .expect("the head is constant");
+  let pool = Rc::new(web::Pool::new(left_ms.max(1)));
+  let exchange = pool.exchange(callers, request, 4_096);
+  let answered = monoio::time::timeout(Duration::from_millis(left_ms), exchange).await;
+  matches!(answered, Ok(Ok((StatusCode::OK, _))))
+}
+
+pub(super) fn elapsed_ms(started: Instant) -> Ms {
   u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/ferryyoke-soak/src/platform/mod.rs
+++ b/crates/ferryyoke-soak/src/platform/mod.rs
@@ -4,10 +4,11 @@
 use super::*;
 
 pub use self::{
-  backend_server::{ANSWER_BYTES, BackendServer, CRASH_MS, KEY, ORGANISATION, WORK_MS},
-  configuration::{added_path, configuration},
+  backend_server::{ANSWER_BYTES, BackendServer, CALLS, CRASH_MS, KEY, ORGANISATION, WORK_MS},
+  configuration::{BULK_PATH, added_path, configuration, key, shared_configuration},
   foreign::{foreign_items, foreign_reports},
   store::{Fields, StoreServer},
+  told::Told,
   trouble::Trouble,
 };
 
@@ -15,6 +16,7 @@
 mod configuration;
 mod foreign;
 mod store;
+mod told;
 mod trouble;
 
 /// The store's key of the operators' configuration.
--- a/crates/ferryyoke-soak/src/platform/trouble.rs
+++ b/crates/ferryyoke-soak/src/platform/trouble.rs
@@ -19,18 +19,36 @@
   }
 }
 
-/// Counts a request that runs, until dropped.
-pub(super) struct Running(Rc<Cell<u32>>);
+/// Counts a request that runs, and records its end when dropped.
+pub(super) struct Running {
+  count: Rc<Cell<u32>>,
+  /// Index among the recorded runs.
+  index: usize,
+  record: Rc<RefCell<Record>>,
+  started: Instant,
+}
 
 impl Running {
-  pub(super) fn begin(running: &Rc<Cell<u32>>) -> Self {
-    running.set(running.get() + 1);
-    Self(running.clone())
+  /// Records a run that begins.
+  pub(super) fn begin(
+    count: &Rc<Cell<u32>>,
+    record: &Rc<RefCell<Record>>,
+    started: Instant,
+    run: record::Run,
+  ) -> Self {
+    count.set(count.get() + 1);
+    record.borrow_mut().runs.push(run);
+    let index = record.borrow().runs.len() - 1;
+    Self { count: count.clone(), index, record: record.clone(), started }
   }
 }
 
 impl Drop for Running {
   fn drop(&mut self) {
-    self.0.set(self.0.get() - 1);
+    self.count.set(self.count.get() - 1);
+    let ended_ms = backend_server::elapsed_ms(self.started);
+    if let Some(run) = self.record.borrow_mut().runs.get_mut(self.index) {
+      run.ended_ms = Some(ended_ms);
+    }
   }
 }
--- a/crates/ferryyoke-soak/src/record.rs
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -47,6 +47,8 @@
 pub struct Run {
   /// When the run began.
   pub at_ms: Ms,
+  /// When the run ended, or was given up.
+  pub ended_ms: Option<Ms>,
   /// Whether the request carried the caller's key.
   pub has_key: bool,
   /// The process that ran it.
@@ -55,6 +57,8 @@
   pub organisation: Option<String>,
   /// The id of the request.
   pub request_id: String,
+  /// The service of the backend server.
+  pub service: String,
 }
 
 /// A violated guarantee.
@@ -81,6 +85,8 @@
   const DRAIN_MS: Ms = 2_000;
   /// Milliseconds after its timeout within which a request must have ended.
   const HANG_MS: Ms = 1_500;
+  /// Milliseconds of the window that the settings name for retries.
+  const RETRY_WINDOW_MS: Ms = 10_000;
   /// Crashes after which a request counts as a crashing one.
   const ENDED_MAX: usize = 3;
   /// How often a crashing request may still reach a backend server after that.
@@ -92,6 +98,7 @@
   pub fn check(&mut self) -> Vec<Violation> {
     let mut found = std::mem::take(&mut self.violations);
     self.check_runs(&mut found);
+    self.check_repeats(&mut found);
     self.check_drains(&mut found);
     self.check_configuration(&mut found);
     self.check_answers(&mut found);
@@ -101,6 +108,30 @@
     found
   }
 
+  /// Returns the most runs of those that `is_counted` names which were under way at once within a span.
+  pub(super) fn most_running(
+    &self,
+    from: Ms,
+    to: Ms,
+    is_counted: impl Fn(&record::Run) -> bool,
+  ) -> usize {
+    let mut changes = Vec::new();
+    for run in self.runs.iter().filter(|run| run.at_ms <= to && is_counted(run)) {
+      let ended_ms = run.ended_ms.unwrap_or(Ms::MAX);
+      if ended_ms > from {
+        changes.extend([(run.at_ms.max(from), true), (ended_ms, false)]);
+      }
+    }
+    // Ends come first among changes at the same time.
+    changes.sort_unstable();
+    let (mut running, mut most) = (0_usize, 0);
+    for (_, begins) in changes {
+      running = if begins { running + 1 } else { running.saturating_sub(1) };
+      most = most.max(running);
+    }
+    most
+  }
+
   /// Whether a box had no planned stop, and neither it nor the store a fault, during a span and for
   /// [`Self::CONTACT_MS`] before it.
   fn is_connected(&self, index: usize, from: Ms, to: Ms) -> bool {
@@ -118,10 +149,10 @@
     for run in &self.runs {
       *runs.entry(&run.request_id).or_default() += 1;
     }
-    for attempt in self.attempts.iter().filter(|attempt| !attempt.kind.is_repeatable()) {
+    for attempt in &self.attempts {
       let count = runs.get(attempt.id.as_str()).copied().unwrap_or(0);
       let id = &attempt.id;
-      if count > 1 {
+      if count > 1 && !attempt.kind.is_repeatable() {
         found.push(Violation {
           promise: "runs at most once",
           seen: format!("{id} ran {count} times"),
@@ -132,6 +163,46 @@
         found.push(Violation { promise: "a refusal says that it did not run", seen });
       }
     }
+    let refused = self.attempts.iter().filter(|one| matches!(one.outcome, Outcome::NotRun(_)));
+    let refused: BTreeMap<&str, Ms> = refused.map(|one| (one.id.as_str(), one.ended_ms)).collect();
+    for run in &self.runs {
+      let refused_ms = refused.get(run.request_id.as_str());
+      if let Some(refused_ms) = refused_ms.filter(|refused_ms| run.at_ms > **refused_ms) {
+        let seen = format!(
+          "{} was refused at {refused_ms} ms, and begun at {} ms",
+          run.request_id, run.at_ms
+        );
+        found.push(Violation { promise: "nothing is begun after its refusal", seen });
+      }
+    }
+  }
+
+  /// The repeated runs of each service stay within the share of its requests in any window.
+  fn check_repeats(&self, found: &mut Vec<Violation>) {
+    let services: BTreeSet<&str> = self.runs.iter().map(|run| run.service.as_str()).collect();
+    for service in services {
+      let (mut known, mut window) = (BTreeSet::new(), VecDeque::new());
+      let (mut repeats, mut worst) = (0, None);
+      for run in self.runs.iter().filter(|run| run.service == service) {
+        let is_repeat = !known.insert(run.request_id.as_str());
+        window.push_back((run.at_ms, is_repeat));
+        repeats += usize::from(is_repeat);
+        while window.front().is_some_and(|(at, _)| at + Self::RETRY_WINDOW_MS < run.at_ms) {
+          let gone = window.pop_front();
+          repeats -= usize::from(gone.is_some_and(|(_, is_repeat)| is_repeat));
+        }
+        let requests = window.len() - repeats;
+        let most = requests / SoakBox::REQUESTS_A_RETRY + SoakBox::RETRY_EXTRA;
+        if repeats > most && worst.is_none_or(|(_, beyond, _)| repeats - most > beyond) {
+          worst = Some((run.at_ms, repeats - most, repeats));
+        }
+      }
+      if let Some((at_ms, beyond, repeats)) = worst {
+        let seen =
+          format!("{repeats} repeats at {service} until {at_ms} ms, {beyond} more than may be");
+        found.push(Violation { promise: "repeats stay within their share", seen });
+      }
+    }
   }
 
   /// A request that crashed three processes may reach at most three more through connected boxes.
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -20,6 +20,8 @@
   pub index: usize,
   /// Whether stopping the daemon by a signal simulates a suspended machine. Takes effect at the next start.
   pub is_suspended_when_stopped: Cell<bool>,
+  /// Rate of the narrow link; 0 without one.
+  kbytes_per_s: Cell<u64>,
   /// How often the daemon was started.
   pub life: Cell<u32>,
   /// The proxy in front of the daemon's address for links.
@@ -31,6 +33,10 @@
 }
 
 impl SoakBox {
+  /// Requests of a service for each of which the fleet may make one more retry.
+  pub(super) const REQUESTS_A_RETRY: usize = 5;
+  /// Retries beyond that in a window.
+  pub(super) const RETRY_EXTRA: usize = 60;
   /// Number of data halls, assigned to boxes by turns.
   const HALLS: usize = 3;
   /// The services, assigned to boxes by turns.
@@ -38,6 +44,16 @@
   /// The deadline of a planned stop in milliseconds.
   pub const STOP_MS: Ms = 6_000;
 
+  /// Returns the service of a kind of request.
+  pub(super) fn service_of(kind: Kind) -> &'static str {
+    Self::SERVICES[usize::from(kind == Kind::Send)]
+  }
+
+  /// Returns the service of the box.
+  pub(super) fn service(&self) -> &'static str {
+    Self::SERVICES[self.index % Self::SERVICES.len()]
+  }
+
   /// Prepares a box with its settings in `directory`. Doesn't start the daemon.
   pub fn prepare(
     index: usize,
@@ -63,7 +79,7 @@
       "data_hall": format!("hall-{}", index % Self::HALLS),
       "deployment": {
         "apply": "2s", "control": address(5), "link_mbps": 1_000.0, "metrics": address(6),
-        "readiness": address(7), "retry_extra": 60, "retry_ratio": 0.2, "retry_window": "10s",
+        "readiness": address(7), "retry_extra": Self::RETRY_EXTRA, "retry_ratio": 0.2, "retry_window": "10s",
       },
       "fleet_key": { "environment": "FERRYYOKE_FLEET_KEY" },
       "log": { "format": "json" },
@@ -83,6 +99,7 @@
       record.clone(),
       started,
     );
+    backend_server.call_through(address(1));
     Ok(Self {
       backend,
       callers: address(1),
@@ -94,6 +111,7 @@
       forward,
       index,
       is_suspended_when_stopped: Cell::default(),
+      kbytes_per_s: Cell::default(),
       life: Cell::default(),
       links,
       readiness: address(7),
@@ -150,7 +168,8 @@
   /// daemon's settings name the limit from its next start on.
   pub fn narrow(&self, link_mbps: u64) -> Result {
     const KBYTES_PER_S_PER_MBPS: u64 = 125;
-    self.forward.narrow(link_mbps * KBYTES_PER_S_PER_MBPS);
+    self.kbytes_per_s.set(link_mbps * KBYTES_PER_S_PER_MBPS);
+    self.forward.narrow(self.kbytes_per_s.get());
     let path = Self::settings_path(&self.directory, self.index);
     let mut settings: serde_json::Value = serde_json::from_str(&fs::read_to_string(&path)?)
       .map_err(|err| Error::Unexpected(err.to_string()))?;
@@ -158,12 +177,27 @@
     Ok(fs::write(path, settings.to_string())?)
   }
 
+  /// Returns the bytes that waited for the box's link ahead of each short message since the last call, and how many may
+  /// by the rule: 6 ms of the link, what was sent while the proxy stood still for `stalls_ms`, and a piece of the proxy
+  /// for each of two bodies under way.
+  pub fn take_ahead(&self, stalls_ms: Ms) -> (Vec<u64>, u64) {
+    const QUEUE_MS: u64 = 6;
+    let may = (QUEUE_MS + stalls_ms) * self.kbytes_per_s.get() + 2 * FaultProxy::PIECE_BYTES as u64;
+    (self.forward.take_ahead(), may)
+  }
+
   /// Silences all open connections from other daemons to this box for good.
   pub fn sever(&self) {
     self.forward.sever();
     self.links.sever();
   }
 
+  /// Lets the silenced connections deliver what was withheld, and go on.
+  pub fn resume(&self) {
+    self.forward.resume();
+    self.links.resume();
+  }
+
   /// Delays everything that other daemons send to this box.
   pub fn delay(&self, delay_ms: Ms) {
     self.forward.delay(delay_ms);
--- a/crates/ferryyoke-soak/src/stops.rs
+++ b/crates/ferryyoke-soak/src/stops.rs
@@ -3,7 +3,7 @@
 use super::{run::Run, *};
 
 /// A download, and its outcome.
-struct Download {
+pub(super) struct Download {
   index: usize,
   outcome: Outcome,
   request_id: String,
@@ -84,9 +84,9 @@
     futures_util::future::join_all(under_way).await
   }
 
-  async fn download(&self, index: usize, bytes: usize) -> Download {
+  pub(super) async fn download(&self, index: usize, bytes: usize) -> Download {
     let request_id = format!("{:016x}", rand::random::<u64>());
-    let request = Request::get(format!("{}download", Kind::Read.path()))
+    let request = Request::get(format!("{}download", platform::BULK_PATH))
       .header(http::header::HOST, "soak.example")
       .header(platform::ANSWER_BYTES, bytes)
       .header(platform::REQUEST_ID, &request_id)
