--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -36,13 +36,13 @@
   loop {
     match decide(shared, &mut dispatch, forwarded, event) {
       DispatchStep::Answer { id } => {
-        note_ended(shared, &forwarded.service, false);
+        note_ended(shared, forwarded, false);
         return tries.finish(id, attempts);
       }
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
       DispatchStep::Refuse(outcome) => {
-        note_ended(shared, &forwarded.service, outcome.is_declined());
-        return Err(at_return_time(shared, forwarded, outcome));
+        note_ended(shared, forwarded, lacks_slots(shared, &forwarded.service, &outcome, attempts));
+        return Err(outcome);
       }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
@@ -51,29 +51,23 @@
   }
 }
 
-/// Sets the time after which the caller of a full service should come back to when this box expects
-/// room there.
-fn at_return_time(
+/// Whether a request was refused as the last backend server that refused it has no free slot. Others
+/// are refused for the links of a box, or as the backend server is cold.
+fn lacks_slots(
   shared: &Shared,
-  forwarded: &ForwardedRequest,
-  outcome: AttemptOutcome,
-) -> AttemptOutcome {
-  let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
-    return outcome;
-  };
-  let now = shared.now().time;
-  let forecast =
-    shared.rooms.borrow().forecast(now, &forwarded.service, forwarded.urgency.priority);
-  let left_ms = forwarded.deadline.since_ms(now);
-  let time = ReturnTime { left_ms, wait_ms: forecast.map(|room| room.wait_ms) };
-  let at = shared.rng.borrow_mut().random_range(0.0..1.0);
-  let retry_after_ms = time.retry_after_ms(retry_after_ms, at);
-  AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
+  service: &ServiceName,
+  outcome: &AttemptOutcome,
+  attempts: &[Attempt],
+) -> bool {
+  let (now, rooms) = (shared.now().time, shared.rooms.borrow());
+  outcome.is_declined()
+    && attempts.last().is_some_and(|last| rooms.is_full(now, service, &last.box_id))
 }
 
 /// Records whether a request of a service found room.
-fn note_ended(shared: &Shared, service: &ServiceName, is_refused: bool) {
-  shared.rooms.borrow_mut().note_ended(shared.now().time, service, is_refused);
+fn note_ended(shared: &Shared, forwarded: &ForwardedRequest, is_refused: bool) {
+  let (now, rank) = (shared.now().time, forwarded.admitted_rank);
+  shared.rooms.borrow_mut().note_ended(now, &forwarded.service, rank, is_refused);
 }
 
 fn decide(
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -58,11 +58,11 @@
   /// full, 15 of 16 requests find a free slot by then.
   const IMMEDIATE_TRIES_MAX: usize = 4;
   /// The same where the service as a whole is known to be full: a free slot is a matter of chance.
-  const IMMEDIATE_TRIES_MAX_KNOWN: usize = 1;
+  const IMMEDIATE_TRIES_MAX_IF_FULL: usize = 1;
   /// Full queues after which a request is refused: the next box is likely to be full too.
   const FULL_QUEUES_MAX: usize = 4;
   /// The same where the service as a whole is known to be full.
-  const FULL_QUEUES_MAX_KNOWN: usize = 2;
+  const FULL_QUEUES_MAX_IF_FULL: usize = 2;
   /// The fraction of the time until the answer is due that a new connection may take, so that a
   /// request to a box that crashed or is partitioned can still go elsewhere in time.
   const CONNECT_FRACTION: f64 = 0.25;
@@ -75,11 +75,6 @@
   const HEDGE_FACTOR: f64 = 1.2;
   /// `Retry-After` in milliseconds when there is no backend server.
   const NO_BACKEND_RETRY_MS: u64 = 1_000;
-  /// The fraction of its remaining time after which a caller retries a full service. Callers wait a
-  /// third of that time at most.
-  const RETRY_FRACTION: f64 = 0.33;
-  /// Random factor on the time until a caller retries.
-  const RETRY_JITTER: std::ops::Range<f64> = 0.8..1.2;
   /// Tries for one request, including those that reach no backend server. Bounds the work that a
   /// full service causes.
   const TRIES_MAX: usize = 7;
@@ -222,7 +217,8 @@
     context: &DispatchContext,
   ) -> bool {
     let is_full = context.room.is_some_and(|room| room.is_full());
-    let full_queues_max = if is_full { Self::FULL_QUEUES_MAX_KNOWN } else { Self::FULL_QUEUES_MAX };
+    let full_queues_max =
+      if is_full { Self::FULL_QUEUES_MAX_IF_FULL } else { Self::FULL_QUEUES_MAX };
     let is_late = outcome.is_declined() && context.now >= self.profile.urgency.wait_until;
     self.arrived() >= self.profile.attempts_max as usize
       || self.ended.len() + self.lost >= Self::TRIES_MAX
@@ -256,13 +252,11 @@
     if let Some(id) = self.fallback_answer {
       return DispatchStep::Answer { id };
     }
-    DispatchStep::Refuse(self.extend_retry_after(outcome, context))
+    DispatchStep::Refuse(self.at_return_time(outcome, context))
   }
 
-  /// Raises the retry time of a caller whose service is full. An immediate retry would meet the
-  /// same load and take a slot from a request that can still be in time. The random factor keeps
-  /// callers that were refused together from retrying together.
-  fn extend_retry_after(
+  /// Sets when the caller of a full service should come back.
+  fn at_return_time(
     &self,
     outcome: AttemptOutcome,
     context: &mut DispatchContext,
@@ -270,9 +264,12 @@
     let AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms } = outcome else {
       return outcome;
     };
-    let left_ms = self.profile.deadline.since_ms(context.now);
-    let jitter = context.rng.random_range(Self::RETRY_JITTER);
-    let retry_after_ms = retry_after_ms.max(fraction_of(left_ms, Self::RETRY_FRACTION * jitter));
+    let time = ReturnTime {
+      kind: RefusalKind::Tried { told_ms: retry_after_ms },
+      left_ms: self.profile.deadline.since_ms(context.now),
+      wait_ms: context.room.map(|room| room.wait_ms),
+    };
+    let retry_after_ms = time.retry_after_ms(context.rng.random_range(0.0..1.0));
     AttemptOutcome::NotRun { arrived, declined: true, reason, retry_after_ms }
   }
 
@@ -291,7 +288,7 @@
     let asked = self.ended.iter().filter(|one| one.outcome.is_declined()).count();
     let is_full = context.room.is_some_and(|room| room.is_full());
     let asked_max =
-      if is_full { Self::IMMEDIATE_TRIES_MAX_KNOWN } else { Self::IMMEDIATE_TRIES_MAX };
+      if is_full { Self::IMMEDIATE_TRIES_MAX_IF_FULL } else { Self::IMMEDIATE_TRIES_MAX };
     if asked < asked_max {
       let tried: Vec<&BoxId> = self.ended.iter().map(|one| &one.box_id).collect();
       let choice = self.choose_except(&tried, context);
