--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -86,11 +86,6 @@
   let EntryDecision::Refuse { reason, retry_after_ms } = decision else {
     return Ok(());
   };
-  // A caller that is told more than it has left would not come back in time.
-  let left_ms = request.deadline.since_ms(now);
-  let time = ReturnTime { left_ms, wait_ms: Some(retry_after_ms) };
-  let at = shared.rng.borrow_mut().random_range(0.0..1.0);
-  let retry_after_ms = time.retry_after_ms(retry_after_ms, at);
   shared.metrics.requests_refused_for_calls.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused for the calls of its route";
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -6,9 +6,9 @@
   ferryyoke::{
     configuration::Handling,
     requests::{
-      CallerClass, Condition, Demand, EarlyClasses, EarlyReturns, EntryDecision, EntryRequest,
-      Limiter, LimiterDecision, RefusalKind, RefusedCaller, ReturnConduct, ReturnPlan,
-      ReturnSchedules, ReturnTime, Rooms, Ticket, Urgency,
+      CallerClass, Condition, Demand, EarlyClasses, EarlyReturns, EntryRequest, Limiter,
+      LimiterDecision, RefusalKind, RefusedCaller, ReturnConduct, ReturnPlan, ReturnSchedules,
+      ReturnTime, Rooms, Ticket, Urgency,
     },
     values::{Digest, Fingerprint, RouteName, ServiceName, Time},
   },
@@ -371,7 +371,7 @@
     let (estimate, organisation) = (None, None);
     let request =
       EntryRequest { deadline, estimate, organisation, route: &route, service: &service, urgency };
-    let has_entered = rooms.decide(now, &request) == EntryDecision::Admit;
+    let has_entered = rooms.decide(now, &request).is_admitted();
     if at_ms + 1_000 >= for_ms && priority == 0 {
       fresh_entered += u32::from(elapsed_ms == 0 && has_entered);
       returned_refused += u32::from(elapsed_ms > 0 && !has_entered);
