Say no-room only where all of the caller's time was looked at

Cause: the schedule looks 3.2 s ahead, and a caller with a longer deadline was told that no room is expected before it.

Change: such a caller is told to return after a third of its time.

--- a/src/requests/returns/return_plan.rs
+++ b/src/requests/returns/return_plan.rs
@@ -3,7 +3,8 @@
 /// What a refused caller is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReturnPlan {
-  /// To come back as it would by itself. Room is expected later, but before its deadline.
+  /// To come back as it would by itself. Room is expected or possible later, but before its
+  /// deadline.
   BeforeRoom {
     /// Milliseconds after which it should come back.
     after_ms: u64,
@@ -43,10 +44,7 @@
     match self {
       Self::WithRoom { after_ms } => write!(f, "room for its return is expected in {after_ms} ms"),
       Self::BeforeRoom { after_ms } => {
-        write!(
-          f,
-          "room is expected before its deadline, but later than its return in {after_ms} ms"
-        )
+        write!(f, "room may come before its deadline, but later than its return in {after_ms} ms")
       }
       Self::NoRoom { .. } => write!(f, "no room is expected before its deadline"),
     }
--- a/src/requests/returns/return_schedule.rs
+++ b/src/requests/returns/return_schedule.rs
@@ -62,7 +62,12 @@
     let buckets = begin_ms / Self::BUCKET_MS + 1..Self::BUCKETS_MAX;
     let mut buckets = buckets.take_while(|index| index * Self::BUCKET_MS <= latest_ms);
     let Some(index) = buckets.find(|index| self.has_room(*index, caller, room, &fresh)) else {
-      return ReturnPlan::NoRoom { after_ms: left_ms + Self::BUCKET_MS };
+      // What is further ahead than the last bucket is unknown.
+      return if latest_ms >= Self::BUCKETS_MAX * Self::BUCKET_MS {
+        ReturnPlan::BeforeRoom { after_ms: own_ms }
+      } else {
+        ReturnPlan::NoRoom { after_ms: left_ms + Self::BUCKET_MS }
+      };
     };
     let end_ms = index * Self::BUCKET_MS;
     if end_ms > own_ms {
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -275,6 +275,9 @@
   let (mut schedules, now) = schedules(|_| 8);
   let plan = schedules.plan(now, &service(), &refused(3_000, 100), 0.5);
   assert!(matches!(plan, Some(ReturnPlan::NoRoom { after_ms }) if after_ms > 3_000), "{plan:?}");
+  // What comes after the last bucket is unknown.
+  let plan = schedules.plan(now, &service(), &refused(9_000, 100), 0.5);
+  assert!(matches!(plan, Some(ReturnPlan::BeforeRoom { after_ms: 2_970 })), "{plan:?}");
   let other: ServiceName = "other".parse().expect("a name");
   assert_eq!(schedules.plan(now, &other, &refused(3_000, 100), 0.5), None);
 }
