--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,7 +17,7 @@
     ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch,
     DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId,
     LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RequestKey,
-    RequestProfile, RequestRecord, RetryWeight, ReturnTime, RouteKind, RouteMatch, RunCalls,
+    RequestProfile, RequestRecord, RetryWeight, RoomDecision, RouteKind, RouteMatch, RunCalls,
     RunEnd, RunEstimate, RunId, Sender, Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
