Say that a refused request may have run where an earlier try may

A request that may be repeated was refused with 503, not run, when its first try broke off after it was sent and the next one found no slot: the last try decided. The new test fails without the change.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -248,11 +248,14 @@
   }
 
   /// Ends the request with a backend server's failure answer if there is one, else with a refusal.
+  /// That says that the request may have run where an earlier try may.
   fn give_up(&self, outcome: AttemptOutcome, context: &mut DispatchContext) -> DispatchStep {
     if let Some(id) = self.fallback_answer {
       return DispatchStep::Answer { id };
     }
-    DispatchStep::Refuse(self.at_return_time(outcome, context))
+    let may_have_run = |one: &&EndedTry| matches!(one.outcome, AttemptOutcome::Unknown { .. });
+    let earlier = self.ended.iter().find(may_have_run).map(|one| one.outcome.clone());
+    DispatchStep::Refuse(self.at_return_time(earlier.unwrap_or(outcome), context))
   }
 
   /// Sets when the caller of a full service should come back.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -265,6 +265,22 @@
   assert_ne!(first.endpoint.peer.box_id, second.endpoint.peer.box_id);
 }
 
+/// Guards against a refusal that says "not run" after an earlier try that may have run.
+#[test]
+fn a_refusal_after_a_try_that_may_have_run_says_so() {
+  let mut daemon = Daemon::new(4);
+  let mut dispatch = Dispatch::new(RequestProfile { attempts_max: 5, ..profile(true) });
+  let first = daemon.start(&mut dispatch);
+  let mut step = daemon.end(&mut dispatch, first.id, unknown());
+  let mut tried = 0;
+  while let DispatchStep::Try(order) = step {
+    tried += 1;
+    step = daemon.end(&mut dispatch, order.id, full());
+  }
+  assert!(tried > 0, "it is tried again");
+  assert!(matches!(step, DispatchStep::Refuse(AttemptOutcome::Unknown { .. })), "{step:?}");
+}
+
 #[test]
 fn a_failure_answer_is_returned_if_no_other_try_is_answered() {
   let mut daemon = Daemon::new(3);
