--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -31,6 +31,8 @@
   pub(super) confirmed_at: Cell<Option<Time>>,
   /// Tracks the requests that run at the backend server, and finds suspects when its process ends.
   pub crash_detector: RefCell<CrashDetector>,
+  /// Classes whose callers come back too early.
+  pub early_classes: RefCell<EarlyClasses>,
   /// Refused callers that are yet to come back.
   pub early_returns: RefCell<EarlyReturns>,
   endpoints: RefCell<ServiceEndpoints>,
@@ -82,6 +84,8 @@
   pub(super) refuses_work: Cell<bool>,
   /// Limits retries.
   pub retry_budget: RefCell<RetryBudget>,
+  /// When refused callers of this box return.
+  pub return_schedules: RefCell<ReturnSchedules>,
   /// Random number generator for decisions.
   pub rng: RefCell<ChaCha8Rng>,
   /// The room of each service.
@@ -159,6 +163,7 @@
       configuration: RefCell::default(),
       confirmed_at: Cell::default(),
       crash_detector: RefCell::default(),
+      early_classes: RefCell::default(),
       early_returns: RefCell::default(),
       endpoints: RefCell::default(),
       evacuated: RefCell::default(),
@@ -186,6 +191,7 @@
       refused_configuration: RefCell::default(),
       refuses_work: Cell::default(),
       retry_budget: RefCell::default(),
+      return_schedules: RefCell::default(),
       rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       rooms: RefCell::default(),
       router: RefCell::default(),
@@ -235,6 +241,12 @@
     self.newer_version.set(self.newer_version.get().filter(|newer| *newer > configuration.version));
     self.set_organisations(&configuration);
     self.rooms.borrow_mut().configure(configuration.clone());
+    let now = self.now().time;
+    let contested: Vec<ServiceName> = self.rooms.borrow().contested().cloned().collect();
+    self.return_schedules.borrow_mut().configure(now, contested.iter());
+    for service in &contested {
+      self.note_room_of(service);
+    }
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
@@ -334,9 +346,19 @@
         self.retry_budget.borrow_mut().set_limits(limits);
       }
     }
+    let services: BTreeSet<&ServiceName> = updates.iter().map(|one| &one.service).collect();
+    for service in services {
+      self.note_room_of(service);
+    }
     self.add_findings(updates);
   }
 
+  /// Tells where the backend servers of a service are to what knows its room.
+  fn note_room_of(&self, service: &ServiceName) {
+    let (now, endpoints) = (self.now().time, self.endpoints_of(service));
+    self.rooms.borrow_mut().set_endpoints(now, service, &endpoints);
+  }
+
   /// Applies other boxes' findings on requests that crash backend servers to the quarantine.
   fn add_findings(&self, updates: &[Endpoint]) {
     let mut quarantine = self.quarantine.borrow_mut();
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -40,12 +40,13 @@
     match decide(shared, &mut dispatch, forwarded, event) {
       DispatchStep::Answer { id } => {
         note_ended(shared, forwarded, false);
+        planned_return::note_served(shared, forwarded);
         return tries.finish(id, attempts);
       }
       DispatchStep::CheckArrival { id } => tries.ask(shared, id),
       DispatchStep::Refuse(outcome) => {
         note_ended(shared, forwarded, lacks_slots(shared, &forwarded.service, &outcome, attempts));
-        return Err(outcome);
+        return Err(planned_return::adjust(shared, forwarded, outcome));
       }
       DispatchStep::Try(order) => tries.start(shared, forwarded, body.share(), *order),
       DispatchStep::Wait => {}
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -116,6 +116,11 @@
     }
   }
 
+  /// Whether only some of the backend servers of its service may serve it.
+  pub fn is_bound(&self) -> bool {
+    self.regions.is_some() || self.only_box.is_some()
+  }
+
   /// Returns the same request for a try.
   pub fn for_try(&self, order: &TryOrder) -> Self {
     let (call_credit, may_queue) = (order.call_credit.clone(), order.may_queue);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,12 +13,13 @@
   node::{BackendNotices, OutboundLink, Shared},
   organisations::{Admission, CallerOrganisation, Grant, KeyFault},
   requests::{
-    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, BackendMonitor, CallCredit, CallerClass,
-    Claim, ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand,
-    Dispatch, DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest,
-    ExchangeId, LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus,
-    RequestKey, RequestProfile, RequestRecord, RetryWeight, RoomDecision, RouteKind, RouteMatch,
-    RunCalls, RunEnd, RunEstimate, RunId, Sender, Ticket, TryId, TryOrder, Urgency,
+    AnswerBudget, Attempt, AttemptOutcome, AttemptStatus, CallCredit, CallerClass, Claim,
+    ClaimOutcome, ClaimState, ClaimStep, ClaimTicket, Completion, Condition, Demand, Dispatch,
+    DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, ExchangeId,
+    LimitHint, LimiterDecision, LinkBudget, OpenAnswer, Quarantine, QuarantineStatus, RefusalKind,
+    RefusedCaller, RequestKey, RequestProfile, RequestRecord, RetryWeight, ReturnPlan, ReturnTime,
+    RoomDecision, RoomForecast, RouteKind, RouteMatch, RunCalls, RunEnd, RunEstimate, RunId,
+    Sender, Ticket, TryId, TryOrder, Urgency,
   },
   rollout::Lane,
   store::Revision,
@@ -46,6 +47,7 @@
 mod arrivals;
 mod attempt_result;
 mod claimed_run;
+mod early_return;
 mod egress;
 mod entry;
 mod exchange_guard;
@@ -60,6 +62,7 @@
 mod outbound_turns;
 mod paced_body;
 mod peer_notices;
+mod planned_return;
 mod refusal;
 mod request_body;
 mod returnable_body;
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -143,7 +143,10 @@
       DispatchEvent::Started => {
         context.budget.earn(&self.profile.service);
         if let Some(calls) = &self.calls {
-          self.call_credit = context.budget.earn_for(calls);
+          let passed = context.budget.earn_for(calls);
+          // Two calls deep, retries of the outermost request draw on the share as well.
+          self.call_credit =
+            if self.profile.urgency.is_call { CallCredit::default() } else { passed };
         }
         let step = self.try_next(context);
         self.hedge_at = self.hedge_time(context);
@@ -272,11 +275,14 @@
   }
 
   /// Ends the request with a backend server's failure answer if there is one, else with a refusal.
+  /// That says that the request may have run where an earlier try may.
   fn give_up(&self, outcome: AttemptOutcome, context: &mut DispatchContext) -> DispatchStep {
     if let Some(id) = self.fallback_answer {
       return DispatchStep::Answer { id };
     }
-    DispatchStep::Refuse(self.at_return_time(outcome, context))
+    let may_have_run = |one: &&EndedTry| matches!(one.outcome, AttemptOutcome::Unknown { .. });
+    let earlier = self.ended.iter().find(may_have_run).map(|one| one.outcome.clone());
+    DispatchStep::Refuse(self.at_return_time(earlier.unwrap_or(outcome), context))
   }
 
   /// Sets when the caller of a full service should come back.
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -19,7 +19,7 @@
   balancer::{Balancer, Choice},
   caller_class::CallerClass,
   caller_timeouts::CallerTimeouts,
-  calls::{CallCredit, CallReserve, CallTrees, RetryWeight, RunCalls, ServiceCalls},
+  calls::{CallCredit, CallReserve, CallRow, CallTrees, RetryWeight, RunCalls, ServiceCalls},
   claim::Claim,
   claim_outcome::ClaimOutcome,
   claim_record::ClaimRecord,
@@ -53,7 +53,10 @@
   request_profile::RequestProfile,
   request_record::RequestRecord,
   retry_budget::{RetryBudget, RetryLimits},
-  returns::{EarlyReturns, RefusalKind, ReturnTime},
+  returns::{
+    EarlyClasses, EarlyReturns, RefusalKind, RefusedCaller, ReturnConduct, ReturnPlan,
+    ReturnSchedules, ReturnTime,
+  },
   room::{
     EntryDecision, EntryRequest, LevelChange, RoomDecision, RoomForecast, RoomRefusal, RoomRow,
     Rooms,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use {
-  self::labels::{ByteLabels, EntryLabels, LinkLabels, RequestLabels, StoreLabels},
+  self::labels::{ByteLabels, EntryLabels, LinkLabels, RequestLabels, ReturnLabels, StoreLabels},
   prometheus_client::{
     metrics::{
       counter::Counter,
@@ -54,8 +54,12 @@
   pub requests_held_back: Counter,
   /// Requests refused here before any try because their callers were told to come back later.
   pub requests_early: Counter,
+  /// Returns refused here before any try because their classes come back early in series.
+  pub requests_of_early_classes: Counter,
   /// Requests refused here before any try because calls that their run needs would fail.
   pub requests_refused_for_calls: Counter,
+  /// Refused callers that were told when to come back.
+  returns: Family<ReturnLabels, Counter>,
   /// Requests refused here because their organisation exceeded its rate limit.
   pub requests_over_limit: Counter,
   store_calls: Family<StoreLabels, Counter>,
@@ -149,6 +153,16 @@
         "requests_early",
         "Requests refused before any try because their callers were told to come back later",
       ),
+      returns: registered(
+        of,
+        "returns_planned",
+        "Refused callers that were told when to come back, by whether room is expected then",
+      ),
+      requests_of_early_classes: registered(
+        of,
+        "requests_of_early_classes",
+        "Returns refused before any try because most callers of their class come back early in series",
+      ),
       requests_refused_for_calls: registered(
         of,
         "requests_refused_for_calls",
@@ -176,6 +190,11 @@
     self.entries.get_or_create(&labels).inc();
   }
 
+  /// Counts a refused caller that was told when to come back.
+  pub fn count_return(&self, plan: &'static str) {
+    self.returns.get_or_create(&ReturnLabels { plan }).inc();
+  }
+
   /// Records the duration of a request to the head of its answer, in seconds.
   pub fn record_request(&self, service: &str, class: &str, outcome: &str, seconds: f64) {
     let labels = RequestLabels {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -265,6 +265,22 @@
   assert_ne!(first.endpoint.peer.box_id, second.endpoint.peer.box_id);
 }
 
+/// Guards against a refusal that says "not run" after an earlier try that may have run.
+#[test]
+fn a_refusal_after_a_try_that_may_have_run_says_so() {
+  let mut daemon = Daemon::new(4);
+  let mut dispatch = Dispatch::new(RequestProfile { attempts_max: 5, ..profile(true) });
+  let first = daemon.start(&mut dispatch);
+  let mut step = daemon.end(&mut dispatch, first.id, unknown());
+  let mut tried = 0;
+  while let DispatchStep::Try(order) = step {
+    tried += 1;
+    step = daemon.end(&mut dispatch, order.id, full());
+  }
+  assert!(tried > 0, "it is tried again");
+  assert!(matches!(step, DispatchStep::Refuse(AttemptOutcome::Unknown { .. })), "{step:?}");
+}
+
 #[test]
 fn a_failure_answer_is_returned_if_no_other_try_is_answered() {
   let mut daemon = Daemon::new(3);
@@ -520,3 +536,18 @@
   let fourth = ordered(daemon.end(&mut dispatch, third.id, lost));
   assert!(fourth.call_credit.is_empty(), "the third one may have run: {}", fourth.call_credit);
 }
+
+/// Guards against a share of retries that is used by the daemons of three services.
+#[test]
+fn a_call_passes_no_credit_on_for_calls_of_its_own() {
+  let name: ServiceName = "called".parse().expect("a name");
+  let mut profile = profile(true);
+  profile.urgency.is_call = true;
+  let mut dispatch =
+    Dispatch::new(profile).with_calls(RetryWeight::Call, Some(vec![(name.clone(), 500)]));
+  let mut daemon = Daemon::new(8);
+  daemon.budget.set_limits(RetryLimits { earned: 1_000, saved_max: 1_000 });
+  let first = daemon.start(&mut dispatch);
+  assert!(first.call_credit.is_empty(), "{}", first.call_credit);
+  assert!(daemon.budget.spend(&name), "it saves for its own retries");
+}
--- a/tests/support/call_world.rs
+++ b/tests/support/call_world.rs
@@ -10,8 +10,8 @@
     requests::{
       AttemptOutcome, Balancer, CallCredit, CallTrees, CallerClass, Completion, Condition, Demand,
       Dispatch, DispatchContext, DispatchEvent, DispatchStep, EntryDecision, EntryRequest, Limiter,
-      LimiterDecision, RequestProfile, RetryBudget, RetryLimits, RetryWeight, Rooms, RunCalls,
-      RunEstimate, Slowdown, Ticket, TryId, TryOrder, Urgency,
+      LimiterDecision, RequestProfile, RetryBudget, RetryLimits, RetryWeight, RoomDecision, Rooms,
+      RunCalls, RunEstimate, Slowdown, Ticket, TryId, TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, RouteName, ServiceName, Time, Version},
@@ -266,9 +266,10 @@
     };
     let Daemon { rooms, trees, .. } = &mut self.daemons[at_box];
     let wait_ms = |service: &ServiceName| rooms.forecast(now, service, 0).map(|room| room.wait_ms);
-    let is_admitted = trees.decide(now, &request, wait_ms) == EntryDecision::Admit
-      && rooms.decide(now, &request) == EntryDecision::Admit;
-    if is_admitted {
+    let has_calls = trees.decide(now, &request, wait_ms) == EntryDecision::Admit;
+    let decision = has_calls.then(|| rooms.decide(now, &request));
+    if let Some(RoomDecision::Admit { priority }) = decision {
+      let urgency = Urgency { priority, ..urgency };
       let calls = self.daemons[at_box].trees.calls_of(&name);
       self.send(at_box, kind, None, deadline, urgency, calls);
     } else {
@@ -351,7 +352,8 @@
     let known = self.requests.remove(&request).expect("under way");
     let name = service(self.kinds[known.kind].service);
     let rooms = &mut self.daemons[known.at_box].rooms;
-    rooms.note_ended(Time(self.now), &name, refused == Some(true));
+    let rank = known.parent.is_none().then_some(self.kinds[known.kind].priority);
+    rooms.note_ended(Time(self.now), &name, rank, refused == Some(true));
     let waits = |(_, run): &(&Ticket, &Run)| run.request == request && !run.is_begun;
     let waiting: Vec<_> = self.runs.iter().filter(waits).map(|(ticket, _)| *ticket).collect();
     for ticket in waiting {
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -10,8 +10,9 @@
     requests::{
       AttemptOutcome, Balancer, CallerClass, Completion, Condition, Demand, Dispatch,
       DispatchContext, DispatchEvent, DispatchStep, EntryRequest, Limiter, LimiterDecision,
-      RequestProfile, RetryBudget, RoomDecision, RoomForecast, Rooms, RunEstimate, SlotLoad,
-      Slowdown, Ticket, TryId, TryOrder, Urgency,
+      RefusalKind, RefusedCaller, RequestProfile, RetryBudget, ReturnPlan, ReturnSchedules,
+      ReturnTime, RoomDecision, RoomForecast, Rooms, RunEstimate, SlotLoad, Slowdown, Ticket,
+      TryId, TryOrder, Urgency,
     },
     rollout::{Lane, Traffic},
     values::{BoxId, OrganisationName, Rate, RouteName, ServiceName, Time, Version},
@@ -62,6 +63,10 @@
   pub refused_with_room: u32,
   /// Refusals after tries.
   pub refused_after_tries: u32,
+  /// Returns of callers that were told a time before their deadline.
+  pub returned: u32,
+  /// Those of them that were answered.
+  pub returned_served: u32,
   pub tries: u32,
   /// Tries at backend servers of other data halls.
   pub tries_elsewhere: u32,
@@ -76,6 +81,25 @@
 }
 
 impl Tally {
+  #[must_use]
+  pub fn plus(self, other: Self) -> Self {
+    Self {
+      asked: self.asked + other.asked,
+      in_time: self.in_time + other.in_time,
+      late: self.late + other.late,
+      refused_after_tries: self.refused_after_tries + other.refused_after_tries,
+      refused_with_room: self.refused_with_room + other.refused_with_room,
+      returned: self.returned + other.returned,
+      returned_served: self.returned_served + other.returned_served,
+      tries: self.tries + other.tries,
+      tries_elsewhere: self.tries_elsewhere + other.tries_elsewhere,
+    }
+  }
+
+  pub fn share_of_returns_served(&self) -> f64 {
+    f64::from(self.returned_served) / f64::from(self.returned.max(1))
+  }
+
   pub fn share_in_time(&self) -> f64 {
     f64::from(self.in_time) / f64::from(self.asked.max(1))
   }
@@ -86,6 +110,8 @@
   asked: Asked,
   first_at: u64,
   returns: u32,
+  /// Whether it was told a time before its deadline.
+  told: bool,
 }
 
 struct Request {
@@ -114,6 +140,7 @@
   floor_credit: Vec<f64>,
   /// For [`Policy::Price`]: the price, and the reports and waiting requests per slot of its window.
   price: (f64, f64, f64, u64),
+  schedules: ReturnSchedules,
   /// Work in milliseconds that [`Policy::Shares`] may still admit, and since when.
   tokens: (f64, u64),
 }
@@ -146,8 +173,12 @@
   pub now: u64,
   /// Relative demand of each organisation.
   pub organisations: Vec<f64>,
+  /// Whether refused callers are told to return by `ReturnSchedules`.
+  pub plans_returns: bool,
   policy: Policy,
   requests: BTreeMap<u64, Request>,
+  /// How often a caller returns.
+  pub returns_max: u32,
   rng: ChaCha8Rng,
   running: BTreeMap<(usize, Ticket), (u64, TryId)>,
   /// The last time at which less than a quarter of the slots was free.
@@ -241,26 +272,30 @@
   ) -> Self {
     let ranks: Vec<u32> = loads.iter().map(|load| load.priority).collect();
     let configuration = std::sync::Arc::new(configuration(&ranks, organisations));
+    let hall = |index: usize| format!("hall-{}", index % HALLS);
+    let endpoints: Vec<Endpoint> =
+      (0..backends).map(|index| endpoint(&format!("box-{index}"), &hall(index), SLOTS)).collect();
     let entrance = || {
       let mut rooms = Rooms::default();
       rooms.configure(configuration.clone());
+      rooms.set_endpoints(Time(0), &service(), &endpoints);
+      let mut schedules = ReturnSchedules::default();
+      schedules.configure(Time(0), [&service()].into_iter());
       Entrance {
         balancer: Balancer::default(),
         budget: RetryBudget::default(),
         floor_credit: vec![0.0; loads.len()],
         price: (1.0, 0.0, 0.0, 0),
         rooms,
+        schedules,
         tokens: (0.0, 0),
       }
     };
-    let hall = |index: usize| format!("hall-{}", index % HALLS);
     Self {
       backends: (0..backends).map(|_| Limiter::new(SLOTS as usize, 24)).collect(),
       cut: BTreeSet::new(),
-      endpoints: (0..backends)
-        .map(|index| endpoint(&format!("box-{index}"), &hall(index), SLOTS))
-        .collect(),
       entrances: (0..boxes).map(|_| entrance()).collect(),
+      endpoints,
       events: BTreeMap::new(),
       hall_weights: [1.0; HALLS],
       ledger: (0.0, 0),
@@ -271,8 +306,10 @@
       not_tallied: Tally::default(),
       now: 0,
       organisations: organisations.to_vec(),
+      plans_returns: false,
       policy,
       requests: BTreeMap::new(),
+      returns_max: 1,
       rng: ChaCha8Rng::seed_from_u64(seed),
       running: BTreeMap::new(),
       short_at: 0,
@@ -286,15 +323,7 @@
   /// Returns what became of the requests that `counts` selects.
   pub fn tally(&self, counts: impl Fn(&Asked) -> bool) -> Tally {
     let selected = self.tallies.iter().filter(|(asked, _)| counts(asked));
-    selected.fold(Tally::default(), |sum, (_, one)| Tally {
-      asked: sum.asked + one.asked,
-      in_time: sum.in_time + one.in_time,
-      late: sum.late + one.late,
-      refused_with_room: sum.refused_with_room + one.refused_with_room,
-      refused_after_tries: sum.refused_after_tries + one.refused_after_tries,
-      tries: sum.tries + one.tries,
-      tries_elsewhere: sum.tries_elsewhere + one.tries_elsewhere,
-    })
+    selected.fold(Tally::default(), |sum, (_, one)| sum.plus(*one))
   }
 
   /// Returns the share of the requests of each load that was answered in time at the boxes that
@@ -339,7 +368,7 @@
         let at_box = self.draw_box();
         let organisation = self.draw_organisation();
         let asked = Asked { at_box, load, organisation };
-        let caller = Caller { asked, first_at, returns: 0 };
+        let caller = Caller { asked, first_at, returns: 0, told: false };
         self.schedule(first_at - start, Event::Enter(caller));
       }
     }
@@ -429,7 +458,11 @@
     let elapsed_ms = if is_first { 0 } else { self.now - caller.first_at };
     if is_first {
       self.tally_of(caller).asked += 1;
+      let work_us = load.work_ms * 1_000;
+      let schedules = &mut self.entrances[caller.asked.at_box].schedules;
+      schedules.note_first_try(now, &service(), load.priority, work_us);
     }
+    self.tally_of(caller).returned += u32::from(caller.told);
     let deadline = Time(caller.first_at + TIMEOUT_MS);
     let handling = Handling { target_ms: Some(load.target_ms), ..Handling::default() };
     let urgency = Urgency::of(now, deadline, &handling, load.priority, false, elapsed_ms);
@@ -520,14 +553,31 @@
     (!admits).then(|| deadline.since_ms(Time(now)) / 3)
   }
 
-  /// Lets a refused caller return once, if it still has time.
+  /// Lets a refused caller return, if it still has time. It waits for a third of that at most.
   fn come_back(&mut self, caller: Caller, after_ms: u64) {
-    let returns_in_time = self.now + after_ms < caller.first_at + TIMEOUT_MS;
-    if caller.returns == 0 && returns_in_time {
-      self.schedule(after_ms, Event::Enter(Caller { returns: 1, ..caller }));
+    let left_ms = (caller.first_at + TIMEOUT_MS).saturating_sub(self.now);
+    let planned = if self.plans_returns { self.plan(caller, left_ms) } else { None };
+    let after_ms = planned.map_or(after_ms, ReturnPlan::after_ms);
+    let told = after_ms < left_ms;
+    let after_ms = after_ms.min(ReturnTime::latest_ms(left_ms).max(1));
+    if caller.returns < self.returns_max && after_ms < left_ms {
+      self.schedule(after_ms, Event::Enter(Caller { returns: caller.returns + 1, told, ..caller }));
     }
   }
 
+  fn plan(&mut self, caller: Caller, left_ms: u64) -> Option<ReturnPlan> {
+    let (load, now) = (self.loads[caller.asked.load], Time(self.now));
+    let entrance = &mut self.entrances[caller.asked.at_box];
+    let wait_ms = Some(entrance.rooms.forecast(now, &service(), load.priority)?.wait_ms);
+    let refused = RefusedCaller {
+      due_ms: (caller.first_at + load.target_ms).saturating_sub(self.now),
+      priority: load.priority,
+      time: ReturnTime { kind: RefusalKind::Entry, left_ms, wait_ms },
+      work_us: load.work_ms * 1_000,
+    };
+    entrance.schedules.plan(now, &service(), &refused, self.rng.random())
+  }
+
   fn advance(&mut self, id: u64, event: DispatchEvent) {
     let request = self.requests.get_mut(&id).expect("under way");
     let caller = request.caller;
@@ -553,6 +603,9 @@
     match request.dispatch.handle(event, &mut context) {
       DispatchStep::Answer { .. } => {
         let is_late = now > request.due;
+        let work_us = self.loads[caller.asked.load].work_ms * 1_000;
+        self.entrances[caller.asked.at_box].schedules.note_served(now, &service(), work_us);
+        self.tally_of(caller).returned_served += u32::from(caller.told);
         self.requests.remove(&id);
         let rank = Some(self.loads[caller.asked.load].priority);
         self.entrances[at_box].rooms.note_ended(now, &service(), rank, false);
@@ -595,13 +648,14 @@
   fn try_arrives(&mut self, backend: usize, id: TryId, may_queue: bool, request: u64) {
     let Some(known) = self.requests.get(&request) else { return };
     let (due, deadline, work_ms) = (known.due, known.deadline, known.work_ms);
-    let priority = known.priority;
-    let class: CallerClass =
-      format!("org-{}", known.caller.asked.organisation).parse().expect("a name");
+    let (caller, priority) = (known.caller, known.priority);
+    let elapsed_ms = if caller.returns > 0 { self.now - caller.first_at } else { 0 };
+    let class: CallerClass = format!("org-{}", caller.asked.organisation).parse().expect("a name");
     let now = Time(self.now);
     self.next += 1;
     let ticket = Ticket(self.next);
-    let demand = Demand { due, priority, wait_until: due, ..Demand::new(class, deadline) };
+    let demand =
+      Demand { due, elapsed_ms, priority, wait_until: due, ..Demand::new(class, deadline) };
     let limiter = &mut self.backends[backend];
     match limiter.arrive(now, ticket, demand) {
       LimiterDecision::Admitted => {
