Plan returns by their own rank, check what the soak measured, and name things plainly

After tries a return was planned by the rank that its request had at backend servers, not by its own. The soak's callers had no short times any more, its check of short answers held where nothing was measured, its short run passed over more than KNOWN-RED.txt lists and printed none of it, and two listed tests stopped at their first failure. The bound on repeats was no longer played with the generator that had exceeded it.

Change: each of them, and names and comments that misled. A count of boxes says that they answered.

--- a/crates/ferryyoke-soak/src/caller.rs
+++ b/crates/ferryyoke-soak/src/caller.rs
@@ -93,7 +93,7 @@
     }
   }
 
-  /// Returns a request with a random body, of which one in four reads makes a call.
+  /// Returns a request with a random body. The run of one read in four makes a call.
   pub fn ask(self, rng: &mut ChaCha8Rng) -> Asked {
     let (method, body) = self.request(rng);
     let path = format!("{}{}", self.path(), rng.random_range(0..100));
--- a/crates/ferryyoke-soak/src/load.rs
+++ b/crates/ferryyoke-soak/src/load.rs
@@ -1,4 +1,4 @@
-//! Load at the end of a run, without faults but those of one part: what is refused, which slots are used, how long short
+//! Load at the end of a run, of which only the last part has faults: what is refused, which slots are used, how long short
 //! answers take beside large ones, and how much is repeated.
 
 use super::{platform::Trouble, run::Run, *};
@@ -39,7 +39,7 @@
   pub(super) async fn check_load(self: &Rc<Self>, seed: u64) {
     let all = self.check_room(seed).await;
     self.check_short_answers(seed).await;
-    self.repeat_failures(seed).await;
+    self.send_while_runs_fail(seed).await;
     // Daemons have written their logs by now.
     self.check_early(&all);
     self.record.borrow_mut().attempts.extend(all.into_iter().flatten());
@@ -216,8 +216,10 @@
     let both = futures_util::future::join(large, short);
     let ((_, short), stalls_ms) = futures_util::future::join(both, self.stalls_ms(until_ms)).await;
     let short: Vec<Attempt> = short.into_iter().flatten().flatten().collect();
+    let mut measured = 0;
     for one in &self.boxes {
       let (ahead, may) = one.take_ahead(stalls_ms);
+      measured += ahead.len();
       let longer = ahead.iter().filter(|bytes| **bytes > may).count();
       if longer * 100 > ahead.len() * Self::LONGER_PERCENT {
         let most = ahead.iter().max();
@@ -229,6 +231,9 @@
         self.violate("short answers do not wait behind large ones", seen);
       }
     }
+    if measured == 0 {
+      self.violate("the soak itself works", "no short message crossed a link".into());
+    }
     self.record.borrow_mut().attempts.extend(short);
   }
 
@@ -248,8 +253,9 @@
     stalls_ms
   }
 
-  /// Sends reads while all their backend servers answer nothing or reset their connections after most runs: repeats stay within their share.
-  async fn repeat_failures(self: &Rc<Self>, seed: u64) {
+  /// Sends reads while their backend servers give no answer or reset the connection after most runs. The record is checked
+  /// for repeats beyond their share.
+  async fn send_while_runs_fail(self: &Rc<Self>, seed: u64) {
     let service = SoakBox::service_of(Kind::Read);
     let set = |trouble: Trouble| {
       for one in self.boxes.iter().filter(|one| one.service() == service) {
--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -157,7 +157,7 @@
   }
 
   /// How long callers wait for an answer in milliseconds: few values, as of real callers.
-  const TIMES_MS: [Ms; 3] = [500, 1_000, 2_500];
+  const TIMES_MS: [Ms; 4] = [300, 500, 1_000, 2_500];
 
   /// Sends a request, and again when the refusal says so, while time is left. An early caller comes back at once.
   /// Returns all attempts.
@@ -358,7 +358,8 @@
         async move {
           let mut rng = ChaCha8Rng::seed_from_u64(number as u64);
           let asked = kind.ask(&mut rng);
-          self.attempt(&pool, index, &asked, 2_500).await
+          let time_left_ms = rng.random_range(300..2_500);
+          self.attempt(&pool, index, &asked, time_left_ms).await
         }
       });
       let attempts = futures_util::future::join_all(entering).await;
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -189,21 +189,22 @@
 /// Whether `a_burst_after_calls_finds_all_slots`, which KNOWN-RED.txt lists, shows the same.
 fn is_known_red(violated: &Violated) -> bool {
   violated.promise == "nothing is refused while a quarter of the slots stands free"
-    && ["beside calls:", "in a burst:"].iter().any(|stage| violated.seen.starts_with(stage))
+    && violated.seen.starts_with("in a burst:")
 }
 
 /// Runs real daemons with four seconds of faults, and checks that everything works again afterwards, and under load.
 #[test]
 fn a_short_run_has_no_violations() {
-  let mut found = violations(&["--first", "1", "--count", "1", "--boxes", "4", "--seconds", "14"]);
-  found.retain(|violated| !is_known_red(violated));
+  let found = violations(&["--first", "1", "--count", "1", "--boxes", "4", "--seconds", "14"]);
+  let (known, found): (Vec<_>, Vec<_>) = found.into_iter().partition(is_known_red);
+  println!("passed over, see KNOWN-RED.txt: {known:#?}");
   assert!(found.is_empty(), "{found:#?}");
 }
 
-/// Guards against requests that are refused while a quarter of their service's slots stands free: beside calls that are
-/// shorter than other runs, or in a burst after calls stopped. Without faults before it.
+/// Guards against requests that are refused while a quarter of their service's slots stands free, in a burst
+/// after calls stopped. Without faults before it.
 #[test]
-#[ignore = "see KNOWN-RED.txt"]
+#[ignore = "listed in KNOWN-RED.txt"]
 fn a_burst_after_calls_finds_all_slots() {
   let mut found = violations(&["--first", "1", "--count", "1", "--boxes", "8", "--seconds", "10"]);
   found.retain(is_known_red);
--- a/src/administration/why.rs
+++ b/src/administration/why.rs
@@ -72,7 +72,7 @@
   table.add_row([json!("reason"), json!(summary.reason)]);
 }
 
-/// Milliseconds for which a question is asked again while boxes in use were not asked. A box that
+/// Milliseconds for which a question is asked again while boxes in use did not answer. A box that
 /// starts or changes its relay has its links again sooner.
 const ASK_AGAIN_FOR_MS: u64 = 2_000;
 
@@ -91,8 +91,8 @@
   Ok(Answer::table("", table).with_version(version))
 }
 
-/// Asks the fleet for the records of a request, again while there is none and boxes in use could
-/// not be asked.
+/// Asks the fleet for the records of a request, again while there is none and boxes in use did
+/// not answer.
 async fn records_of(node: &Rc<Node>, id: &RequestId) -> Result<Vec<RequestRecord>> {
   let until = node.shared.now().time.after(ASK_AGAIN_FOR_MS);
   loop {
@@ -109,17 +109,17 @@
       return Ok(records);
     }
     let present = node.distribution.distributor().endpoints().present().count();
-    let unasked = present.saturating_sub(replies.asked);
-    if unasked == 0 || node.shared.now().time >= until {
-      return Err(Error::NotFound { what: missing_record_reason(node, id, unasked) });
+    let silent = present.saturating_sub(replies.asked);
+    if silent == 0 || node.shared.now().time >= until {
+      return Err(Error::NotFound { what: missing_record_reason(node, id, silent) });
     }
     monoio::time::sleep(Duration::from_millis(ASK_AGAIN_AFTER_MS)).await;
   }
 }
 
-/// Returns the reason why no box has a record of a request, where `unasked` boxes in use could not
-/// be asked.
-fn missing_record_reason(node: &Node, id: &RequestId, unasked: usize) -> String {
+/// Returns the reason why no box has a record of a request, where `silent` boxes in use did not
+/// answer.
+fn missing_record_reason(node: &Node, id: &RequestId, silent: usize) -> String {
   let distributor = node.distribution.distributor();
   let named = |endpoint: &&Endpoint| {
     let prefix = format!("{}-", endpoint.peer.box_id);
@@ -135,7 +135,7 @@
       "no box remembers request {id}: box {} carried it, and keeps its last requests only",
       carrier.peer.box_id
     ),
-    None => format!("no box remembers request {id}; {unasked} boxes in use could not be asked"),
+    None => format!("no box remembers request {id}; {silent} boxes in use did not answer"),
   }
 }
 
--- a/src/distribution/action.rs
+++ b/src/distribution/action.rs
@@ -5,7 +5,7 @@
 pub enum Action {
   /// Answer an operator's inquiry that was asked on this daemon.
   Answer {
-    /// Number of boxes that were asked, with this one.
+    /// Number of boxes that answered, with this one.
     asked: usize,
     /// Number of neighbours that did not answer in time.
     missing: usize,
--- a/src/distribution/follower/rollouts.rs
+++ b/src/distribution/follower/rollouts.rs
@@ -90,8 +90,8 @@
     true
   }
 
-  /// Publishes the shares of versions to this box's proxies if they changed. The endpoints that they rest on go first:
-  /// by older ones, no box would run the version in force.
+  /// Publishes the shares of versions to this box's proxies if they changed. The endpoints behind
+  /// them go first: with older endpoints, no box seems to run the version in force.
   fn publish_traffic(&mut self) {
     let traffic = self.rollouts.traffic();
     if self.traffic.as_ref() != Some(&traffic) {
--- a/src/distribution/inquiries.rs
+++ b/src/distribution/inquiries.rs
@@ -65,7 +65,7 @@
     Some(self.last_id)
   }
 
-  /// Handles the answer of a neighbour that asked `asked` boxes.
+  /// Handles the answer of a neighbour for `asked` boxes that answered.
   pub(super) fn answered(
     &mut self,
     id: InquiryId,
--- a/src/distribution/message.rs
+++ b/src/distribution/message.rs
@@ -11,7 +11,7 @@
   },
   /// The answer to an inquiry.
   Answer {
-    /// Number of boxes that were asked; 0 from daemons that don't count them.
+    /// Number of boxes that answered; 0 from daemons that don't count them.
     #[serde(default)]
     asked: usize,
     /// The asker's id of the inquiry.
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -71,7 +71,8 @@
   /// How many processes that left are remembered; far more than can have reports in flight.
   const LEFT_MAX: usize = 16;
 
-  /// The reports that confirm a process without the health endpoint, or another version than it reported before. Late reports arrive one or two at a time.
+  /// The reports that confirm a process without the health endpoint, or another version than it
+  /// reported before. Late reports arrive one or two at a time.
   const REPORTS_MIN: u32 = 3;
 
   /// The least milliseconds over which these reports must arrive. Delayed reports arrive all at once, and by this time
--- a/src/node/distribution_loop.rs
+++ b/src/node/distribution_loop.rs
@@ -17,7 +17,7 @@
 /// Result of an operator's inquiry to the fleet.
 #[derive(Debug, Default)]
 pub struct InquiryResult {
-  /// Number of boxes that were asked, with this one.
+  /// Number of boxes that answered, with this one.
   pub asked: usize,
   /// Number of neighbours that did not answer in time.
   pub missing: usize,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -245,7 +245,7 @@
     let contested: Vec<ServiceName> = self.rooms.borrow().contested().cloned().collect();
     self.return_schedules.borrow_mut().configure(now, contested.iter());
     for service in &contested {
-      self.note_room_of(service);
+      self.update_room_endpoints(service);
     }
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
@@ -348,13 +348,13 @@
     }
     let services: BTreeSet<&ServiceName> = updates.iter().map(|one| &one.service).collect();
     for service in services {
-      self.note_room_of(service);
+      self.update_room_endpoints(service);
     }
     self.add_findings(updates);
   }
 
-  /// Tells where the backend servers of a service are to what knows its room.
-  fn note_room_of(&self, service: &ServiceName) {
+  /// Updates the backend servers from which the room of a service is forecast.
+  fn update_room_endpoints(&self, service: &ServiceName) {
     let (now, endpoints) = (self.now().time, self.endpoints_of(service));
     self.rooms.borrow_mut().set_endpoints(now, service, &endpoints);
   }
--- a/src/proxy/early_return.rs
+++ b/src/proxy/early_return.rs
@@ -57,7 +57,7 @@
   let left_ms = forwarded.deadline.since_ms(now);
   let time = ReturnTime { kind: RefusalKind::Entry, left_ms, wait_ms: Some(forecast.wait_ms) };
   let retry_after_ms = time.retry_after_ms(1.0);
-  shared.metrics.requests_of_early_classes.inc();
+  shared.metrics.returns_refused_for_class.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused because its class comes back early";
     "request_id" => forwarded.id.as_str(), "class" => class.as_str(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// Refuses a request that should not be tried. Sets the rank of others at backend servers.
+/// Refuses a request that should not be tried. Sets the rank at backend servers of one that is tried.
 pub(super) fn check(
   shared: &Shared,
   route: &RouteName,
@@ -59,8 +59,7 @@
   Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms))
 }
 
-/// Logs a change of the share of a service's demand that enters here: at most one for each window of
-/// the decision.
+/// Logs a change of the share of a service's demand that enters here, at most once a window.
 fn log_level_change(shared: &Shared, service: &ServiceName) {
   let Some(change) = shared.rooms.borrow_mut().take_level_change(service) else {
     return;
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -55,8 +55,8 @@
   }
 }
 
-/// Whether a request was refused as the last backend server that refused it has no free slot. Others
-/// are refused for the links of a box, or as the backend server is cold.
+/// Whether the last backend server that refused a request has no free slot. Others refuse because of
+/// their box's links, or because they are cold.
 fn lacks_slots(
   shared: &Shared,
   service: &ServiceName,
--- a/src/proxy/planned_return.rs
+++ b/src/proxy/planned_return.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// Records a caller's first try.
+/// Records a first try, also of a call: it takes room as well.
 pub(super) fn note_first_try(shared: &Shared, forwarded: &ForwardedRequest) {
   if forwarded.urgency.elapsed_ms == 0 {
     let work_us = RefusedCaller::work_us_of(forwarded.estimate);
@@ -32,11 +32,13 @@
     return None;
   }
   let now = shared.now().time;
-  let forecast = shared.rooms.borrow().forecast(now, service, urgency.priority)?;
+  // Its own rank: that of its urgency may be the one at backend servers by now.
+  let priority = forwarded.admitted_rank.unwrap_or(urgency.priority);
+  let forecast = shared.rooms.borrow().forecast(now, service, priority)?;
   let left_ms = forwarded.deadline.since_ms(now);
   let caller = RefusedCaller {
     due_ms: urgency.due.since_ms(now),
-    priority: urgency.priority,
+    priority,
     time: ReturnTime { kind, left_ms, wait_ms: Some(forecast.wait_ms) },
     work_us: RefusedCaller::work_us_of(forwarded.estimate),
   };
--- a/src/requests/backend_monitor.rs
+++ b/src/requests/backend_monitor.rs
@@ -95,7 +95,7 @@
   /// Returns why the backend server should not run a request that can go elsewhere, or `None` if it should.
   ///
   /// A degraded one runs a share of them, and one in each interval: where hardly any arrive, a share alone would never
-  /// show its recovery.
+  /// show its recovery. Records the probe that it allows.
   pub fn decline_reason(&mut self, now: Time, rng: &mut ChaCha8Rng) -> Option<&'static str> {
     let reason = self.degraded_reason()?;
     let is_due = self.probed_at.is_none_or(|at| now.since_ms(at) >= Self::PROBE_INTERVAL_MS);
--- a/src/requests/balancer.rs
+++ b/src/requests/balancer.rs
@@ -103,7 +103,7 @@
   /// between two requests of a daemon of a large fleet to the same backend server.
   const CONDITION_AGE_MS: u64 = 10_000;
   /// The same for one that is slow or failing: its condition only comes with answers, and it gets no
-  /// requests. Much of what slows a backend server down passes within a second.
+  /// requests.
   const BAD_AGE_MIN_MS: u64 = 1_000;
   /// The same for one that was still slow or failing each time. The time doubles with each such
   /// request, so that each daemon spends few of them on a backend server that does not recover.
@@ -405,11 +405,11 @@
 impl BackendView {
   /// Returns whether the data is out of date and no request in flight will renew it.
   fn is_outdated(&self, now: Time) -> bool {
-    self.in_flight == 0 && self.is_old(now)
+    self.in_flight == 0 && self.is_condition_old(now)
   }
 
   /// Returns whether the last answer is so old that the condition may have changed.
-  fn is_old(&self, now: Time) -> bool {
+  fn is_condition_old(&self, now: Time) -> bool {
     let age_ms = if self.is_bad() {
       Balancer::BAD_AGE_MIN_MS << self.condition_doublings
     } else {
@@ -498,7 +498,7 @@
   }
 
   fn serve(&mut self, now: Time, latency_us: Option<u64>, condition: Option<Condition>) {
-    let was_old = self.is_old(now);
+    let was_old = self.is_condition_old(now);
     self.answered(now);
     if let Some(condition) = condition {
       self.note_condition(condition, now, was_old);
@@ -517,7 +517,7 @@
   }
 
   fn shed(&mut self, now: Time, condition: Option<Condition>) {
-    let was_old = self.is_old(now);
+    let was_old = self.is_condition_old(now);
     self.answered(now);
     let known = condition.or(self.condition.map(|(condition, _)| condition)).unwrap_or_default();
     // A refusal for the link says nothing of the slots.
--- a/src/requests/condition.rs
+++ b/src/requests/condition.rs
@@ -15,7 +15,7 @@
   pub load_percent: u32,
   /// Microseconds that a request currently takes; 0 where that is unknown.
   pub service_us: u64,
-  /// Running and waiting requests in percent of the slots alone.
+  /// How many of the slots are taken, without regard to the box's links.
   pub slot_load: SlotLoad,
   /// How much longer work takes there at this moment; `None` where that is unknown.
   pub slowdown: Option<Slowdown>,
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -127,7 +127,7 @@
     let (service, weight) = (&self.profile.service, self.retry_weight);
     match &self.calls {
       Some(calls) => context.budget.spend_hedge(service, weight, calls),
-      None => context.budget.hedge_unknown(service, weight),
+      None => context.budget.spend_hedge_unknown(service, weight),
     }
   }
 
@@ -144,7 +144,7 @@
         context.budget.earn(&self.profile.service);
         if let Some(calls) = &self.calls {
           let passed = context.budget.earn_for(calls);
-          // Two calls deep, retries of the outermost request draw on the share as well.
+          // A call passes none on, so that daemons of no third service use the same share.
           self.call_credit =
             if self.profile.urgency.is_call { CallCredit::default() } else { passed };
         }
--- a/src/requests/retry_budget.rs
+++ b/src/requests/retry_budget.rs
@@ -16,7 +16,7 @@
   /// Thousandths of a retry that are left.
   credit: u32,
   /// The most of it that may be spent on requests whose calls are unknown.
-  unknown_credit: u32,
+  credit_for_unknown_calls: u32,
   /// The heaviest retries that were asked for lately.
   wanted: RetryWeight,
   /// Requests that the service has yet to get until lighter retries are allowed again.
@@ -45,8 +45,8 @@
   const RATIO_FRACTION: f64 = 0.4;
   /// The fraction of the fleet's fixed allowance that daemons may save.
   const EXTRA_FRACTION: f64 = 0.5;
-  /// Calls to one service that a run of unknown calls is taken to make. Savings of that many times
-  /// less keep the calls that their retries repeat within the fixed allowance of that service.
+  /// Calls to one service that a run of unknown calls is taken to make. Savings are divided by it, so
+  /// that the calls which retries repeat stay within the fixed allowance of that service.
   const UNKNOWN_CALLS: u32 = 4;
 
   /// Returns the limits of one of `daemons` daemons that keep the fleet, without coordination,
@@ -91,8 +91,8 @@
     let known = self.credit_of(service);
     let saved_max = if is_new { u32::MAX } else { limits.saved_max };
     known.credit = known.credit.saturating_add(limits.earned).min(saved_max);
-    known.unknown_credit =
-      known.unknown_credit.saturating_add(limits.earned).min(limits.unknown_max());
+    known.credit_for_unknown_calls =
+      known.credit_for_unknown_calls.saturating_add(limits.earned).min(limits.unknown_max());
     known.wanted_for = known.wanted_for.saturating_sub(1);
   }
 
@@ -128,8 +128,8 @@
   fn credit_of(&mut self, service: &ServiceName) -> &mut ServiceCredit {
     let credit = self.start();
     if !self.services.contains_key(service) {
-      let unknown_credit = credit.min(self.limits.unknown_max());
-      let known = ServiceCredit { credit, unknown_credit, ..ServiceCredit::default() };
+      let credit_for_unknown_calls = credit.min(self.limits.unknown_max());
+      let known = ServiceCredit { credit, credit_for_unknown_calls, ..ServiceCredit::default() };
       self.services.insert(service.clone(), known);
     }
     self.services.entry(service.clone()).or_default()
@@ -178,16 +178,16 @@
   /// There are fewer savings for these, as nothing is charged at the services that it may call.
   pub fn spend_unknown(&mut self, service: &ServiceName, weight: RetryWeight) -> bool {
     self.note_wanted(service, weight);
-    self.hedge_unknown(service, weight)
+    self.spend_hedge_unknown(service, weight)
   }
 
   /// Spends one hedged try of a request whose calls are unknown, as [`RetryBudget::spend_hedge`]
   /// does.
-  pub fn hedge_unknown(&mut self, service: &ServiceName, weight: RetryWeight) -> bool {
-    let left = self.services.get(service).map_or(0, |known| known.unknown_credit);
+  pub fn spend_hedge_unknown(&mut self, service: &ServiceName, weight: RetryWeight) -> bool {
+    let left = self.services.get(service).map_or(0, |known| known.credit_for_unknown_calls);
     let is_spent = left >= Self::RETRY_COST && self.spend_hedge(service, weight, &[]);
     if is_spent {
-      self.credit_of(service).unknown_credit -= Self::RETRY_COST;
+      self.credit_of(service).credit_for_unknown_calls -= Self::RETRY_COST;
     }
     is_spent
   }
--- a/src/requests/returns/return_schedule.rs
+++ b/src/requests/returns/return_schedule.rs
@@ -4,7 +4,7 @@
 /// is expected then.
 #[derive(Clone, Debug)]
 pub(super) struct ReturnSchedule {
-  /// The first bucket of `told_us`, counted from the start of time.
+  /// The first bucket of `reserved_us`, counted from `Time(0)`.
   first: u64,
   /// Work of first tries, by rank.
   fresh: BTreeMap<u32, WorkTrend>,
@@ -12,7 +12,7 @@
   /// is the room that it has for this box.
   served: WorkTrend,
   /// Microseconds of work that returns in each bucket, by rank; at most [`Self::BUCKETS_MAX`].
-  told_us: VecDeque<BTreeMap<u32, u64>>,
+  reserved_us: VecDeque<BTreeMap<u32, u64>>,
 }
 
 impl ReturnSchedule {
@@ -28,7 +28,7 @@
       first: now.0 / Self::BUCKET_MS,
       fresh: BTreeMap::new(),
       served: WorkTrend::new(now),
-      told_us: VecDeque::new(),
+      reserved_us: VecDeque::new(),
     }
   }
 
@@ -53,27 +53,27 @@
 
   fn plan_within(&mut self, room: f64, now: Time, caller: &RefusedCaller, at: f64) -> ReturnPlan {
     let left_ms = caller.time.left_ms;
-    let own_ms = ReturnTime::latest_ms(left_ms).max(1);
+    let latest_return_ms = ReturnTime::latest_ms(left_ms).max(1);
     let fresh: Vec<(u32, WorkForecast)> =
       self.fresh.iter_mut().map(|(rank, trend)| (*rank, trend.forecast(now))).collect();
     // Those that wait now run first.
-    let begin_ms = caller.time.wait_ms.unwrap_or_default().min(own_ms);
-    let latest_ms = left_ms.saturating_sub(caller.work_us / 1_000);
+    let begin_ms = caller.time.wait_ms.unwrap_or_default().min(latest_return_ms);
+    let latest_start_ms = left_ms.saturating_sub(caller.work_us / 1_000);
     let buckets = begin_ms / Self::BUCKET_MS + 1..Self::BUCKETS_MAX;
-    let mut buckets = buckets.take_while(|index| index * Self::BUCKET_MS <= latest_ms);
+    let mut buckets = buckets.take_while(|index| index * Self::BUCKET_MS <= latest_start_ms);
     let Some(index) = buckets.find(|index| self.has_room(*index, caller, room, &fresh)) else {
       // What is further ahead than the last bucket is unknown.
-      return if latest_ms >= Self::BUCKETS_MAX * Self::BUCKET_MS {
-        ReturnPlan::BeforeRoom { after_ms: own_ms }
+      return if latest_start_ms >= Self::BUCKETS_MAX * Self::BUCKET_MS {
+        ReturnPlan::BeforeRoom { after_ms: latest_return_ms }
       } else {
         ReturnPlan::NoRoom { after_ms: left_ms + Self::BUCKET_MS }
       };
     };
     let end_ms = index * Self::BUCKET_MS;
-    if end_ms > own_ms {
-      return ReturnPlan::BeforeRoom { after_ms: own_ms };
+    if end_ms > latest_return_ms {
+      return ReturnPlan::BeforeRoom { after_ms: latest_return_ms };
     }
-    self.keep(index, caller);
+    self.reserve(index, caller);
     let after_ms = end_ms - urgency::fraction_of(Self::BUCKET_MS, at);
     ReturnPlan::WithRoom { after_ms: after_ms.max(1) }
   }
@@ -93,7 +93,7 @@
     let is_overdue = caller.is_overdue_in(after_ms);
     let before = fresh.iter().filter(|(other, _)| is_overdue || *other < rank);
     let before: f64 = before.map(|(_, forecast)| forecast.after(after_ms)).sum();
-    let told = usize::try_from(index).ok().and_then(|index| self.told_us.get(index));
+    let told = usize::try_from(index).ok().and_then(|index| self.reserved_us.get(index));
     let told = told.into_iter().flatten().filter(|(other, _)| is_overdue || **other <= rank);
     let told: u64 = told.map(|(_, work_us)| *work_us).sum();
     let left_us = (room - before) * Self::BUCKET_MS as f64 - told as f64;
@@ -101,20 +101,20 @@
     left_us * 2.0 >= caller.work_us as f64
   }
 
-  fn keep(&mut self, index: u64, caller: &RefusedCaller) {
+  fn reserve(&mut self, index: u64, caller: &RefusedCaller) {
     let index = usize::try_from(index).unwrap_or_default();
-    while self.told_us.len() <= index {
-      self.told_us.push_back(BTreeMap::new());
+    while self.reserved_us.len() <= index {
+      self.reserved_us.push_back(BTreeMap::new());
     }
     let rank = caller.priority.min(Self::PRIORITY_MAX);
-    *self.told_us[index].entry(rank).or_default() += caller.work_us;
+    *self.reserved_us[index].entry(rank).or_default() += caller.work_us;
   }
 
   /// Forgets buckets that are over.
   fn advance(&mut self, now: Time) {
     let current = now.0 / Self::BUCKET_MS;
     let passed = usize::try_from(current.saturating_sub(self.first)).unwrap_or(usize::MAX);
-    self.told_us.drain(..passed.min(self.told_us.len()));
+    self.reserved_us.drain(..passed.min(self.reserved_us.len()));
     self.first = self.first.max(current);
   }
 }
--- a/src/requests/returns/return_time.rs
+++ b/src/requests/returns/return_time.rs
@@ -2,7 +2,7 @@
 
 /// When a refused caller should come back.
 ///
-/// All refusals for lack of room, and for calls that find none, take their time from here.
+/// Used for refusals for lack of room, where [`ReturnSchedules`] has no plan, and for calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReturnTime {
   /// Why it is refused.
@@ -25,8 +25,10 @@
   const SPREAD_FRACTION: f64 = 0.5;
   /// Shortest spread in milliseconds: a few rounds of short runs.
   const SPREAD_MIN_MS: u64 = 20;
-  /// Factor on the latest return where no wait is expected: least, and how much may be added.
-  const UNKNOWN_JITTER: (f64, f64) = (0.8, 0.4);
+  /// Least factor on the latest return where no wait is expected.
+  const UNKNOWN_FACTOR_MIN: f64 = 0.8;
+  /// How much may be added to that factor, so that callers are spread.
+  const UNKNOWN_FACTOR_SPREAD: f64 = 0.4;
 
   /// Returns the milliseconds after which the caller should come back. `at`, from 0 to 1, spreads
   /// callers that are refused together.
@@ -55,8 +57,8 @@
   /// An immediate return would meet the same load, and take a slot from a request that can still be
   /// in time.
   fn after_tries_ms(self, told_ms: u64, at: f64) -> u64 {
-    let (least, added) = Self::UNKNOWN_JITTER;
-    told_ms.max(fraction_of(self.left_ms, Self::LEFT_FRACTION * (least + added * at)))
+    let factor = Self::UNKNOWN_FACTOR_MIN + Self::UNKNOWN_FACTOR_SPREAD * at;
+    told_ms.max(fraction_of(self.left_ms, Self::LEFT_FRACTION * factor))
   }
 
   /// Once there is room, and at the latest when the caller comes back by itself.
--- a/src/requests/returns/work_trend.rs
+++ b/src/requests/returns/work_trend.rs
@@ -22,8 +22,8 @@
 impl WorkTrend {
   /// Length of a window in milliseconds: a box that takes 20 requests a second sees several in one.
   const WINDOW_MS: u64 = 250;
-  /// Complete windows that are kept: a fifth of a wave of ten seconds, so that its slope hardly
-  /// changes within them.
+  /// Complete windows that are kept: two seconds, enough for a slope and short beside the
+  /// changes of load that it follows.
   const WINDOWS: usize = 8;
   /// Windows of the recent rate, a second, and fewest that show a slope.
   const RATE_WINDOWS: usize = 4;
--- a/src/requests/room/demand_mix.rs
+++ b/src/requests/room/demand_mix.rs
@@ -165,9 +165,9 @@
     is_admitted
   }
 
-  /// Returns the rank at backend servers of an admitted request of rank `priority`: the most urgent
-  /// one that asks, where fewer callers of its own were served lately than its floor says. At its own
-  /// rank it would wait there behind all others, mostly until it is refused.
+  /// Returns the rank at backend servers of an admitted request of rank `priority`. If its rank was
+  /// lately served less than its floor, that is the most urgent rank with demand: at its own rank,
+  /// the request would wait behind all others, and mostly be refused.
   pub fn priority_at_backends(&self, priority: u32) -> u32 {
     let rank = self.ranks.get(&priority.min(Self::PRIORITY_MAX));
     let first = self.kinds.keys().next().map(|kind| kind.priority);
--- a/src/requests/room/service_room.rs
+++ b/src/requests/room/service_room.rs
@@ -19,8 +19,6 @@
   /// Fewest reports, each weighted from 1 to 0 by age, for a forecast. Fewer backend servers may
   /// all be full while others have room.
   const REPORTS_MIN: f64 = 2.5;
-  /// Microseconds of work assumed of a request of which nothing is known.
-  const WORK_UNKNOWN_US: u64 = 100_000;
 
   pub fn new(now: Time) -> Self {
     Self {
@@ -100,7 +98,7 @@
       let reason = "it is overdue and the service is full";
       return self.refuse(kind, reason, 0.0, now, request, forecast);
     }
-    let work_us = request.estimate.map_or(Self::WORK_UNKNOWN_US, |estimate| estimate.usual_us);
+    let work_us = RefusedCaller::work_us_of(request.estimate);
     let needed_ms = request.estimate.map_or(0, |estimate| estimate.usual_us / 1_000)
       + forecast.map_or(0, |forecast| forecast.wait_ms);
     let may_be_in_time = urgency.due.since_ms(now) > needed_ms;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -55,7 +55,7 @@
   /// Requests refused here before any try because their callers were told to come back later.
   pub requests_early: Counter,
   /// Returns refused here before any try because their classes come back early in series.
-  pub requests_of_early_classes: Counter,
+  pub returns_refused_for_class: Counter,
   /// Requests refused here before any try because calls that their run needs would fail.
   pub requests_refused_for_calls: Counter,
   /// Refused callers that were told when to come back.
@@ -158,9 +158,9 @@
         "returns_planned",
         "Refused callers that were told when to come back, by whether room is expected then",
       ),
-      requests_of_early_classes: registered(
+      returns_refused_for_class: registered(
         of,
-        "requests_of_early_classes",
+        "returns_refused_for_class",
         "Returns refused before any try because most callers of their class come back early in series",
       ),
       requests_refused_for_calls: registered(
--- a/tests/call_paths.rs
+++ b/tests/call_paths.rs
@@ -133,10 +133,14 @@
 /// Guards against a cascade: requests that call nothing must be served as before, beside those that
 /// call a service which lost a third of its servers.
 #[test]
-#[ignore = "in KNOWN-RED.txt"]
+#[ignore = "listed in KNOWN-RED.txt"]
 fn requests_without_calls_are_served_as_before_while_calls_find_no_room() {
+  let mut worse = Vec::new();
   for seed in 0..5 {
     let [before, after] = lose_a_third(seed).map(|outcomes| outcomes[0].share_in_time());
-    assert!(after > before - 0.02, "seed {seed}: {after} and {before} before");
+    if after <= before - 0.02 {
+      worse.push(format!("seed {seed}: {after} and {before} before"));
+    }
   }
+  assert!(worse.is_empty(), "{worse:#?}");
 }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -447,6 +447,8 @@
   inner: ServiceName,
   /// Whether some daemons get more requests than others.
   is_skewed: bool,
+  /// Whether runs begin at once, and each call is made by any daemon.
+  is_spread: bool,
   outer: ServiceName,
   pending: Vec<PendingRun>,
   rng: ChaCha8Rng,
@@ -475,11 +477,12 @@
   }
 
   fn run_outer(&mut self, mut pending: PendingRun) {
-    let index = self.pick();
+    let runner = if self.is_spread { None } else { Some(self.pick()) };
     // Calls are drawn one by one, so that runs differ.
     let most = 6;
     for _ in 0..most {
       if self.rng.random_bool(self.calls_mean / f64::from(most)) {
+        let index = runner.unwrap_or_else(|| self.pick());
         self.send_inner(index, pending.is_repeat, &mut pending.credit);
       }
     }
@@ -487,6 +490,11 @@
 
   /// Sends a request of the outer service to a box, on a way that may lose its credit.
   fn begin_outer(&mut self, credit: CallCredit, is_repeat: bool) {
+    if self.is_spread {
+      let begins_at = self.step;
+      let credit = CallCredit::default();
+      return self.run_outer(PendingRun { begins_at, credit, is_repeat });
+    }
     let is_lost = self.rng.random_bool(0.05);
     let credit = if is_lost { CallCredit::default() } else { credit };
     let begins_at = self.step + self.rng.random_range(0..=self.steps_max);
@@ -524,8 +532,9 @@
 
 /// Returns the windows in which random fleets exceed the bound on repeats: a share of the requests,
 /// and a fixed number of at least two for each daemon. `unknowing` scales the share of daemons that
-/// don't know the calls of their requests.
-fn windows_above_the_bound(unknowing: f64) -> Vec<String> {
+/// don't know the calls of their requests. `is_spread` tells that runs begin at once, without credit
+/// that is passed on, and that each call is made by any daemon.
+fn windows_above_the_bound(unknowing: f64, is_spread: bool) -> Vec<String> {
   const WINDOWS: usize = 10;
   let mut above: Vec<String> = Vec::new();
   for seed in 0..200 {
@@ -554,6 +563,7 @@
       failing,
       inner,
       is_skewed: seed % 2 == 0,
+      is_spread,
       outer,
       pending: Vec::new(),
       rng,
@@ -589,14 +599,14 @@
 /// with any mix of requests, and with runs that make calls by chance.
 #[test]
 fn repeats_of_random_fleets_stay_within_the_bound_at_the_called_service_too() {
-  let above = windows_above_the_bound(0.0);
+  let above = [false, true].map(|is_spread| windows_above_the_bound(0.0, is_spread)).concat();
   assert!(above.is_empty(), "{} windows: {above:#?}", above.len());
 }
 
 /// Guards the same bound against daemons that don't know the calls of their requests.
 #[test]
 fn repeats_of_daemons_that_know_no_calls_stay_within_the_bound_too() {
-  let above = windows_above_the_bound(1.0);
+  let above = [false, true].map(|is_spread| windows_above_the_bound(1.0, is_spread)).concat();
   assert!(above.is_empty(), "{} windows: {above:#?}", above.len());
 }
 
--- a/tests/recovered_servers.rs
+++ b/tests/recovered_servers.rs
@@ -189,8 +189,8 @@
   None
 }
 
-/// Guards against a backend server that gets almost no requests for long after it looked slow once: each daemon kept its
-/// last condition, and the daemon beside it declined most of the few requests that would have shown its recovery.
+/// Guards against a backend server that gets almost no requests for long after it looked slow once:
+/// daemons that keep its last condition send none, and the daemon beside it declines those that would show its recovery.
 #[test]
 fn a_backend_server_that_is_well_again_has_its_share_soon() {
   let recoveries =
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -330,13 +330,20 @@
 /// Load: a wave, bursts and lasting overload. As many of all requests must be served in time with a
 /// schedule as without.
 #[test]
-#[ignore = "in KNOWN-RED.txt"]
+#[ignore = "listed in KNOWN-RED.txt"]
 fn a_schedule_of_returns_costs_no_request_its_time() {
-  for (name, demand_at) in DEMANDS {
-    let [before, planned] =
-      [false, true].map(|is_planned| play_seeds((13, 8), is_planned, demand_at).share_in_time());
-    assert!(planned >= before, "{name}: {planned} and {before} without");
+  let shown = if std::env::var_os("RETURNS_TABLE").is_some() { 2 } else { 1 };
+  let mut worse = Vec::new();
+  for size in [(13, 8), (75, 42)].into_iter().take(shown) {
+    for (name, demand_at) in DEMANDS {
+      let [before, planned] =
+        [false, true].map(|is_planned| play_seeds(size, is_planned, demand_at).share_in_time());
+      if planned < before {
+        worse.push(format!("{size:?}, {name}: {planned} and {before} without"));
+      }
+    }
   }
+  assert!(worse.is_empty(), "{worse:#?}");
 }
 
 /// Load: a wave, bursts and lasting overload. Of the callers that return as told, a larger part must
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -295,8 +295,8 @@
   assert!(matches!(world.stage(), Some(Stage::RolledBack { .. })), "{:?}", world.stage());
 }
 
-/// Guards against proxies that learn of the version in force before they learn that their box runs it: requests of a
-/// service with a single backend server were refused for up to a tick.
+/// Guards against proxies that learn of the version in force before they learn that their box runs it. Until
+/// then, requests of a service with a single backend server would be refused.
 #[test]
 fn proxies_never_refuse_the_only_backend_server_as_its_version_changes() {
   /// Milliseconds after which single changes are no longer batched; more than a tick.
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -36,7 +36,7 @@
 /// Prints the comparison of the design page: the rows of 13 boxes, all with `ROOM_TABLE=full`, or those
 /// that begin like `ROOM_TABLE="985 1.7 Levels"`. The largest size is played for 3 s.
 #[test]
-fn table() {
+fn print_table() {
   const LEDGER_ENDS_AT_PART: u64 = 3;
   let sizes = [(13, 8, 12_000), (75, 42, 12_000), (300, 160, 12_000), (985, 530, 3_000)];
   let wanted = std::env::var("ROOM_TABLE").unwrap_or("13".into());
@@ -497,7 +497,7 @@
 /// Prints what a report with a decision costs with few and with many backend servers and
 /// organisations, with `ROOM_COST` set.
 #[test]
-fn cost() {
+fn print_cost() {
   if std::env::var_os("ROOM_COST").is_none() {
     return;
   }
