Show that a reused address gets another service's requests

A daemon that restarted after its backend was gone takes the next process at that address for its own service's until the first liveness report.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays the case: see claim.txt. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")" || exit 2
-exec ../play.sh stalled-download "$PWD"
+exec ../play.sh reused-address "$PWD"
--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -58,6 +58,9 @@
   pub is_draining: AtomicBool,
   /// Whether it is dark: it is gone without a word, and its connections stay open and silent.
   pub is_dark: AtomicBool,
+  /// Whether it ended: its address is free again.
+  is_over: AtomicBool,
+  connections: Mutex<Vec<TcpStream>>,
   /// Where set, an answer's head is sent after a tenth of the work, and its body in pieces over the rest.
   pub streamed_bytes: AtomicUsize,
   pub runs: Mutex<Vec<Run>>,
@@ -86,6 +89,8 @@
       slow: AtomicU64::new(100),
       is_draining: AtomicBool::new(false),
       is_dark: AtomicBool::new(false),
+      is_over: AtomicBool::new(false),
+      connections: Mutex::default(),
       streamed_bytes: AtomicUsize::new(0),
       runs: Mutex::default(),
       work_ms: Mutex::default(),
@@ -93,20 +98,39 @@
       sequence: AtomicU64::new(0),
     });
     let serving = backend.clone();
+    listener.set_nonblocking(true).expect("a listener that does not block");
     std::thread::spawn(move || {
-      for stream in listener.incoming().flatten() {
+      while !serving.is_over.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+          std::thread::sleep(Duration::from_millis(1));
+          continue;
+        };
+        stream.set_nonblocking(false).ok();
         let serving = serving.clone();
+        serving.connections.lock().unwrap().extend(stream.try_clone());
         std::thread::spawn(move || serving.serve(stream));
       }
     });
     backend
   }
 
+  /// Ends without a word: closes its listener and its connections.
+  pub fn crash(&self) {
+    self.is_over.store(true, Ordering::SeqCst);
+    std::thread::sleep(Duration::from_millis(20));
+    for stream in self.connections.lock().unwrap().drain(..) {
+      stream.shutdown(std::net::Shutdown::Both).ok();
+    }
+  }
+
   /// Sends liveness reports to the daemon beside it.
   pub fn report(self: &Arc<Self>, control: SocketAddr) {
     let backend = self.clone();
     std::thread::spawn(move || loop {
       backend.stay_dark();
+      if backend.is_over.load(Ordering::SeqCst) {
+        return;
+      }
       let is_taken = backend.heartbeat(control);
       std::thread::sleep(Duration::from_millis(if is_taken { 1_500 } else { 250 }));
     });
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -144,6 +144,22 @@
     *machine.daemon.lock().unwrap() = Some(child);
   }
 
+  /// Writes another service into a machine's settings file, as the platform does, and tells its daemon.
+  pub fn set_service(&self, index: usize, former: &str, service: &str) {
+    let machine = &self.machines[index];
+    let text = std::fs::read_to_string(&machine.settings).expect("settings");
+    let changed = text.replace(
+      &format!("\"service\": \"{former}\""),
+      &format!("\"service\": \"{service}\""),
+    );
+    assert_ne!(text, changed, "the settings name the service");
+    let fresh = machine.settings.with_extension("new");
+    std::fs::write(&fresh, changed).expect("settings can be written");
+    std::fs::rename(&fresh, &machine.settings).expect("settings can be replaced");
+    machine.signal("HUP");
+    self.record.line(format!("the settings of {} name {service}, and it gets SIGHUP", machine.name));
+  }
+
   /// Starts all daemons and the reports of the backends, and waits until all daemons are ready.
   pub fn start_all(&self) -> bool {
     for index in 0..self.machines.len() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod record;
+mod reused_address;
 mod stalled_download;
 mod store;
 
@@ -41,6 +42,7 @@
   let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
   let verdict = match scene.as_str() {
     "stalled-download" => stalled_download::play(&root, &folder, &record, has_trouble),
+    "reused-address" => reused_address::play(&root, &folder, &record, has_trouble),
     "hedged-body" => hedged_body::play(&root, &folder, &record, has_trouble),
     _ => Verdict::NotRun,
   };
