--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -206,7 +206,7 @@
   /// Sends a signal to the daemon.
   pub fn signal(&self, name: &str) {
     if let Some(child) = self.daemon.lock().unwrap().as_ref() {
-      Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status().ok();
+      Command::new("sh").arg("-c").arg(format!("kill -{name} {}", child.id())).status().ok();
     }
   }
 
