--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -52,6 +52,8 @@
   pub instance: String,
   pub address: SocketAddr,
   pub slots: usize,
+  /// The version of its software.
+  pub version: Mutex<String>,
   pub running: AtomicUsize,
   /// Work takes this many hundredths of the usual time.
   pub slow: AtomicU64,
@@ -85,6 +87,7 @@
       instance: instance.into(),
       address: listener.local_addr().expect("an address"),
       slots,
+      version: Mutex::new("v1".into()),
       running: AtomicUsize::new(0),
       slow: AtomicU64::new(100),
       is_draining: AtomicBool::new(false),
@@ -140,9 +143,9 @@
     let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
     let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
     let body = format!(
-      "{{\"Address\":\"{}\",\"Info\":{{\"Service\":\"{}\",\"Version\":\"v1\",\"Zone\":\"{}\",\"Slots\":{}}},\
+      "{{\"Address\":\"{}\",\"Info\":{{\"Service\":\"{}\",\"Version\":\"{}\",\"Zone\":\"{}\",\"Slots\":{}}},\
        \"Status\":{{\"State\":\"{state}\",\"CallSeq\":{sequence},\"ColdLeft\":\"0ms\"}}}}",
-      self.address, self.service, self.zone, self.slots
+      self.address, self.service, self.version.lock().unwrap(), self.zone, self.slots
     );
     let path = format!("/ferryyoke/instances/{}/heartbeat", self.instance);
     let sent = crate::post(control, &path, &body, Duration::from_secs(1));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,8 @@
 mod hedged_body;
 mod http;
 mod json;
+mod long_name;
+mod old_version;
 mod record;
 mod reused_address;
 mod stalled_download;
@@ -43,6 +45,8 @@
   let verdict = match scene.as_str() {
     "stalled-download" => stalled_download::play(&root, &folder, &record, has_trouble),
     "reused-address" => reused_address::play(&root, &folder, &record, has_trouble),
+    "long-name" => long_name::play(&root, &folder, &record, has_trouble),
+    "old-version" => old_version::play(&root, &folder, &record, has_trouble),
     "hedged-body" => hedged_body::play(&root, &folder, &record, has_trouble),
     _ => Verdict::NotRun,
   };
