--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -38,9 +39,18 @@
   pids: PathBuf,
 }
 
+/// A port that is free at an address and at 127.0.0.1, where a daemon binds one of its own. None is given twice, and all
+/// lie below those that the kernel gives to outgoing connections.
 fn free_port(ip: &str) -> u16 {
-  let listener = TcpListener::bind((ip, 0)).expect("a free port");
-  listener.local_addr().expect("an address").port()
+  static GIVEN: AtomicU16 = AtomicU16::new(0);
+  const FIRST: u16 = 20_000;
+  const COUNT: u16 = 12_000;
+  let start = (std::process::id() % u32::from(COUNT / 200)) as u16 * 200;
+  let ports = std::iter::repeat_with(|| {
+    FIRST + (start + GIVEN.fetch_add(1, Ordering::SeqCst)) % COUNT
+  });
+  let is_free = |port: &u16| [ip, "127.0.0.1"].iter().all(|ip| TcpListener::bind((*ip, *port)).is_ok());
+  ports.take(usize::from(COUNT)).find(is_free).expect("a free port")
 }
 
 /// Fills the template of the deploy file, as DEPLOY.md tells.
@@ -74,8 +84,7 @@
       let app = listener.local_addr().expect("an address");
       let backend =
         Backend::start(place.service, place.zone, &instance, listener, slots, record.clone());
-      // The first port of the range is bound at 127.0.0.1 too.
-      let range = free_port("0.0.0.0");
+      let range = free_port(&ip);
       let ports: Vec<u16> = (0..5).map(|_| free_port(&ip)).collect();
       let name = format!("sidecar-{}-{index}", place.zone);
       let fields = [
