Show that a broken answer cuts the requests sent behind it

Three of six backends send one of twenty answers without a length and reset it midway, for 5 s, while requesters send four safe requests ahead on kept connections.

A first form of the scene was void: the stand-in kept a second handle of the socket, so that nothing was reset.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -65,6 +65,8 @@
   connections: Mutex<Vec<TcpStream>>,
   /// Where set, an answer's head is sent after a tenth of the work, and its body in pieces over the rest.
   pub streamed_bytes: AtomicUsize,
+  /// Where set, one of so many answers has no length and is reset midway.
+  pub reset_one_of: AtomicU64,
   pub runs: Mutex<Vec<Run>>,
   /// The usual work in milliseconds of a request, by its target; 60 to 180 by its id where nothing is set.
   pub work_ms: Mutex<BTreeMap<String, u64>>,
@@ -95,6 +97,7 @@
       is_over: AtomicBool::new(false),
       connections: Mutex::default(),
       streamed_bytes: AtomicUsize::new(0),
+      reset_one_of: AtomicU64::new(0),
       runs: Mutex::default(),
       work_ms: Mutex::default(),
       record,
@@ -211,6 +214,14 @@
     let seal = format!("{}.{:016x}", self.instance, sum(body.as_bytes()));
     let headers =
       [("X-Request-Id", id.as_str()), ("X-Response-Seal", &seal), ("X-Server-Load", &load)];
+    let reset_one_of = self.reset_one_of.load(Ordering::SeqCst);
+    if reset_one_of > 0 && sum(id.as_bytes()) % reset_one_of == 0 {
+      self.record.line(format!("{} resets its answer to {id} midway", self.instance));
+      let peer = reader.stream.peer_addr().ok();
+      // A socket is reset once its last handle is closed.
+      self.connections.lock().unwrap().retain(|other| other.peer_addr().ok() != peer);
+      return http::answer_and_reset(&mut reader.stream, status, &headers, body.as_bytes());
+    }
     self.record.line(format!("{} answers {id}: {status}, {body}", self.instance));
     http::answer(&mut reader.stream, status, &headers, body.as_bytes()).ok()
   }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -163,6 +163,39 @@
   stream.write_all(&out)
 }
 
+/// Writes an answer without a length, with half of its body, and resets the connection.
+pub fn answer_and_reset(
+  stream: &mut TcpStream,
+  status: &str,
+  headers: &[(&str, &str)],
+  body: &[u8],
+) -> Option<()> {
+  let mut out = format!("HTTP/1.1 {status}\r\nConnection: close\r\n").into_bytes();
+  for (name, value) in headers {
+    out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+  }
+  out.extend_from_slice(b"\r\n");
+  out.extend_from_slice(&body[..body.len() / 2]);
+  stream.write_all(&out).ok()?;
+  // What is still in the socket would go with the reset.
+  std::thread::sleep(std::time::Duration::from_millis(10));
+  reset(stream);
+  None
+}
+
+/// Has the connection reset when it is closed.
+fn reset(stream: &TcpStream) {
+  use std::os::fd::AsRawFd;
+  extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+  }
+  const SOL_SOCKET: i32 = 1;
+  const SO_LINGER: i32 = 13;
+  let at_once = [1, 0];
+  // SAFETY: the descriptor is open, and the option's value is a pair of ints.
+  unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &at_once, 8) };
+}
+
 /// Undoes the percent encoding of a query value.
 pub fn decoded(text: &str) -> String {
   let bytes = text.as_bytes();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of the review's scripts: the platform's store, backends, requesters and operator, and the scenes.
 
 mod backend;
+mod broken_pipeline;
 mod fleet;
 mod hedged_body;
 mod http;
@@ -43,6 +44,7 @@
   record.line(format!("scene {scene}, {} the disruption", if has_trouble { "with" } else { "without" }));
   let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
   let verdict = match scene.as_str() {
+    "broken-pipeline" => broken_pipeline::play(&root, &folder, &record, has_trouble),
     "stalled-download" => stalled_download::play(&root, &folder, &record, has_trouble),
     "reused-address" => reused_address::play(&root, &folder, &record, has_trouble),
     "long-name" => long_name::play(&root, &folder, &record, has_trouble),
