Give the case of begun answers a clearer margin, and the site's target

The two backends now go dark at the first moment at which 20 answers are under way, half a second later at most; 440 requests a second and 330 ms of work instead of 400 and 300; and TargetLatency is the site's 250 ms instead of 400.

--- a/review/standin/stalled_download.rs
+++ b/review/standin/stalled_download.rs
@@ -18,18 +18,20 @@
 const DEADLINE_MS: u64 = 1_500;
 /// How long after `Timeout` the rule looks.
 const LATER_MS: u64 = 500;
-/// Work of a download, in which its bytes are sent.
-const WORK_MS: u64 = 300;
+/// Work of a download, in which its bytes are sent. The site's goes up to 380.
+const WORK_MS: u64 = 330;
 const BYTES: usize = 90_000;
-const PER_S: u64 = 400;
+const PER_S: u64 = 440;
 const WARM_MS: u64 = 8_000;
 const DARK_AT_MS: u64 = 3_000;
+/// They go dark at the first moment from then on at which so many answers are under way, half a second later at most.
+const UNDER_WAY: usize = 20;
 /// How long they would stay dark: `for_s` = 4.5 in the site file. The scene ends before that is over.
 const DARK_MS: u64 = 4_500;
 const PLAY_MS: u64 = 5_500;
 
 const CONFIGURATION: &str = r#"{"Version":7,"Routes":[{"Name":"r-photo","Host":"nony93.example",
-"PathPrefix":"/puba11/","Kind":"download","Timeout":"800ms","TargetLatency":"400ms","Priority":2,
+"PathPrefix":"/puba11/","Kind":"download","Timeout":"800ms","TargetLatency":"250ms","Priority":2,
 "Service":"permits","MaxAttempts":2}],"Services":[{"Name":"permits","HealthPath":"/health",
 "MaxConnections":110,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,
 "MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}"#;
@@ -63,7 +65,14 @@
   let started = Instant::now();
   let (mut number, mut senders, mut is_dark) = (0u64, Vec::new(), false);
   while started.elapsed() < Duration::from_millis(PLAY_MS) {
-    if has_trouble && !is_dark && started.elapsed() >= Duration::from_millis(DARK_AT_MS) {
+    let under_way: usize = DARK_ONES
+      .map(|index| fleet.machines[index].backend.running.load(Ordering::SeqCst))
+      .iter()
+      .sum();
+    let dark_from = Duration::from_millis(DARK_AT_MS);
+    let is_due = started.elapsed() >= dark_from && under_way >= UNDER_WAY
+      || started.elapsed() >= dark_from + Duration::from_millis(500);
+    if has_trouble && !is_dark && is_due {
       is_dark = true;
       for backend in DARK_ONES.map(|index| &fleet.machines[index].backend) {
         backend.is_dark.store(true, Ordering::SeqCst);
