Show that a reused address keeps the former caller's name

One of seven backends crashes for good; 2.6 s later a backend of another service starts at its address, the settings name its service, and the daemon gets SIGHUP. Until the newcomer's first report is taken over, requests that begin beside it carry the former service in X-Caller-Service.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -37,11 +37,12 @@
   })
 }
 
-/// A run: the id of its request, what it received, and when it began.
+/// A run: the id of its request, what it received, when it began, and the service that is named as its caller.
 #[derive(Clone, Debug)]
 pub struct Run {
   pub id: String,
   pub at_ms: u64,
+  pub caller: String,
   pub content: Content,
   pub instance: String,
 }
@@ -263,6 +264,7 @@
     let run = Run {
       id: id.into(),
       at_ms: self.record.now_ms(),
+      caller: request.header("x-caller-service").unwrap_or("none").to_string(),
       content: content.clone(),
       instance: self.instance.clone(),
     };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -47,6 +47,7 @@
     "broken-pipeline" => broken_pipeline::play(&root, &folder, &record, has_trouble),
     "stalled-download" => stalled_download::play(&root, &folder, &record, has_trouble),
     "reused-address" => reused_address::play(&root, &folder, &record, has_trouble),
+    "reused-address-callers" => reused_address::play_callers(&root, &folder, &record, has_trouble),
     "long-name" => long_name::play(&root, &folder, &record, has_trouble),
     "old-version" => old_version::play(&root, &folder, &record, has_trouble),
     "hedged-body" => hedged_body::play(&root, &folder, &record, has_trouble),
