Take a process that started after the daemon only with its report, and follow the service of the settings

Without the restart, requests that began there named the former service as their caller for 1.6 s.

Cause: the health endpoint names a process, but not its service. A daemon without a report took whatever process it named, for the service that the settings named at the daemon's start; the settings' change was read 160 ms before ("wait_for_a_restart":"service") and left unused. X-Caller-Service rested on the former process's report for as long as no other came.

Change: a process is taken without a report only if it ran already beside the starting daemon, whose settings of that moment name its service. If the address was seen without a process since, or was not looked at for 2 s, the next process waits for its first report, as every later one does already. SIGHUP and a changed file take the service over: for processes that have not reported, for the caller's service while the former process may be gone, and for the health path that is asked. A request is sent with the instance that was checked for it, not with the one that has taken its place while it connected. The queue's length follows the service.

--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -130,6 +130,34 @@
     (state.is_leaving, state.is_mute) = (true, true);
   }
 
+  /// Ends the process for good: its address refuses connections until [`Self::give_address_to`].
+  pub fn end_for_good(&self) {
+    let mut state = self.state.borrow_mut();
+    state.is_down = true;
+    state.front.refuse(true);
+    state.front.reset();
+  }
+
+  /// Starts a process of another service at the address. It reports from [`Self::begin_reports`] on.
+  pub fn give_address_to(&self, service: &str) {
+    let mut state = self.state.borrow_mut();
+    state.begin_process(false);
+    state.service = service.into();
+    state.is_mute = true;
+    state.front.refuse(false);
+  }
+
+  /// Stops the reports of the process.
+  pub fn pause_reports(&self) {
+    self.state.borrow_mut().is_mute = true;
+  }
+
+  /// Sends a report of the process now, and continues to report.
+  pub async fn begin_reports(&self) {
+    self.state.borrow_mut().is_mute = false;
+    send_report(&self.state).await;
+  }
+
   /// Starts another process in the place of the current one, which ends.
   pub fn start_anew(&self) {
     self.state.borrow_mut().begin_process(false);
@@ -203,6 +231,20 @@
     self.told.figures(self.running.get(), self.trouble.slowness, answered)
   }
 
+  /// Returns the record of a run that begins now. `header` returns the value of a header of its request.
+  fn begin_run(&self, request_id: &str, header: impl Fn(&str) -> Option<String>) -> record::Run {
+    record::Run {
+      at_ms: elapsed_ms(self.started),
+      caller: header(CALLER_SERVICE).unwrap_or_default(),
+      ended_ms: None,
+      has_key: header(KEY).is_some(),
+      instance: self.process(),
+      organisation: header(ORGANISATION),
+      request_id: request_id.into(),
+      service: self.service.clone(),
+    }
+  }
+
   /// Starts a new process without any state of the former one.
   fn begin_process(&mut self, keeps_id: bool) {
     if !keeps_id {
@@ -288,6 +330,9 @@
 /// The header with the number of calls to the other service that the run makes, one after the other.
 pub const CALLS: &str = "x-soak-calls";
 
+/// The header with the service of the box where the request began.
+const CALLER_SERVICE: &str = "x-caller-service";
+
 /// The header with the load and speed of a backend server.
 const LOAD: &str = "x-server-load";
 
@@ -345,13 +390,9 @@
     state.borrow_mut().unanswered += 1;
     return std::future::pending().await;
   }
-  let (has_key, organisation) = (header(KEY).is_some(), header(ORGANISATION));
   let _running = {
     let state = state.borrow();
-    let (at_ms, instance) = (elapsed_ms(state.started), state.process());
-    let (request_id, service) = (request_id.clone(), state.service.clone());
-    let ended_ms = None;
-    let run = record::Run { at_ms, ended_ms, has_key, instance, organisation, request_id, service };
+    let run = state.begin_run(&request_id, header);
     Running::begin(&running, &state.record, state.started, run)
   };
   let work_ms = {
--- a/crates/ferryyoke-soak/src/record.rs
+++ b/crates/ferryyoke-soak/src/record.rs
@@ -47,6 +47,8 @@
 pub struct Run {
   /// When the run began.
   pub at_ms: Ms,
+  /// The service named as the caller.
+  pub caller: String,
   /// When the run ended, or was given up.
   pub ended_ms: Option<Ms>,
   /// Whether the request carried the caller's key.
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -170,11 +170,23 @@
     const KBYTES_PER_S_PER_MBPS: u64 = 125;
     self.kbytes_per_s.set(link_mbps * KBYTES_PER_S_PER_MBPS);
     self.forward.narrow(self.kbytes_per_s.get());
+    self.change_settings(|settings| settings["deployment"]["link_mbps"] = link_mbps.into())
+  }
+
+  /// Sets the service that the settings file names.
+  pub fn name_service(&self, service: &str) -> Result {
+    self.change_settings(|settings| settings["service"] = service.into())
+  }
+
+  /// Replaces the settings file.
+  fn change_settings(&self, change: impl FnOnce(&mut serde_json::Value)) -> Result {
     let path = Self::settings_path(&self.directory, self.index);
     let mut settings: serde_json::Value = serde_json::from_str(&fs::read_to_string(&path)?)
       .map_err(|err| Error::Unexpected(err.to_string()))?;
-    settings["deployment"]["link_mbps"] = link_mbps.into();
-    Ok(fs::write(path, settings.to_string())?)
+    change(&mut settings);
+    let fresh = path.with_extension("new");
+    fs::write(&fresh, settings.to_string())?;
+    Ok(fs::rename(fresh, path)?)
   }
 
   /// Returns the bytes that waited for the box's link ahead of each short message since the last call, and how many may
--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -34,6 +34,7 @@
 fn run(at_ms: u64) -> Run {
   Run {
     at_ms,
+    caller: String::new(),
     ended_ms: None,
     has_key: false,
     instance: "i-1".into(),
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -76,10 +76,11 @@
     };
     shared.log.set_level(fresh.log_level);
     shared.stop_deadline_ms.set(fresh.stop_deadline_ms);
+    self.node.service_named(fresh.service.clone());
     let waiting = fresh.changes_needing_restart(&shared.settings).join(", ");
     info!(
       shared.log.logger, "the settings were read again";
-      "in_force" => "log level, stop deadline", "wait_for_a_restart" => waiting
+      "in_force" => "log level, service, stop deadline", "wait_for_a_restart" => waiting
     );
   }
 
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -49,20 +49,49 @@
 /// itself.
 const IDENTIFY_PERIOD_MS: u64 = 250;
 
+/// Milliseconds between two looks at the address after which another process may have taken it over unseen. An address
+/// that is reused is free for longer before.
+const UNWATCHED_MAX_MS: u64 = 2_000;
+
 /// Identifies the running process of the backend server by a health check while its reports leave that
 /// open, so that a restarted daemon need not wait for the next report.
 pub async fn identify_instance(node: Rc<Node>) {
   let shared = &node.shared;
+  let mut looked_at = shared.now().time;
   loop {
+    if shared.now().time.since_ms(looked_at) > UNWATCHED_MAX_MS {
+      shared.backend.borrow_mut().found_absent();
+    }
+    looked_at = shared.now().time;
     let needs_check = shared.backend.borrow().needs_health_check();
-    if needs_check && let Some(found) = query_instance(shared).await {
-      node.backend_health_checked(&found.instance, found.cold_ms);
-      shared.health_named_limit(found.notices);
+    if needs_check {
+      identify(&node).await;
     }
     timer::sleep(Duration::from_millis(IDENTIFY_PERIOD_MS)).await;
   }
 }
 
+/// Connects to the backend server, and asks its health endpoint where the configuration names one.
+async fn identify(node: &Node) {
+  let shared = &node.shared;
+  let address = shared.settings.backend_server.address;
+  match shared.backend_pool.checkout(address).await {
+    Ok(client) => {
+      if let Some(found) = query_instance(shared, client).await {
+        node.backend_health_checked(&found.instance, found.cold_ms);
+        shared.health_named_limit(found.notices);
+      }
+    }
+    Err(err) => {
+      shared.backend.borrow_mut().found_absent();
+      let is_refused = matches!(err, web::Error::Unreachable { refused: true, .. });
+      if is_refused && shared.backend_state() == BackendState::Ready {
+        shared.backend_unreachable("its address refuses connections");
+      }
+    }
+  }
+}
+
 /// What the health endpoint of a backend server tells of its process.
 struct FoundInstance {
   /// Milliseconds for which it stays cold, if it says so.
@@ -72,14 +101,15 @@
 }
 
 /// Returns what the health endpoint tells if it answers with success.
-async fn query_instance(shared: &Shared) -> Option<FoundInstance> {
+async fn query_instance(shared: &Shared, client: web::Client) -> Option<FoundInstance> {
   let configuration = shared.configuration()?;
-  let service = configuration.services.get(&shared.own_service())?;
-  let path = service.value.health_path.clone()?;
+  let candidate = shared.backend.borrow().candidate_service().cloned();
+  let service = candidate.unwrap_or_else(|| shared.present_service());
+  let path = configuration.services.get(&service)?.value.health_path.clone()?;
   let address = shared.settings.backend_server.address;
   let request =
     Request::get(path).header(http::header::HOST, address.to_string()).body(web::empty()).ok()?;
-  let exchange = shared.backend_pool.exchange_whole(address, request, BODY_BYTES_MAX);
+  let exchange = shared.backend_pool.exchange_on(client, request, BODY_BYTES_MAX);
   let limited = timer::timeout(Duration::from_millis(TIMEOUT_MS), exchange);
   let (head, _) = limited.await.ok()?.ok()?;
   let name = shared.header_names.instance.as_ref()?;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,7 +5,7 @@
 use crate::{
   administration,
   distribution::{Distribution, Distributor, Event, Follower, Identity, Timing},
-  fleet::{Endpoint, EndpointState, Peer},
+  fleet::{BackendState, Endpoint, EndpointState, Peer},
   node::{BackendNotices, Clock, DistributionLoop, HeaderNames, Node, Shared},
   platform, proxy,
   settings::{Deployment, Settings},
--- a/src/distribution/distributor/endpoint_updates.rs
+++ b/src/distribution/distributor/endpoint_updates.rs
@@ -26,6 +26,15 @@
     }
   }
 
+  pub(super) fn change_service(&mut self, service: ServiceName, slots: u32, starts: u32) {
+    let own = &mut self.own;
+    let is_same = own.service == service && own.slots == slots && own.backend_starts == starts;
+    (own.service, own.slots, own.backend_starts) = (service, slots, starts);
+    if !is_same {
+      self.announce();
+    }
+  }
+
   /// Announces to the fleet how requests ended at this box's backend server.
   pub(super) fn runs_ended(&mut self, what: RunOutcome) {
     self.own.add_finding(RunFinding { id: self.rng.random(), outcome: what });
--- a/src/distribution/distributor/mod.rs
+++ b/src/distribution/distributor/mod.rs
@@ -121,9 +121,7 @@
       Event::Asked { question, token } => self.operator_query_received(&question, token),
       Event::RecordsQueried { id, reports } => self.inquiries.consulted(id, reports),
       Event::EndpointServes { service, slots, starts, .. } => {
-        self.own.backend_starts = starts;
-        self.own.service = service;
-        self.own.slots = slots;
+        self.change_service(service, slots, starts);
       }
       Event::EndpointState(state) => self.change_state(state),
       Event::LinkClosed { link } => self.link_closed(link),
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -6,6 +6,10 @@
 /// under one id, and the sequence orders the reports of one process. A process that left is never taken back. A
 /// process that this incarnation of the daemon hasn't seen may have left earlier, so one report isn't enough: its
 /// health endpoint must name it, or it must keep reporting while the running process is silent.
+///
+/// The health endpoint names a process, but not its service. Only the process beside which the daemon started is taken
+/// without a report, as the settings read at that time name its service. A process that started later may serve
+/// another one, since addresses are reused.
 #[derive(Clone, Debug, Default)]
 pub struct BackendRecord {
   /// A process that reported and isn't confirmed yet. Never the running process.
@@ -22,6 +26,7 @@
   other_software: Option<OtherSoftware>,
   /// The running process.
   process: Option<Process>,
+  rename: Rename,
   sequence: u64,
   /// The service that the process reported.
   service: Option<ServiceName>,
@@ -32,6 +37,11 @@
   /// How many processes have replaced the running one.
   starts: u32,
   state: BackendState,
+  /// A process that the health endpoint named and that isn't taken before it reports.
+  unreported: Option<InstanceId>,
+  /// Whether the address was without a process before the first one was known. The first one started after the daemon
+  /// then.
+  was_absent: bool,
 }
 
 /// A process that isn't confirmed as the running one.
@@ -55,6 +65,18 @@
   software: Option<SoftwareVersion>,
 }
 
+/// Whether the settings have named another service since the running process reported its own.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Rename {
+  /// They have, and the process was seen at its address since: it still serves what it reported.
+  Checked,
+  /// They have not.
+  #[default]
+  None,
+  /// They have, and another process may run at the address by now.
+  Unchecked,
+}
+
 /// Whether a backend server takes work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum BackendState {
@@ -147,6 +169,7 @@
 
   /// Applies a report of the running process.
   fn take(&mut self, now: Time, report: &BackendReport) {
+    self.note_seen();
     self.has_start_times |= report.process.started_at.is_some();
     self.process = Some(report.process.clone());
     self.sequence = report.sequence;
@@ -214,11 +237,16 @@
       return self.adopt(now, &candidate.report);
     }
     if self.process.is_none() && !self.left.iter().any(|left| left.id == *id) {
+      if self.was_absent {
+        self.unreported = Some(id.clone());
+        return;
+      }
       self.process = Some(Process { started_at: None, id: id.clone() });
     }
     if self.process.as_ref().is_none_or(|running| running.id != *id) {
       return;
     }
+    self.note_seen();
     // Another process that reported is not the running one, unless it has the same id.
     if !is_former {
       self.candidate = None;
@@ -237,11 +265,32 @@
 
   /// Whether the health endpoint should be asked for the running process and its warm-up.
   pub fn needs_health_check(&self) -> bool {
-    self.candidate.is_some() || self.is_cold_unconfirmed || self.state == BackendState::Unknown
+    let may_be_another = self.rename == Rename::Unchecked && self.state == BackendState::Ready;
+    let is_doubted = self.is_cold_unconfirmed || may_be_another;
+    self.candidate.is_some() || is_doubted || self.state == BackendState::Unknown
+  }
+
+  /// Handles that the address was found without a process, or wasn't watched for so long that it may have been.
+  pub fn found_absent(&mut self) {
+    self.was_absent |= self.process.is_none();
+  }
+
+  /// Handles that the settings name `service` from now on.
+  pub fn service_named(&mut self, service: &ServiceName) {
+    let is_other = self.service.as_ref().is_some_and(|reported| reported != service);
+    self.rename = if is_other { Rename::Unchecked } else { Rename::None };
+  }
+
+  /// Notes that the running process was seen at its address.
+  fn note_seen(&mut self) {
+    if self.rename == Rename::Unchecked {
+      self.rename = Rename::Checked;
+    }
   }
 
   /// Handles a refused connection to the backend server, or an answer from another process.
   pub fn became_unreachable(&mut self) {
+    self.found_absent();
     if self.state == BackendState::Ready {
       self.state = BackendState::Unknown;
       // The next process may have the same id, and without start times it can't be distinguished.
@@ -260,10 +309,12 @@
       }
     }
     self.state = BackendState::Unknown;
+    self.rename = Rename::None;
     self.sequence = 0;
     self.service = None;
     self.software = None;
     self.other_software = None;
+    self.unreported = None;
   }
 
   /// Whether exactly this process is known to have left. One known by id only may be a later process.
@@ -296,6 +347,27 @@
     self.service.as_ref()
   }
 
+  /// The service of the process at the address: the reported one, unless the settings have named another one since and
+  /// the process that reported may be gone.
+  pub fn present_service(&self) -> Option<&ServiceName> {
+    let is_present = match self.rename {
+      Rename::Checked => self.state == BackendState::Ready,
+      Rename::None => true,
+      Rename::Unchecked => false,
+    };
+    self.service.as_ref().filter(|_| is_present)
+  }
+
+  /// The service of the process that reported and isn't confirmed yet.
+  pub fn candidate_service(&self) -> Option<&ServiceName> {
+    self.candidate.as_ref().map(|candidate| &candidate.report.service)
+  }
+
+  /// A process that the health endpoint named and that gets no work before it reports.
+  pub fn unreported(&self) -> Option<&InstanceId> {
+    self.unreported.as_ref()
+  }
+
   /// The number of requests that it runs at once, as reported.
   pub fn slots(&self) -> Option<u32> {
     self.slots
--- a/src/node/backend_side.rs
+++ b/src/node/backend_side.rs
@@ -93,10 +93,18 @@
     }
   }
 
-  /// Returns the service of this box's backend server: the reported one, or else that of the settings.
+  /// Returns the service whose requests the backend server may run: the one that its process reported, or else that of
+  /// the settings.
   pub fn own_service(&self) -> ServiceName {
     let reported = self.backend.borrow().service().cloned();
-    reported.unwrap_or_else(|| self.settings.service.clone())
+    reported.unwrap_or_else(|| self.service.borrow().clone())
+  }
+
+  /// Returns the service of this box: that of the process at the backend server's address now, as far as known.
+  /// Requests that begin on the box come from it.
+  pub fn present_service(&self) -> ServiceName {
+    let reported = self.backend.borrow().present_service().cloned();
+    reported.unwrap_or_else(|| self.service.borrow().clone())
   }
 
   /// Records a successful run at the backend server. Returns its work in microseconds at the usual backend server
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -44,7 +44,7 @@
     let configuration = self.shared.configuration();
     let is_known = configuration.is_some_and(|one| one.services.contains_key(service))
       || *service == self.shared.own_service()
-      || *service == self.shared.settings.service;
+      || *service == *self.shared.service.borrow();
     (!is_known).then_some("no configuration names its service")
   }
 
@@ -57,7 +57,45 @@
   pub fn backend_health_checked(&self, id: &InstanceId, cold_ms: Option<u64>) {
     let now = self.shared.now().time;
     let process = Process { started_at: None, id: id.clone() };
+    let unreported = self.shared.backend.borrow().unreported().cloned();
     self.change_backend(&process, 0, |record| record.health_checked(now, id, cold_ms));
+    let record = self.shared.backend.borrow();
+    if record.unreported().is_some_and(|found| unreported.as_ref() != Some(found)) {
+      info!(
+        self.shared.log.logger,
+        "a process started at the backend server's address: it gets no work before it reports its service";
+        "instance" => %id, "service_in_settings" => self.shared.service.borrow().as_str()
+      );
+    }
+  }
+
+  /// Records that the settings name another service from now on.
+  pub fn service_named(&self, service: ServiceName) {
+    let shared = &self.shared;
+    let before = shared.service.replace(service.clone());
+    if before == service {
+      return;
+    }
+    shared.backend.borrow_mut().service_named(&service);
+    let reported = shared.backend.borrow().service().map(ToString::to_string);
+    info!(
+      shared.log.logger, "the settings name another service";
+      "before" => before.as_str(), "service" => service.as_str(), "reported" => reported.as_deref().unwrap_or("none")
+    );
+    if reported.is_none() {
+      self.announce_service(service);
+    }
+  }
+
+  /// Announces the service of the settings to the fleet, as the backend server's process reported none.
+  fn announce_service(&self, service: ServiceName) {
+    let shared = &self.shared;
+    shared.apply_queue_length();
+    let (slots, starts) = {
+      let record = shared.backend.borrow();
+      (record.slots().unwrap_or(shared.settings.backend_server.slots), record.starts())
+    };
+    self.distribution.handle(Event::EndpointServes { service, slots, software: None, starts });
   }
 
   /// Changes the backend server's record, and announces and logs the resulting state.
@@ -134,6 +172,7 @@
     for ticket in admitted {
       shared.admit(ticket);
     }
+    shared.apply_queue_length();
     self.distribution.handle(Event::EndpointServes { service, slots, software, starts });
   }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -99,6 +99,8 @@
   pub running_requests: RefCell<RunningRequests>,
   /// Number of operators' statements that are running.
   pub running_statements: Cell<usize>,
+  /// The service that the settings named when they were last read.
+  pub(super) service: RefCell<ServiceName>,
   /// The settings.
   pub settings: Settings,
   /// How fast the backend server works.
@@ -144,6 +146,7 @@
     let link_mbps = settings.deployment.as_ref().map(|deployment| deployment.link_mbps);
     let answer_budget = link_mbps.map(AnswerBudget::new);
     let link_budget = link_mbps.map(LinkBudget::new);
+    let service = RefCell::new(settings.service.clone());
     let slots = settings.backend_server.slots as usize;
     let stop_deadline_ms = Cell::new(settings.stop_deadline_ms);
     let pool = || Rc::new(web::Pool::new(Self::CONNECT_TIMEOUT_MS));
@@ -199,6 +202,7 @@
       run_times: RefCell::default(),
       running_requests: RefCell::default(),
       running_statements: Cell::default(),
+      service,
       settings,
       speed: RefCell::default(),
       splitter: RefCell::default(),
@@ -213,10 +217,6 @@
 
   /// Puts a configuration in force. All routes switch to its version at once.
   pub fn apply(&self, configuration: Arc<Configuration>) {
-    let queue = configuration.policy_of(&self.settings.service).map(|policy| policy.queue_length);
-    if let Some(queue) = queue {
-      self.limiter.borrow_mut().set_queue_max(queue as usize);
-    }
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
     self.metrics.version.set(gauge(configuration.version.0));
     self.metrics.applied_unix_ms.set(gauge(self.now().unix_ms));
@@ -250,6 +250,15 @@
     *self.router.borrow_mut() = Rc::new(Router::new(&configuration));
     *self.configuration.borrow_mut() = Some(configuration);
     *self.refused_configuration.borrow_mut() = None;
+    self.apply_queue_length();
+  }
+
+  /// Applies the queue length of the policy of the backend server's service.
+  pub(super) fn apply_queue_length(&self) {
+    let queue = self.policy(&self.own_service()).map(|policy| policy.queue_length);
+    if let Some(queue) = queue {
+      self.limiter.borrow_mut().set_queue_max(queue as usize);
+    }
   }
 
   /// Calls the store, and counts the result.
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -232,7 +232,8 @@
   shared.running_requests.borrow_mut().add_call_credit(&forwarded.id, &forwarded.call_credit);
   let stopwatch = Stopwatch::start();
   let left_ms = forwarded.deadline.since_ms(shared.now().time);
-  let exchange = exchange(shared, forwarded, body, transfer_slot, slot, run);
+  let process = trace.process.as_ref();
+  let exchange = exchange(shared, forwarded, body, process, transfer_slot, slot, run);
   let answer = timer::timeout(Duration::from_millis(left_ms), exchange).await;
   let answer = answer.unwrap_or_else(|_| {
     if let Some(held) = stopwatch.read() {
@@ -330,6 +331,7 @@
   shared: &Rc<Shared>,
   forwarded: &ForwardedRequest,
   body: RequestBody,
+  process: Option<&Process>,
   transfer_slot: Option<TransferSlot>,
   slot: SlotGuard,
   mut run: RunGuard,
@@ -352,12 +354,11 @@
   })?;
   shared.cold_start_limiter.borrow_mut().record_passed(shared.now().time);
   shared.metrics.backend_requests.inc();
-  let process = shared.backend.borrow().process().cloned();
   let body = match transfer_slot {
     Some(transfer_slot) => AnyBody::streamed(TransferBody::new(body.for_try(), transfer_slot)),
     None => body.for_try(),
   };
-  let request = backend_request(shared, forwarded, body);
+  let request = backend_request(shared, forwarded, body, process);
   let name = &shared.header_names.request_id;
   let value = request.headers().get(name).cloned();
   let mark = value.map(|value| CorrelationHeader { name: name.clone(), value });
@@ -386,7 +387,7 @@
   };
   if head.status != StatusCode::MISDIRECTED_REQUEST {
     let notices = BackendNotices::read(&shared.header_names, &head.headers);
-    shared.backend_answered(process.as_ref(), notices);
+    shared.backend_answered(process, notices);
   }
   if let Some(outcome) = rejection_outcome(shared, &head) {
     observed.discard();
@@ -418,11 +419,13 @@
   shared.running_requests.borrow().has_failed_call(&forwarded.id)
 }
 
-/// Returns the request for the backend server, with the header names of its protocol version.
+/// Returns the request for the backend server, with the header names of its protocol version. Only `process` may run
+/// it: another one, which may serve another service, can have taken over the address since the request was admitted.
 fn backend_request(
   shared: &Shared,
   forwarded: &ForwardedRequest,
   body: AnyBody,
+  process: Option<&Process>,
 ) -> Request<AnyBody> {
   let dialect = &shared.header_names;
   let mut request = forwarded.request(body, shared.now().time);
@@ -434,7 +437,7 @@
   if dialect.request_id != headers::REQUEST_ID {
     headers::remove_mesh_headers(headers);
   }
-  let instance = shared.backend.borrow().process().map(|process| process.id.to_string());
+  let instance = process.map(|process| process.id.to_string());
   let values: [(&Option<HeaderName>, Option<String>); 3] = [
     (&dialect.caller_service, Some(forwarded.caller_service.to_string())),
     (&dialect.expected_instance, instance),
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -109,7 +109,7 @@
     attempts_max: handling.attempts.unwrap_or(policy_attempts),
     call_credit: CallCredit::default(),
     calls: shared.call_trees.borrow().calls_of(&matched.route),
-    caller_service: shared.own_service(),
+    caller_service: shared.present_service(),
     class,
     deadline,
     estimate,
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -87,7 +87,6 @@
       ("deployment", self.deployment != running.deployment),
       ("peers", self.peers != running.peers),
       ("region", self.region != running.region),
-      ("service", self.service != running.service),
       (
         "store",
         (self.store_address, self.store_value_bytes_max)
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -121,6 +121,16 @@
     bytes_max: usize,
   ) -> Result<(http::response::Parts, Bytes)> {
     let client = self.checkout(address).await?;
+    self.exchange_on(client, request, bytes_max).await
+  }
+
+  /// Like [`Self::exchange_whole`], but on a connection that was checked out.
+  pub async fn exchange_on(
+    self: &Rc<Self>,
+    client: Client,
+    request: Request<AnyBody>,
+    bytes_max: usize,
+  ) -> Result<(http::response::Parts, Bytes)> {
     let (head, body) = self.send(client, request, None).await?.into_parts();
     let body = collect(body, bytes_max).await?;
     Ok((head, body))
--- a/tests/backend_record.rs
+++ b/tests/backend_record.rs
@@ -5,7 +5,7 @@
 
 use ferryyoke::{
   fleet::{BackendRecord, BackendReport, BackendState, Process, ReportOutcome},
-  values::{InstanceId, StartTime, Time},
+  values::{InstanceId, ServiceName, StartTime, Time},
 };
 
 fn report(instance: &str, sequence: u64, leaving: bool) -> BackendReport {
@@ -377,6 +377,22 @@
   });
 }
 
+// Guards against a restarted daemon that takes a process which started after it, perhaps of another service, for one of
+// the service that its settings name.
+#[test]
+fn a_process_that_started_after_the_daemon_gets_no_work_before_its_report() {
+  let mut record = BackendRecord::default();
+  record.became_unreachable();
+  record.health_checked(Time(250), &instance("i-9"), None);
+  assert_eq!((record.process(), record.state()), (None, BackendState::Unknown));
+  let service: ServiceName = "intake".parse().expect("a name");
+  let first = BackendReport { service: service.clone(), ..report("i-9", 1, false) };
+  assert_eq!(record.reported(Time(1_400), &first), ReportOutcome::Accepted);
+  assert!(record.needs_health_check());
+  record.health_checked(Time(1_500), &instance("i-9"), None);
+  assert_eq!((record.service(), record.state()), (Some(&service), BackendState::Ready));
+}
+
 /// A process that returns with its data hall may have turned cold without a restart.
 #[test]
 fn a_process_that_may_have_turned_cold_counts_as_cold_until_it_answers() {
