Hedge only requests whose body is held, and send none without its body

Cause: a body of unknown size or above 65,536 bytes is streamed and can go to one try. Whether it is still there was asked before a try that follows another one, but not before one beside another one (a slow try, or an answer that was sent and did not come), and a try that found no body sent an empty one.

Change: RequestProfile says whether the body is held; Dispatch starts a second try beside the first only then. RequestBody::for_try fails where the body went to another try, which counts as not run. So the decision keeps to what can be sent, and no other path can send a request without its body.

--- a/crates/ferryyoke-soak/src/lib.rs
+++ b/crates/ferryyoke-soak/src/lib.rs
@@ -37,7 +37,7 @@
 };
 
 pub use self::{
-  caller::{Asked, Attempt, Kind, Outcome, Refused},
+  caller::{Asked, Attempt, Kind, Outcome, Refused, expected_answer},
   commands::execute,
   foreign::Foreign,
   plan::{Fault, Plan, Step},
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -352,11 +352,12 @@
     }
     AttemptOutcome::not_run(err.to_string(), Shared::RETRY_AFTER_MS)
   })?;
+  let body = body.for_try().inspect_err(|_| run.end(RunEnd::Unsent))?;
   shared.cold_start_limiter.borrow_mut().record_passed(shared.now().time);
   shared.metrics.backend_requests.inc();
   let body = match transfer_slot {
-    Some(transfer_slot) => AnyBody::streamed(TransferBody::new(body.for_try(), transfer_slot)),
-    None => body.for_try(),
+    Some(transfer_slot) => AnyBody::streamed(TransferBody::new(body, transfer_slot)),
+    None => body,
   };
   let request = backend_request(shared, forwarded, body, process);
   let name = &shared.header_names.request_id;
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -172,7 +172,7 @@
 ) -> AttemptResult {
   let now = shared.now().time;
   let time_left_ms = forwarded.deadline.since_ms(now);
-  let mut request = forwarded.request(body.for_try(), now);
+  let mut request = forwarded.request(body.for_try()?, now);
   let body_size = request.body().size_hint().exact();
   let request_headers = request.headers_mut();
   let seal = shared.seal(&forwarded.sealed_text(key, time_left_ms));
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -106,6 +106,7 @@
       body_bytes: body.known_bytes(),
       deadline: self.deadline,
       estimate: self.estimate,
+      is_body_held: body.buffered().is_some(),
       lane: self.lane,
       only_box: self.only_box.clone(),
       regions: self.regions.clone(),
--- a/src/proxy/request_body.rs
+++ b/src/proxy/request_body.rs
@@ -49,8 +49,8 @@
     }
   }
 
-  /// Returns a handle for a concurrent try: all tries share a buffered body, and the first one to
-  /// take it gets a streamed body.
+  /// Returns a handle for a try: all tries share a buffered body, and the first one to take it gets a
+  /// streamed body.
   pub fn share(&self) -> Self {
     match self {
       Self::Buffered(bytes) => Self::Buffered(bytes.clone()),
@@ -58,11 +58,14 @@
     }
   }
 
-  /// Returns the body for one try, or an empty one if a streamed body is no longer there.
-  pub fn for_try(&self) -> AnyBody {
+  /// Returns the body for one try. Fails if another try has taken a streamed body: the request must
+  /// not be sent without it.
+  pub fn for_try(&self) -> std::result::Result<AnyBody, AttemptOutcome> {
     match self {
-      Self::Buffered(bytes) => web::full(bytes.clone()),
-      Self::Streamed(body) => ReturnableBody::of(body).map_or_else(web::empty, AnyBody::streamed),
+      Self::Buffered(bytes) => Ok(web::full(bytes.clone())),
+      Self::Streamed(body) => ReturnableBody::of(body)
+        .map(AnyBody::streamed)
+        .ok_or_else(|| AttemptOutcome::not_run("its body went to another try", 0)),
     }
   }
 
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -443,10 +443,14 @@
     AttemptOutcome::not_run(reason, Self::NO_BACKEND_RETRY_MS)
   }
 
+  /// Whether a second try may start while the first one is in flight.
+  fn may_run_side_by_side(&self) -> bool {
+    self.profile.repeatable && self.profile.attempts_max > 1 && self.profile.is_body_held
+  }
+
   /// When the try that starts now may be hedged; `None` if it must not be.
   fn hedge_time(&self, context: &DispatchContext) -> Option<Time> {
-    let may_run_twice = self.profile.repeatable && self.profile.attempts_max > 1;
-    if !may_run_twice || !context.budget.has_spare(&self.profile.service) {
+    if !self.may_run_side_by_side() || !context.budget.has_spare(&self.profile.service) {
       return None;
     }
     let due_ms = self.profile.urgency.due.since_ms(context.now);
@@ -457,8 +461,7 @@
   /// Hedges a try whose answer may be lost. The first try goes on, for its answer may only be
   /// queued in front of a full link.
   fn overdue(&mut self, context: &mut DispatchContext) -> DispatchStep {
-    let may_run_twice = self.profile.repeatable && self.profile.attempts_max > 1;
-    if !may_run_twice || context.now >= self.profile.deadline {
+    if !self.may_run_side_by_side() || context.now >= self.profile.deadline {
       return DispatchStep::Wait;
     }
     let Some((endpoint, choice)) = self.choose_hedge_box(context) else {
--- a/src/requests/request_profile.rs
+++ b/src/requests/request_profile.rs
@@ -14,6 +14,9 @@
   /// How long its run is expected to take at the usual backend server of its service; `None` where
   /// that is unknown.
   pub estimate: Option<RunEstimate>,
+  /// Whether its body is held, so that two tries can send it at the same time. A streamed body goes to
+  /// one try.
+  pub is_body_held: bool,
   /// The version of its service that should serve it.
   pub lane: Lane,
   /// The only box to which it may be sent; `None` allows all.
--- a/tests/support/call_world.rs
+++ b/tests/support/call_world.rs
@@ -297,6 +297,7 @@
       body_bytes: 0,
       deadline,
       estimate: Some(Self::estimate(asked.work_ms)),
+      is_body_held: true,
       lane: Lane::InForce,
       only_box: None,
       regions: None,
--- a/tests/support/room_world.rs
+++ b/tests/support/room_world.rs
@@ -480,6 +480,7 @@
       body_bytes: 0,
       deadline,
       estimate: Some(estimate),
+      is_body_held: true,
       lane: Lane::InForce,
       only_box: None,
       regions: None,
