Let an unreported process wait for its report when the settings change, and check reused addresses by histories

Cause: a process that was taken without a report, on the word of the settings at the daemon's start, went on getting work, of the other service even, once the settings named another one. Which of both it serves can't be told: the file may change before the process starts or after. And a late report of a process that had ended counted as a sign that it is still there, so requests that began on the box named its service.

Change: such a process has to report first. Only the health endpoint shows that a process is still there after a change. The flag is named for what it means.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -22,6 +22,9 @@
   is_cold_unconfirmed: bool,
   /// Processes that left or are leaving, oldest first.
   left: VecDeque<Process>,
+  /// Whether the first process may be newer than what the settings said at the start: the address was seen without a
+  /// process, or the settings changed.
+  may_be_newer: bool,
   /// A version that the running process reported lately and that differs from `software`.
   other_software: Option<OtherSoftware>,
   /// The running process.
@@ -39,9 +42,6 @@
   state: BackendState,
   /// A process that the health endpoint named and that isn't taken before it reports.
   unreported: Option<InstanceId>,
-  /// Whether the address was without a process before the first one was known. The first one started after the daemon
-  /// then.
-  was_absent: bool,
 }
 
 /// A process that isn't confirmed as the running one.
@@ -68,7 +68,7 @@
 /// Whether the settings have named another service since the running process reported its own.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Rename {
-  /// They have, and the process was seen at its address since: it still serves what it reported.
+  /// They have, and the health endpoint named the process since: it still serves what it reported.
   Checked,
   /// They have not.
   #[default]
@@ -169,7 +169,6 @@
 
   /// Applies a report of the running process.
   fn take(&mut self, now: Time, report: &BackendReport) {
-    self.note_seen();
     self.has_start_times |= report.process.started_at.is_some();
     self.process = Some(report.process.clone());
     self.sequence = report.sequence;
@@ -237,7 +236,7 @@
       return self.adopt(now, &candidate.report);
     }
     if self.process.is_none() && !self.left.iter().any(|left| left.id == *id) {
-      if self.was_absent {
+      if self.may_be_newer {
         self.unreported = Some(id.clone());
         return;
       }
@@ -246,7 +245,10 @@
     if self.process.as_ref().is_none_or(|running| running.id != *id) {
       return;
     }
-    self.note_seen();
+    // Reports may be late, so only this shows that the process is still there.
+    if self.rename == Rename::Unchecked {
+      self.rename = Rename::Checked;
+    }
     // Another process that reported is not the running one, unless it has the same id.
     if !is_former {
       self.candidate = None;
@@ -270,21 +272,20 @@
     self.candidate.is_some() || is_doubted || self.state == BackendState::Unknown
   }
 
-  /// Handles that the address was found without a process, or wasn't watched for so long that it may have been.
+  /// Handles that the address was found without a process, or wasn't looked at for so long that it may have been.
   pub fn found_absent(&mut self) {
-    self.was_absent |= self.process.is_none();
+    self.may_be_newer |= self.process.is_none();
   }
 
-  /// Handles that the settings name `service` from now on.
+  /// Handles that the settings name another service, `service`, from now on. A process that was taken without a report
+  /// has to report first: it may have started before or after the change.
   pub fn service_named(&mut self, service: &ServiceName) {
     let is_other = self.service.as_ref().is_some_and(|reported| reported != service);
     self.rename = if is_other { Rename::Unchecked } else { Rename::None };
-  }
-
-  /// Notes that the running process was seen at its address.
-  fn note_seen(&mut self) {
-    if self.rename == Rename::Unchecked {
-      self.rename = Rename::Checked;
+    if self.service.is_none() && self.state != BackendState::Leaving {
+      self.process = None;
+      self.state = BackendState::Unknown;
+      self.may_be_newer = true;
     }
   }
 
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -76,7 +76,11 @@
     if before == service {
       return;
     }
-    shared.backend.borrow_mut().service_named(&service);
+    let process = shared.backend.borrow().process().cloned();
+    match process {
+      Some(process) => self.change_backend(&process, 0, |record| record.service_named(&service)),
+      None => shared.backend.borrow_mut().service_named(&service),
+    }
     let reported = shared.backend.borrow().service().map(ToString::to_string);
     info!(
       shared.log.logger, "the settings name another service";
--- a/tests/backend_record.rs
+++ b/tests/backend_record.rs
@@ -385,7 +385,7 @@
   record.became_unreachable();
   record.health_checked(Time(250), &instance("i-9"), None);
   assert_eq!((record.process(), record.state()), (None, BackendState::Unknown));
-  let service: ServiceName = "intake".parse().expect("a name");
+  let service = intake();
   let first = BackendReport { service: service.clone(), ..report("i-9", 1, false) };
   assert_eq!(record.reported(Time(1_400), &first), ReportOutcome::Accepted);
   assert!(record.needs_health_check());
@@ -393,6 +393,48 @@
   assert_eq!((record.service(), record.state()), (Some(&service), BackendState::Ready));
 }
 
+fn intake() -> ServiceName {
+  "intake".parse().expect("a name")
+}
+
+// Guards against a process that is taken without a report and gets work of a service that it doesn't serve, because the
+// settings were changed before or after it started.
+#[test]
+fn a_process_without_a_report_waits_for_one_once_the_settings_name_another_service() {
+  let mut record = BackendRecord::default();
+  record.health_checked(Time(0), &instance("i-1"), None);
+  assert_eq!(record.state(), BackendState::Ready);
+  record.service_named(&intake());
+  record.health_checked(Time(250), &instance("i-1"), None);
+  assert_eq!((record.process(), record.state()), (None, BackendState::Unknown));
+  assert_eq!(record.unreported(), Some(&instance("i-1")));
+  assert_eq!(record.reported(Time(400), &report("i-1", 9, false)), ReportOutcome::Accepted);
+  record.health_checked(Time(500), &instance("i-1"), None);
+  assert_eq!(record.state(), BackendState::Ready);
+  assert_eq!(record.service().map(ServiceName::as_str), Some("archive"), "as it reported");
+}
+
+// Guards against requests that begin beside another service's process and name the former service as their caller.
+#[test]
+fn a_reported_service_counts_for_callers_until_the_settings_name_another_one() {
+  let mut record = known("i-1", 1);
+  let archive = record.service().cloned();
+  record.service_named(&intake());
+  assert_eq!(record.present_service(), None, "another process may be there");
+  assert_eq!((record.service(), record.state()), (archive.as_ref(), BackendState::Ready));
+  assert!(record.needs_health_check());
+  record.health_checked(Time(10), &instance("i-1"), None);
+  assert_eq!(record.present_service(), archive.as_ref(), "it is still the same process");
+  assert!(!record.needs_health_check());
+  record.became_unreachable();
+  assert_eq!(record.present_service(), None, "it is gone");
+  let first = BackendReport { service: intake(), ..report("i-2", 1, false) };
+  assert_eq!(record.reported(Time(20), &first), ReportOutcome::Accepted);
+  assert_eq!(record.candidate_service(), Some(&intake()), "its health path is asked");
+  record.health_checked(Time(30), &instance("i-2"), None);
+  assert_eq!(record.present_service(), Some(&intake()));
+}
+
 /// A process that returns with its data hall may have turned cold without a restart.
 #[test]
 fn a_process_that_may_have_turned_cold_counts_as_cold_until_it_answers() {
