--- a/crates/ferryyoke-soak/tests/soak.rs
+++ b/crates/ferryyoke-soak/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use {
   ferryyoke_soak::{Attempt, Fault, Kind, Outcome, Plan, Probe, Record, Run},
-  std::process::Command,
+  std::{fs, path::Path, process::Command},
 };
 
 #[test]
@@ -162,10 +162,13 @@
   );
 }
 
-/// Runs the soak test. Returns the violations.
+/// Runs the soak test. Returns the violations, and prints the log lines of their requests.
 fn violations(arguments: &[&str]) -> Vec<Violated> {
+  let kept = tempfile::tempdir().expect("a directory");
   let output = Command::new(env!("CARGO_BIN_EXE_ferryyoke-soak"))
     .args(arguments)
+    .arg("--keep")
+    .arg(kept.path())
     .output()
     .expect("the soak test starts");
   let text = String::from_utf8_lossy(&output.stdout);
@@ -173,9 +176,26 @@
   let summary: Summary =
     serde_json::from_str(&text).unwrap_or_else(|_| panic!("no summary:\n{text}{err}"));
   assert_eq!(output.status.success(), summary.violations.is_empty(), "{text}{err}");
+  for violated in &summary.violations {
+    print_log(kept.path(), violated.seen.split_whitespace().next().unwrap_or_default());
+  }
   summary.violations
 }
 
+/// Prints the lines of kept logs that name a request, and those of pauses.
+fn print_log(folder: &Path, id: &str) {
+  for entry in fs::read_dir(folder).expect("a folder").flatten() {
+    let path = entry.path();
+    if path.is_dir() {
+      print_log(&path, id);
+      continue;
+    }
+    let text = fs::read_to_string(&path).unwrap_or_default();
+    let is_told = |line: &&str| line.contains(id) || line.contains("the process was paused");
+    text.lines().filter(is_told).for_each(|line| println!("{}: {line}", path.display()));
+  }
+}
+
 #[derive(serde::Deserialize)]
 struct Summary {
   violations: Vec<Violated>,
