Tell a held event loop from a process without processor time

Cause: the log named both 'the process was paused: its machine was suspended, or it got no processor time', so a change that came late since a peer held the event loop could not be told from a late one on a busy machine.

Change: the processor time that the thread took goes into the line (busy_ms), and its text follows it.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -288,10 +288,16 @@
     let Some(pause) = timer::take_pause() else {
       return;
     };
-    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+    let pause_ms = u64::try_from(pause.duration.as_millis()).unwrap_or(u64::MAX);
+    let busy_ms = u64::try_from(pause.processor_time.as_millis()).unwrap_or(u64::MAX);
+    let cause = if busy_ms > pause_ms / 2 {
+      "one task held its event loop"
+    } else {
+      "its machine was suspended, or it got no processor time"
+    };
     warn!(
-      self.log.logger, "the process was paused: its machine was suspended, or it got no processor time";
-      "for_ms" => pause_ms
+      self.log.logger, "the process was paused: {}", cause;
+      "busy_ms" => busy_ms, "for_ms" => pause_ms
     );
     self.metrics.process_pauses.inc();
     self.limiter.borrow_mut().exclude_pause(pause_ms);
--- a/src/timer/kernel_clocks.rs
+++ b/src/timer/kernel_clocks.rs
@@ -6,6 +6,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct KernelClocks;
 
+impl KernelClocks {
+  /// Returns the processor time that the current thread has taken.
+  pub(super) fn processor_time() -> Duration {
+    read(ClockId::ThreadCPUTime)
+  }
+}
+
 impl Clocks for KernelClocks {
   fn monotonic(&self) -> Duration {
     read(ClockId::Monotonic)
--- a/src/timer/mod.rs
+++ b/src/timer/mod.rs
@@ -9,7 +9,10 @@
 use {self::sleepers::Sleepers, std::pin::pin};
 
 pub use self::{
-  clocks::Clocks, kernel_clocks::KernelClocks, process_pause::take_pause, sleep::Sleep,
+  clocks::Clocks,
+  kernel_clocks::KernelClocks,
+  process_pause::{Pause, take_pause},
+  sleep::Sleep,
   stopwatch::Stopwatch,
 };
 
--- a/tests/standing_still.rs
+++ b/tests/standing_still.rs
@@ -55,7 +55,7 @@
 
 /// Checks that the suspension is reported once, with its duration.
 fn check_reported() {
-  let reported = timer::take_pause().expect("it is reported").as_millis();
+  let reported = timer::take_pause().expect("it is reported").duration.as_millis();
   assert!((u128::from(PAUSE_MS)..u128::from(PAUSE_MS) + 500).contains(&reported), "{reported} ms");
   assert_eq!(timer::take_pause(), None);
 }
@@ -211,3 +211,26 @@
     }
   }
 }
+
+/// Spins for a while, as a task does that never waits.
+fn hold(ms: u64) {
+  let until = std::time::Instant::now() + Duration::from_millis(ms);
+  while std::time::Instant::now() < until {
+    std::hint::spin_loop();
+  }
+}
+
+/// Guards against an event loop that one task holds being taken for a machine that was suspended or had no processor
+/// time to give: the log named both alike.
+#[test]
+fn a_held_event_loop_is_told_from_a_process_without_processor_time() {
+  const HELD_MS: u64 = 1_200;
+  SetClocks::install();
+  hold(HELD_MS);
+  let held = timer::take_pause().expect("it is reported");
+  std::thread::sleep(Duration::from_millis(HELD_MS));
+  let stopped = timer::take_pause().expect("it is reported");
+  // Beside load, a spinning thread gets a part of a processor only.
+  assert!(held.processor_time > 4 * stopped.processor_time, "{held:?}, {stopped:?}");
+  assert!(stopped.processor_time < stopped.duration / 2, "{stopped:?}");
+}
