Name the requests of the test of endless answers

Cause: the test's requests carried no id, so the daemon had nothing to tell another request's answer by, and took it; the second case passed or failed by which box was asked.

Change: its requests carry an id, as those of callers do.

--- a/crates/ferryyoke-soak/tests/endless_answers.rs
+++ b/crates/ferryyoke-soak/tests/endless_answers.rs
@@ -6,6 +6,8 @@
 mod support;
 
 use {
+  ferryyoke_soak::platform,
+  http::Method,
   std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -17,7 +19,7 @@
     thread,
     time::{Duration, Instant},
   },
-  support::{Answer, Fleet, run, soon},
+  support::{Answer, Fleet, LOOK_MS, run, soon},
 };
 
 /// Number of boxes. The first one is beside the backend server that sends without end.
@@ -67,9 +69,9 @@
   }
 }
 
-/// Whether an answer is given by a configuration that has the route.
-fn knows_the_route(answer: &Answer) -> bool {
-  !answer.is_unknown()
+/// Sends a request with an id to the first box, as callers do.
+async fn ask(fleet: &Fleet, path: &str) -> Result<Answer, String> {
+  fleet.send(0, Method::GET, path, &[(platform::REQUEST_ID, "asked")]).await
 }
 
 /// Confirms a change while the backend server beside a box sends without end. The box must have the change in force in
@@ -88,11 +90,21 @@
     while server.requests.load(Ordering::SeqCst) == 0 {
       assert!(Instant::now() < until, "no request reached the backend server");
       let asking = fleet.clone();
-      monoio::spawn(async move { drop(asking.ask(0, "/read/").await) });
+      monoio::spawn(async move { drop(ask(&asking, "/read/").await) });
       monoio::time::sleep(Duration::from_millis(100)).await;
     }
     fleet.write(2, 1, "safe");
-    fleet.ask_until(0, "/added-1/", soon(IN_FORCE_MS), knows_the_route).await;
+    let until = soon(IN_FORCE_MS);
+    loop {
+      let answer = ask(&fleet, "/added-1/").await;
+      let is_in_force = answer.as_ref().is_ok_and(|answer| !answer.is_unknown());
+      let log = || fleet.boxes[0].log();
+      assert!(Instant::now() <= until, "the last answer was {answer:?}\n{}", log());
+      if is_in_force {
+        return;
+      }
+      monoio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
   });
 }
 
