Let a fleet that starts take changes in time

Callers saw: on a fleet whose boxes had just started, a change that the store had confirmed was in force at one box and refused with 404 at the others, up to 1.9 s after it had to be. Found while odd entries were tried on ten real daemons: box 0 held the version 0.1 s after its confirmation, nine others 3 s after it.

Cause: while a fleet counts as forming, no box watches the store and none is linked to another. That ended when the directory did not grow between two reads, or after 5 s: while boxes are added one after the other, or an entry cannot be read, it lasted those 5 s, and boxes must have changes in force 3 s after their start.

Change: forming lasts 2.5 s at most. Class: a time of our own that is longer than the bound it has to serve.

Why this holds: with the links that follow (0.1 to 0.3 s), every box hears of changes before it counts as connected.

--- a/src/distribution/follower/store_watch.rs
+++ b/src/distribution/follower/store_watch.rs
@@ -18,9 +18,10 @@
   /// Delay, in milliseconds, before a store without a configuration is read again. A stale read
   /// costs a tenth of a watch, and each box of a fleet that starts as a whole would need one.
   const EMPTY_STORE_RETRY_MS: u64 = 500;
-  /// Maximum time, in milliseconds, for which a fleet counts as forming. A change accepted
-  /// meanwhile may still take the time allowed for the first contact of a box.
-  pub(super) const FORMING_MS: u64 = 5_000;
+  /// Maximum time, in milliseconds, for which a fleet counts as forming. No box watches the store
+  /// meanwhile, so with the time to link to others it must end before a box that has started is
+  /// expected to have changes in force in time, which is after three seconds.
+  pub(super) const FORMING_MS: u64 = 2_500;
   /// Time, in milliseconds, for which an answer of the store shows that it is reachable, so that a
   /// more expensive call is worthwhile.
   const CONTACT_MS: u64 = 300;
