Try odd entries of other writers on readers of the directory

Cause: operators of other systems saw machines end, or stop following the list, at an entry that was nested deeply, or had a number too large or a port out of range.

--- a/crates/ferryyoke-soak/src/platform/store.rs
+++ b/crates/ferryyoke-soak/src/platform/store.rs
@@ -104,6 +104,17 @@
     matches!(read, Ok(Reply::Entry { entry: Some(_), .. }))
   }
 
+  /// Returns the value of the item at a key.
+  pub fn value(&self, key: &str) -> Option<String> {
+    let read = self.state.borrow_mut().call(&StoreRequest::Read { key: Key::of(&[key]) });
+    match read {
+      Ok(Reply::Entry { entry: Some(entry), .. }) => {
+        entry.value.text().ok().map(ToString::to_string)
+      }
+      _ => None,
+    }
+  }
+
   /// Expires all leases.
   pub fn lapse(&self) {
     self.state.borrow_mut().keyspace.expire_all_leases();
--- a/crates/ferryyoke-soak/tests/foreign_writer.rs
+++ b/crates/ferryyoke-soak/tests/foreign_writer.rs
@@ -8,6 +8,7 @@
 mod support;
 
 use {
+  base64::{Engine, prelude::BASE64_STANDARD},
   ferryyoke_soak::platform,
   serde_json::{Value, json},
   std::time::Duration,
@@ -112,3 +113,53 @@
     }
   });
 }
+
+/// Returns fields of odd items: nested deeply, with numbers too large, and valid entries but for a number or a port.
+fn odd_items(entry: &str) -> Vec<Value> {
+  /// Deeper than readers of JSON go.
+  const NESTED: usize = 1_000;
+  let nested = (0..NESTED).fold(json!(7), |inner, _| json!([inner]));
+  let encoded = |text: &str| json!({ "Value": BASE64_STANDARD.encode(text) });
+  let mut odd = vec![
+    json!({ "Value": nested }),
+    json!({ "Revision": 1e300 }),
+    json!({ "Revision": u64::MAX }),
+    json!({ "Lease": nested, "Value": BASE64_STANDARD.encode(entry) }),
+    encoded(&"[".repeat(100_000)),
+    encoded(&format!("{{\"odd\":{nested},{}", &entry[1..])),
+  ];
+  for number in ["18446744073709551615", "18446744073709551616", "1e400", "-1"] {
+    for field in ["\"n\":8", "\"l\":1000"] {
+      let name = field.split(':').next().unwrap_or_default();
+      odd.push(encoded(&entry.replace(field, &format!("{name}:{number}"))));
+    }
+  }
+  let port = entry.split("127.0.0.1:").nth(1).and_then(|rest| rest.split('"').next());
+  let port = port.expect("an entry names an address");
+  for other in ["0", "65536", "99999999999999999999"] {
+    odd.push(encoded(&entry.replace(port, other)));
+  }
+  odd
+}
+
+/// Guards against an odd entry of another writer (nested deeply, with a number too large or a port out of range) that
+/// ends the daemons that read it, again and again, or keeps them from following the list.
+#[test]
+fn an_odd_entry_ends_no_daemon_and_hides_no_other_box_and_no_change() {
+  run(async {
+    let fleet = fleet().await;
+    let entry = fleet.store.value(&platform::entry_key(0)).expect("box 0 has an entry");
+    for (version, fields) in (2..).zip(odd_items(&entry)) {
+      fleet.write_foreign(&platform::entry_key(0), &fields);
+      fleet.write_foreign("mesh/boxes/foreign", &fields);
+      pause(EFFECT_MS / 4).await;
+      check_change(&fleet, version).await;
+      let codes: Vec<_> = fleet.boxes.iter().map(|one| one.exit_code().expect("known")).collect();
+      assert!(codes.iter().all(Option::is_none), "{fields} ended daemons: {codes:?}");
+    }
+    fleet.restart(1);
+    for index in 0..BOXES {
+      wait_until_served(&fleet, index).await;
+    }
+  });
+}
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -113,3 +113,62 @@
   );
   assert!(fleet.unreadable.len() < 120, "{} lines", fleet.unreadable.len());
 }
+
+/// Returns `whole` with each of its numbers in turn, and each port of its addresses, replaced by ones that are out of
+/// the ordinary or out of range, and texts that are nested deeply.
+fn odd_entries(whole: &str) -> Vec<String> {
+  const NESTED: usize = 100_000;
+  const NUMBERS: [&str; 8] = [
+    "18446744073709551615",
+    "18446744073709551616",
+    "4294967295",
+    "1e400",
+    "-1",
+    "0",
+    "65536",
+    "0.5",
+  ];
+  const PORTS: [&str; 4] = [":0\"", ":65536\"", ":99999999999999999999\"", ":-1\""];
+  let mut odd = vec!["[".repeat(NESTED), "{\"a\":".repeat(NESTED)];
+  odd.push(format!("{{\"odd\":{}{},{}", "[".repeat(NESTED), "]".repeat(NESTED), &whole[1..]));
+  let bytes = whole.as_bytes();
+  let is_number_at =
+    |at: usize| bytes[at].is_ascii_digit() && matches!(bytes[at - 1], b':' | b'[' | b',');
+  for start in (1..whole.len()).filter(|at| is_number_at(*at)) {
+    let end = start + bytes[start..].iter().take_while(|byte| byte.is_ascii_digit()).count();
+    let replaced = |number: &str| format!("{}{number}{}", &whole[..start], &whole[end..]);
+    if bytes[end] == b'"' {
+      odd.extend(PORTS.map(|port| format!("{}{port}{}", &whole[..start - 1], &whole[end + 1..])));
+    } else if matches!(bytes[end], b',' | b'}' | b']') {
+      odd.extend(NUMBERS.map(replaced));
+    }
+  }
+  odd
+}
+
+/// Guards against an odd entry of another writer (nested deeply, with a number or port out of range) that ends the
+/// boxes that read it, or keeps them from following the others.
+#[test]
+fn an_odd_entry_ends_no_box_and_hides_no_other() {
+  let mut fleet = fleet();
+  let whole = fleet.box_entry(0).expect("an entry");
+  let whole = whole.text().expect("text").to_string();
+  let odd = odd_entries(&whole);
+  assert!(odd.len() > 40, "{whole}");
+  for (number, entry) in odd.into_iter().enumerate() {
+    let shown: String = entry.chars().take(400).collect();
+    let foreign = entry.replace("\"box-0\"", "\"foreign\"");
+    fleet.write_foreign("mesh/boxes/box-0", Value::from(entry.as_str()));
+    fleet.write_foreign("mesh/boxes/foreign", Value::from(foreign.as_str()));
+    fleet.run(READ_MS);
+    let unseen: Vec<usize> =
+      (0..BOXES).filter(|index| !boxes_that_ignore(&fleet, *index).is_empty()).collect();
+    assert_eq!(unseen, NOBODY, "{shown}: {:#?}", fleet.logged);
+    let version = u64::try_from(number).expect("a small number") + 2;
+    fleet.write_version(version);
+    fleet.run(3_000);
+    assert_eq!(fleet.boxes_without_version(BOXES, version), NOBODY, "{shown}: {:#?}", fleet.logged);
+    fleet.unreadable.clear();
+    fleet.logged.clear();
+  }
+}
