Test that an answer which is cut at any byte is no answer

Cause: operators of other systems saw a backend server stop in the middle of its answer's head and close, and clients got a 200 with an empty or short body, framed as whole.

Change: a test only: three answers (with a length, in chunks, behind an interim one), cut at each of their bytes, on their way through a client connection and a server connection.

--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -270,6 +270,44 @@
   });
 }
 
+/// Guards against an answer whose server stopped in the middle of its head, or of its body, and closed, and which callers
+/// get as a whole one with an empty or short body.
+#[test]
+fn an_answer_cut_at_any_byte_is_no_answer() {
+  const WHOLE: [&str; 3] = [
+    "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 5\r\n\r\nwhole",
+    "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-id: a\r\n\r\nwhole",
+  ];
+  run(async {
+    for whole in WHOLE {
+      let cuts: Vec<&str> = (0..=whole.len()).map(|end| &whole[..end]).collect();
+      let (backend, pool) = (scripted_server(&cuts), Rc::new(Pool::new(1_000)));
+      let (listener, front) = listener();
+      Server::start(listener, move |_: Request<Incoming>| {
+        let pool = pool.clone();
+        async move {
+          let (name, value) = (HeaderName::from_static("x-id"), HeaderValue::from_static("a"));
+          let request = Request::get("/").header("host", "a").header(&name, &value);
+          let request = request.body(web::empty()).expect("a head");
+          let client = pool.connect(backend).await.expect("connected");
+          match pool.send(client, request, Some(CorrelationHeader { name, value })).await {
+            Ok(response) => response.map(AnyBody::streamed),
+            Err(err) => web::text(StatusCode::BAD_GATEWAY, err.to_string()),
+          }
+        }
+      });
+      for cut in &cuts {
+        let asked = ask(&Rc::new(Pool::new(1_000)), front, "a").await;
+        let is_whole = asked.as_ref().is_ok_and(|body| body == "whole");
+        assert_eq!(is_whole, cut.len() == whole.len(), "{cut:?}: {asked:?}");
+        let looks_whole = asked.is_ok_and(|body| !body.contains("connection"));
+        assert_eq!(looks_whole, cut.len() == whole.len(), "{cut:?}");
+      }
+    }
+  });
+}
+
 #[test]
 fn a_pooled_connection_that_its_server_closed_is_replaced() {
   run(async {
