End answers that have begun when their time is over

Cause: the deadline bounded the wait for an answer's head; the body of one that is not held whole was read for as long as its connection lived.

What comes is delivered, also late.

Why this holds: every answer's body passes there, and giving it up closes its connection, so that callers see an answer that is not whole, and frees the slot.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -8,6 +8,10 @@
   ingress::too_late,
 };
 
+/// Milliseconds past a request's deadline within which the next byte of its answer must come from the backend server:
+/// callers get the end of an answer half a second after the deadline.
+const LATE_BYTE_MS: u64 = 200;
+
 /// Serves a request that another daemon sent: a forwarded request, a query about a try, or a draw
 /// of rate limit tokens.
 pub async fn serve_peer(shared: Rc<Shared>, request: Request<Incoming>) -> Response<AnyBody> {
@@ -413,7 +417,9 @@
     run.end(end);
     drop(slot);
   });
-  Ok(Response::from_parts(head, AnyBody::streamed(guarded)))
+  let left_ms = forwarded.deadline.since_ms(shared.now().time);
+  let body = TimelyBody::bound(AnyBody::streamed(guarded), left_ms, LATE_BYTE_MS);
+  Ok(Response::from_parts(head, body))
 }
 
 fn has_failed_call(shared: &Shared, forwarded: &ForwardedRequest) -> bool {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -226,7 +226,10 @@
   };
   let response = sent.map_err(|err| failed("the box", &err))?;
   shared.note_inbound(ANSWER_HEAD_BYTES + response.body().size_hint().exact().unwrap_or_default());
-  read_peer_answer(response, notices).await
+  let answer = read_peer_answer(response, notices).await?;
+  let left_ms = forwarded.deadline.since_ms(shared.now().time);
+  // The box gives up a silent backend server's answer; what it has may wait for its link.
+  Ok(answer.map(|body| TimelyBody::bound(body, left_ms, LATE_ANSWER_MS)))
 }
 
 /// Reads the answer of the daemon beside a backend server, and stores what it tells of that in
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -39,8 +39,8 @@
   organisation_admission::AdmittedRequest, outbound_turns::OutboundTurns, paced_body::PacedBody,
   peer_notices::PeerNotices, refusal::Refusal, request_body::RequestBody,
   returnable_body::ReturnableBody, run_guard::RunGuard, run_work::RunWork, slot_guard::SlotGuard,
-  tracked_body::TrackedBody, transfer_body::TransferBody, transfer_slot::TransferSlot,
-  tries::Tries,
+  timely_body::TimelyBody, tracked_body::TrackedBody, transfer_body::TransferBody,
+  transfer_slot::TransferSlot, tries::Tries,
 };
 
 mod answer_reservation;
@@ -69,6 +69,7 @@
 mod run_guard;
 mod run_work;
 mod slot_guard;
+mod timely_body;
 mod tracked_body;
 mod transfer_body;
 mod transfer_slot;
