Ask all boxes of the soak at once for the newest route

Cause: the check asked the boxes one after the other within 2.5 s. The check was wrong: it blamed boxes for being asked late.

Change: all boxes are asked at once, each until it answers or the bound is over. It is as strict for the first box, and stricter for all others, which had longer before.

--- a/crates/ferryyoke-soak/src/run.rs
+++ b/crates/ferryyoke-soak/src/run.rs
@@ -326,12 +326,13 @@
     }
   }
 
-  /// Checks that a change just accepted comes into force on every box in time.
+  /// Checks that a change just accepted comes into force on every box in time. Asks all boxes at once: one after the
+  /// other, a large fleet would take longer than the bound.
   async fn check_newest_route(&self) {
-    let pool = Rc::new(web::Pool::new(1_000));
     let route = self.record.borrow().changes.len() - 1;
     let until = self.now() + Record::APPLY_MS + Record::SLACK_MS;
-    for index in 0..self.boxes.len() {
+    let asking = (0..self.boxes.len()).map(|index| async move {
+      let pool = Rc::new(web::Pool::new(1_000));
       while self.ask_route(&pool, index, route).await != Some(StatusCode::OK) {
         if self.now() > until {
           let seen = format!("box {index} does not serve the newest route");
@@ -339,7 +340,8 @@
         }
         monoio::time::sleep(Duration::from_millis(LOOK_MS)).await;
       }
-    }
+    });
+    futures_util::future::join_all(asking).await;
   }
 
   /// Checks that every box answers and every backend server gets work. The load must need all servers, because a
