--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -12,7 +12,7 @@
   /// Pause after a failed accept, for instance when file descriptors have run out.
   const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-  /// Connections accepted in a row before a rest.
+  /// Connections accepted between two rests of the task that accepts them.
   const ACCEPTS_MAX: u32 = 64;
 
   /// Connections that may wait to be accepted.
