--- a/src/web/head_reader.rs
+++ b/src/web/head_reader.rs
@@ -31,8 +31,8 @@
   /// Interim responses that are skipped before the connection counts as broken.
   const INTERIM_MAX: u32 = 16;
 
-  /// Bytes of responses to other requests that are skipped before the connection counts as broken: many times a large
-  /// answer, and no time of the request's is worth more.
+  /// Bytes of responses to other requests that are skipped before the connection counts as broken. A late answer is far
+  /// smaller; one that is larger may have no end.
   const SKIPPED_BYTES_MAX: usize = 4 << 20;
 
   /// Responses to other requests that are skipped before the connection counts as broken.
