--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -36,6 +36,8 @@
   trouble: Trouble,
   /// Requests that it never answered because of its trouble.
   unanswered: u32,
+  /// The version of its software.
+  version: String,
 }
 
 impl BackendServer {
@@ -84,6 +86,7 @@
       told: Told::Missing,
       trouble: Trouble::default(),
       unanswered: 0,
+      version: "v1".into(),
     }));
     let serving = state.clone();
     web::Server::start(listener, move |request| serve(serving.clone(), request));
@@ -173,6 +176,13 @@
     self.state.borrow_mut().callers = Some(callers);
   }
 
+  /// Gives the process another id, service and version of its software. Takes effect with its next report.
+  pub fn rename(&self, instance: &str, service: &str, version: &str) {
+    let mut state = self.state.borrow_mut();
+    (state.instance, state.service) = (instance.into(), service.into());
+    state.version = version.into();
+  }
+
   /// Sets what it tells of its load and speed from now on, also in later processes.
   pub fn tell(&self, told: Told) {
     self.state.borrow_mut().told = told;
@@ -277,7 +287,7 @@
     let body = serde_json::json!({
       "Address": "127.0.0.1:1",
       "Info": {
-        "Service": state.service, "Slots": BackendServer::SLOTS, "Version": "v1", "Zone": "hall",
+        "Service": state.service, "Slots": BackendServer::SLOTS, "Version": state.version, "Zone": "hall",
       },
       "Status": { "CallSeq": state.sequence, "ColdLeft": "0ms", "State": word },
       "born": state.started_unix_ms,
@@ -304,7 +314,12 @@
   body: &serde_json::Value,
 ) -> Option<StatusCode> {
   let (control, instance) = (state.borrow().control, state.borrow().instance.clone());
-  let request = Request::post(format!("/ferryyoke/instances/{instance}/{call}"))
+  let segment = instance.bytes().map(|byte| match byte {
+    b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' => char::from(byte).into(),
+    other => format!("%{other:02X}"),
+  });
+  let segment = segment.collect::<String>();
+  let request = Request::post(format!("/ferryyoke/instances/{segment}/{call}"))
     .header(http::header::HOST, control.to_string())
     .body(web::full(body.to_string()))
     .expect("the head is constant");
@@ -377,7 +392,7 @@
   }
   let instance = state.borrow().instance.clone();
   let with_instance = |mut response: Response<AnyBody>| {
-    if let Ok(value) = instance.parse() {
+    if let Ok(value) = http::HeaderValue::from_bytes(instance.as_bytes()) {
       response.headers_mut().insert("x-instance-id", value);
     }
     if let Some(value) = state.borrow().load().and_then(|load| load.parse().ok()) {
@@ -391,8 +406,8 @@
     return with_instance(web::text(status, ""));
   }
   let header = |name: &str| {
-    let value = request.headers().get(name).and_then(|value| value.to_str().ok());
-    value.map(ToString::to_string)
+    let value = request.headers().get(name).map(|value| value.as_bytes().to_vec());
+    value.and_then(|value| String::from_utf8(value).ok())
   };
   if header("x-expect-instance").is_some_and(|expected| expected != instance) {
     return with_instance(web::text(StatusCode::MISDIRECTED_REQUEST, "another process"));
--- a/crates/ferryyoke-soak/src/soak_box.rs
+++ b/crates/ferryyoke-soak/src/soak_box.rs
@@ -211,8 +211,8 @@
     self.change_settings(|settings| settings["service"] = service.into())
   }
 
-  /// Replaces the settings file.
-  fn change_settings(&self, change: impl FnOnce(&mut serde_json::Value)) -> Result {
+  /// Replaces the settings file. Takes effect at the daemon's next start, or with SIGHUP.
+  pub fn change_settings(&self, change: impl FnOnce(&mut serde_json::Value)) -> Result {
     let path = Self::settings_path(&self.directory, self.index);
     let mut settings: serde_json::Value = serde_json::from_str(&fs::read_to_string(&path)?)
       .map_err(|err| Error::Unexpected(err.to_string()))?;
--- a/crates/ferryyoke-soak/tests/support/mod.rs
+++ b/crates/ferryyoke-soak/tests/support/mod.rs
@@ -110,6 +110,16 @@
     self.store.accept(whole.to_string()).expect("the store accepts it");
   }
 
+  /// Writes an invalid version: an added route names a service that is not listed.
+  pub fn write_unlisted(&self, version: u64) {
+    let text = platform::configuration(&SoakBox::SERVICES, 1);
+    let mut whole: Value = serde_json::from_str(&text).expect("JSON");
+    whole["Version"] = json!(version);
+    let added = whole["Routes"].as_array_mut().and_then(|routes| routes.last_mut());
+    added.expect("a route")["Service"] = json!("nowhere");
+    self.store.accept(whole.to_string()).expect("the store accepts it");
+  }
+
   /// Writes a version of the configuration with a timeout for all routes.
   pub fn write_timeout(&self, version: u64, timeout: &str) {
     let text = platform::configuration(&SoakBox::SERVICES, 0);
@@ -188,6 +198,25 @@
     answered.map(|(status, _)| status).map_err(|err| err.to_string())
   }
 
+  /// Sends a request to another address of a daemon. Returns the text of its answer.
+  pub async fn text_of(
+    &self,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+  ) -> Result<String, String> {
+    let request = Request::builder().method(method).uri(path);
+    let request = request.header(http::header::HOST, address.to_string());
+    let request = request.body(web::full(body)).expect("a valid head");
+    let pool = Rc::new(Pool::new(ANSWER_MS));
+    let exchange = pool.exchange_whole(address, request, 1 << 20);
+    let answered = monoio::time::timeout(Duration::from_millis(2 * ANSWER_MS), exchange).await;
+    let answered = answered.map_err(|_| "no answer in time".to_string())?;
+    let (_, body) = answered.map_err(|err| err.to_string())?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+  }
+
   /// Repeats a GET request until `is_wanted` accepts an answer. Panics if none arrives before `until`.
   pub async fn ask_until(
     &self,
--- a/src/administration/table.rs
+++ b/src/administration/table.rs
@@ -37,7 +37,7 @@
 fn cell(value: &Value) -> String {
   match value {
     Value::Null => "-".into(),
-    Value::String(text) => text.clone(),
+    Value::String(text) => text::visible(text).into_owned(),
     other => other.to_string(),
   }
 }
--- a/src/administration/why.rs
+++ b/src/administration/why.rs
@@ -15,7 +15,11 @@
     add_author(&mut table, node, revision);
   } else {
     let known: Vec<&str> = held.routes.keys().map(RouteName::as_str).collect();
-    let what = format!("there is no {name} in version {}: see {}", held.version, known.join(", "));
+    let version = held.version;
+    let what = match held.omissions.iter().find(|omission| omission.item == name.to_string()) {
+      Some(omission) => format!("{omission}; version {version} is in force without it"),
+      None => format!("there is no {name} in version {version}: see {}", known.join(", ")),
+    };
     return Err(Error::NotFound { what });
   }
   let question = FleetQuestion::Held { box_id: box_id.clone() };
@@ -40,6 +44,9 @@
       ),
     });
   };
+  for omission in &held.omissions {
+    table.add_row([json!("left out of the version"), json!(omission.to_string())]);
+  }
   table.add_row([json!("box"), json!(box_id)]);
   table.add_row([json!("holds version"), json!(version)]);
   table.add_row([json!("confirmed by the store, ms ago"), json!(store_age_ms)]);
@@ -122,7 +129,7 @@
 fn missing_record_reason(node: &Node, id: &RequestId, silent: usize) -> String {
   let distributor = node.distribution.distributor();
   let named = |endpoint: &&Endpoint| {
-    let prefix = format!("{}-", endpoint.peer.box_id);
+    let prefix = format!("{}-", endpoint.peer.box_id.short());
     id.as_str().starts_with(&prefix)
   };
   let carrier = distributor.endpoints().iter().find(named);
@@ -191,7 +198,10 @@
   let host = (host != "-").then_some(host);
   let mut table = Table::new(&["step", "what"]);
   let Some(matched) = router.find(&method, host, path, &map) else {
-    let message = format!("no route of version {} takes it: it would be refused", held.version);
+    let message = match router.omitted(host, path) {
+      Some(omission) => format!("it would be refused, for {omission}"),
+      None => format!("no route of version {} takes it: it would be refused", held.version),
+    };
     return Ok(Answer::table(message, table).with_version(held.version));
   };
   table.add_row([json!("route"), json!(matched.route)]);
--- a/src/configuration/configuration.rs
+++ b/src/configuration/configuration.rs
@@ -8,6 +8,9 @@
   /// Limits on callers' requests.
   #[serde(default, skip_serializing_if = "Option::is_none")]
   pub limits: Option<CallerLimits>,
+  /// What the source lists, but cannot be read.
+  #[serde(default, skip_serializing_if = "Vec::is_empty")]
+  pub omissions: Vec<Omission>,
   /// Organisations. If there are any, each request must carry a key of one, except on public
   /// routes.
   #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -22,6 +25,17 @@
   pub version: Version,
 }
 
+/// Longest path prefix in bytes that a change may set.
+const PATH_BYTES_MAX: usize = 1_000;
+
+fn path_out_of_range(route: &RouteName) -> Error {
+  Error::OutOfRange {
+    allowed: "1 to 1000 characters that start with `/`",
+    field: "path_prefix",
+    object: ObjectName::Route(route.clone()),
+  }
+}
+
 impl Configuration {
   /// Validates `change` against this version and returns it as the change to the next version.
   ///
@@ -42,6 +56,7 @@
     }
     let next = self.with_operations(self.version.next(), &change.operations)?;
     next.validate()?;
+    next.check_path_lengths()?;
     next.check_size()?;
     Ok(AcceptedChange {
       digest: next.digest(),
@@ -218,6 +233,13 @@
     Ok(())
   }
 
+  /// Checks the lengths of paths. Needed before a change is accepted; a source may have longer ones.
+  fn check_path_lengths(&self) -> Result {
+    let is_long = |route: &Revised<Route>| route.value.path_prefix.len() > PATH_BYTES_MAX;
+    let too_long = self.routes.iter().find(|(_, route)| is_long(route));
+    too_long.map_or(Ok(()), |(name, _)| Err(path_out_of_range(name)))
+  }
+
   fn validate_policies(&self) -> Result {
     for (name, policy) in &self.policies {
       let object = || ObjectName::Policy(name.clone());
@@ -246,12 +268,8 @@
     let mut seen = BTreeMap::new();
     for (name, route) in &self.routes {
       let object = || ObjectName::Route(name.clone());
-      if !route.value.path_prefix.starts_with('/') || route.value.path_prefix.len() > 1_000 {
-        return Err(Error::OutOfRange {
-          allowed: "1 to 1000 characters that start with `/`",
-          field: "path_prefix",
-          object: object(),
-        });
+      if !route.value.path_prefix.starts_with('/') {
+        return Err(path_out_of_range(name));
       }
       if let Some(missing) = route.value.services().find(|one| !self.services.contains_key(*one)) {
         return Err(Error::BrokenReference {
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -12,9 +12,9 @@
   accepted_change::AcceptedChange, caller_limits::CallerLimits, change::Change,
   change_summary::ChangeSummary, cold_start::ColdStart, configuration::Configuration, drain::Drain,
   error::Error, handling::Handling, head::Head, object::Object, object_name::ObjectName,
-  operation::Operation, organisation::Organisation, parse_error::ParseError, patch::Patch,
-  policy::Policy, rate_limit::RateLimit, revised::Revised, route::Route, service::Service,
-  source::Source, weighted_service::WeightedService,
+  omission::Omission, operation::Operation, organisation::Organisation, parse_error::ParseError,
+  patch::Patch, policy::Policy, rate_limit::RateLimit, revised::Revised, route::Route,
+  service::Service, source::Source, weighted_service::WeightedService,
 };
 
 mod accepted_change;
@@ -30,6 +30,7 @@
 mod head;
 mod object;
 mod object_name;
+mod omission;
 mod operation;
 mod organisation;
 mod parse_error;
--- a/src/configuration/patch.rs
+++ b/src/configuration/patch.rs
@@ -16,6 +16,9 @@
   /// The resulting version's limits on callers' requests.
   #[serde(rename = "l")]
   pub limits: Option<CallerLimits>,
+  /// The resulting version's omissions.
+  #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+  pub omissions: Vec<Omission>,
   /// The changes to objects.
   #[serde(rename = "o")]
   pub operations: Vec<Operation>,
@@ -39,13 +42,15 @@
     let gone = base.object_names().into_iter().filter(|name| next.object(name).is_none());
     let operations = changed.chain(gone.map(Operation::Delete)).collect();
     let (limits, version) = (next.limits, next.version);
-    Self { base: base.version, base_digest, digest, limits, operations, version }
+    let omissions = next.omissions.clone();
+    Self { base: base.version, base_digest, digest, limits, omissions, operations, version }
   }
 
   /// Applies the patch to `base`. Fails if an operation does, or if the digest differs.
   pub fn apply(&self, base: &Configuration) -> Result<Configuration> {
     let mut next = base.with_operations(Self::SOURCE_REVISION, &self.operations)?;
     next.limits = self.limits;
+    next.omissions.clone_from(&self.omissions);
     next.version = self.version;
     if next.digest() != self.digest {
       return Err(Error::DigestMismatch { version: self.version });
--- a/src/configuration/route.rs
+++ b/src/configuration/route.rs
@@ -30,10 +30,7 @@
 impl Route {
   /// Whether `path` has the route's prefix and the prefix ends at a segment boundary.
   pub fn matches_path(&self, path: &str) -> bool {
-    let Some(rest) = path.strip_prefix(&self.path_prefix) else {
-      return false;
-    };
-    rest.is_empty() || rest.starts_with('/') || self.path_prefix.ends_with('/')
+    is_path_under(path, &self.path_prefix)
   }
 
   /// All services that the route may send requests to.
@@ -54,3 +51,9 @@
     (self.host.is_some(), self.path_prefix.len(), self.method.is_some(), self.headers.len())
   }
 }
+
+/// Returns whether `path` has the prefix, and the prefix ends at a segment boundary.
+pub(super) fn is_path_under(path: &str, prefix: &str) -> bool {
+  let rest = path.strip_prefix(prefix);
+  rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
+}
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -64,7 +64,7 @@
       }
       Some(listeners) => serve_platform(&node, listeners),
     }
-    info!(shared.log.logger, "the daemon runs"; "box" => shared.settings.box_id.as_str());
+    info!(shared.log.logger, "the daemon runs"; "box" => %shared.settings.box_id);
     daemon
   }
 
@@ -127,7 +127,7 @@
     for cut in shared.open_exchanges.borrow().iter().take(Self::CUT_LINES_MAX) {
       warn!(
         shared.log.logger, "the stop's deadline cuts a request";
-        "request_id" => cut.request_id.as_str(), "from" => %cut.from,
+        "request_id" => %cut.request_id, "from" => %cut.from,
         "age_ms" => now.since_ms(cut.started_at), "is_answered" => cut.answer.is_some(),
         "given_bytes" => cut.answer.map_or(0, |answer| answer.sent_bytes),
         "whole_bytes" => cut.answer.and_then(|answer| answer.total_bytes)
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -113,7 +113,7 @@
   let limited = timer::timeout(Duration::from_millis(TIMEOUT_MS), exchange);
   let (head, _) = limited.await.ok()?.ok()?;
   let name = shared.header_names.instance.as_ref()?;
-  let instance = head.headers.get(name)?.to_str().ok()?.parse().ok()?;
+  let instance = std::str::from_utf8(head.headers.get(name)?.as_bytes()).ok()?.parse().ok()?;
   let cold_ms = shared.header_names.cold_ms.as_ref().and_then(|name| head.headers.get(name));
   let cold_ms = cold_ms.and_then(|value| value.to_str().ok()?.parse().ok());
   let notices = BackendNotices::read(&shared.header_names, &head.headers);
--- a/src/distribution/follower/directory.rs
+++ b/src/distribution/follower/directory.rs
@@ -106,12 +106,13 @@
     let mut fresh = Vec::new();
     let known = std::mem::take(&mut self.unreadable);
     for entry in entries {
-      if let Some(service) = rollout::keys::service_of(&entry.key) {
+      let value = entry.value.text().unwrap_or_default();
+      if let Some(service) = rollout::keys::service_of(&entry.key, value) {
         self.note_rollout(&service, entry);
       }
     }
     for entry in entries.iter().filter(|entry| entry.key.is_under(&keys::endpoints())) {
-      let box_id = keys::endpoint_of(&entry.key);
+      let box_id = self.box_of(entry);
       if let Some(box_id) = &box_id {
         self.listed.insert(box_id.clone());
         self.unlisted.remove(box_id);
@@ -143,6 +144,18 @@
     self.endpoints_merged(&fresh, None);
   }
 
+  /// Returns the box whose entry it is. Where the key holds its name shortened, that is a known box
+  /// with this key, or the one that the entry describes.
+  fn box_of(&self, entry: &Entry) -> Option<BoxId> {
+    let has_key = |box_id: &BoxId| keys::endpoint(box_id) == entry.key;
+    let known = || {
+      let mut known = self.endpoints.iter().map(|endpoint| &endpoint.peer.box_id);
+      known.find(|box_id| has_key(box_id)).cloned()
+    };
+    let described = || Some(entry.value.decode::<Endpoint>().ok()?.peer.box_id).filter(has_key);
+    keys::endpoint_of(&entry.key).or_else(known).or_else(described)
+  }
+
   /// Handles an entry that another writer overwrote. Its box is considered lost until it publishes
   /// that it is alive, which it does as soon as it learns of this; it then rewrites its entry, once
   /// for each read that finds it corrupted.
--- a/src/distribution/keys.rs
+++ b/src/distribution/keys.rs
@@ -9,12 +9,13 @@
 
 /// Returns the key of a daemon's entry.
 pub fn endpoint(box_id: &BoxId) -> Key {
-  Key::of(&["mesh", "boxes", box_id.as_str()])
+  Key::of(&["mesh", "boxes", &box_id.short()])
 }
 
-/// Returns the box whose entry is stored at `key`.
+/// Returns the box whose entry is stored at `key`; `None` also where the key holds its name
+/// shortened.
 pub fn endpoint_of(key: &Key) -> Option<BoxId> {
-  key.as_str().strip_prefix("mesh/boxes/")?.parse().ok()
+  BoxId::decoded(key.as_str().strip_prefix("mesh/boxes/")?)
 }
 
 /// Returns the prefix of the directory: the entries of all daemons and the records of roll-outs.
@@ -34,18 +35,18 @@
 
 /// Returns the key of a relay slot.
 pub fn relay(slot: &RelaySlot) -> Key {
-  Key::of(&["mesh", "relays", slot.data_hall.as_str(), &slot.index.to_string()])
+  Key::of(&["mesh", "relays", &slot.data_hall.encoded(), &slot.index.to_string()])
 }
 
 /// Returns the prefix of all relay slots of a data hall.
 pub fn relays_of(data_hall: &DataHall) -> Key {
-  Key::of(&["mesh", "relays", data_hall.as_str(), ""])
+  Key::of(&["mesh", "relays", &data_hall.encoded(), ""])
 }
 
 /// Returns the relay slot stored at `key`.
 pub fn slot_of(key: &Key) -> Option<RelaySlot> {
   let mut parts = key.as_str().strip_prefix("mesh/relays/")?.split('/');
-  let data_hall = parts.next()?.parse().ok()?;
+  let data_hall = DataHall::decoded(parts.next()?)?;
   let index = parts.next()?.parse().ok()?;
   Some(RelaySlot { data_hall, index })
 }
--- a/src/language/question.rs
+++ b/src/language/question.rs
@@ -148,11 +148,11 @@
       Self::Change(id) => write!(f, "show change {id}"),
       Self::Difference(from, to) => write!(f, "difference {from} {to}"),
       Self::Explain { headers, host, method, path } => {
-        let (host, path) = (Word::quote_if_needed(host), Word::quote_if_needed(path));
+        let (host, path) = (text::quoted(host), text::quoted(path));
         write!(f, "explain request {method} {host} {path}")?;
-        headers.iter().try_for_each(|(name, value)| {
-          write!(f, " header {name} {}", Word::quote_if_needed(value))
-        })
+        headers
+          .iter()
+          .try_for_each(|(name, value)| write!(f, " header {name} {}", text::quoted(value)))
       }
       Self::Export => write!(f, "export"),
       Self::Fleet => write!(f, "fleet"),
@@ -164,7 +164,7 @@
       Self::Show(kind, filters) => {
         write!(f, "show {}", kind.plural())?;
         filters.iter().try_for_each(|(field, value)| {
-          write!(f, " where {} {}", Word::quote_if_needed(field), Word::quote_if_needed(value))
+          write!(f, " where {} {}", text::quoted(field), text::quoted(value))
         })
       }
       Self::ShowObject(object) => write!(f, "show {object}"),
--- a/src/language/word.rs
+++ b/src/language/word.rs
@@ -46,15 +46,6 @@
       }),
     }
   }
-
-  /// Returns `text` as it is written in a script, in quotes if necessary.
-  pub(super) fn quote_if_needed(text: &str) -> String {
-    let is_bare = !text.is_empty() && text.chars().all(is_bare_character);
-    if is_bare {
-      return text.into();
-    }
-    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
-  }
 }
 
 fn is_bare_character(c: char) -> bool {
@@ -74,7 +65,7 @@
 }
 
 fn quoted(input: &mut Input) -> ModalResult<String> {
-  let character = alt((preceded('\\', any), none_of(['"', '\\'])));
+  let character = alt((hidden, preceded('\\', any), none_of(['"', '\\'])));
   let text = repeat(0.., character).fold(String::new, |mut text, c| {
     text.push(c);
     text
@@ -82,6 +73,13 @@
   delimited('"', text, '"').parse_next(input)
 }
 
+/// Parses the escape of a character by its number, such as `\u{a}`.
+fn hidden(input: &mut Input) -> ModalResult<char> {
+  let digits = take_while(1..=6, |c: char| c.is_ascii_hexdigit());
+  let number = digits.try_map(|digits| u32::from_str_radix(digits, 16));
+  delimited("\\u{", number.verify_map(char::from_u32), '}').parse_next(input)
+}
+
 /// Parses a JSON object up to its closing brace. A loop counts the depth instead of recursion, so
 /// that deeply nested braces do not overflow the stack.
 fn document(input: &mut Input) -> ModalResult<String> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,9 +7,9 @@
 
 use {
   crate::values::{
-    BoxId, ChangeId, DataHall, Digest, DurationMs, Fingerprint, Incarnation, InstanceId, KeyDigest,
-    Operator, OrganisationName, PolicyName, Rate, Region, RequestId, RouteName, ServiceName,
-    SoftwareVersion, StartTime, Team, Time, TryKey, Version, text,
+    BoxId, ChangeId, DataHall, Digest, DurationMs, Fingerprint, GivenName, Incarnation, InstanceId,
+    KeyDigest, Operator, OrganisationName, PolicyName, Rate, Region, RequestId, RouteName,
+    ServiceName, SoftwareVersion, StartTime, Team, Time, TryKey, Version, text,
   },
   bytes::{Buf, Bytes, BytesMut},
   clap::{Arg, ArgAction, ArgMatches, Command},
@@ -23,6 +23,7 @@
   serde::{Deserialize, Serialize, de::DeserializeOwned},
   slog::{Drain, Level, Logger, debug, info, o, warn},
   std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, VecDeque},
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,7 +5,7 @@
 use super::*;
 
 use crate::{
-  configuration::{ColdStart, Configuration, Policy, RateLimit},
+  configuration::{ColdStart, Configuration, Omission, Policy, RateLimit},
   distribution::{
     Action, Distribution, Distributor, Event, LinkId, Message, Moment, Question, Report,
     UnreadableEntry,
--- a/src/node/names.rs
+++ b/src/node/names.rs
@@ -21,7 +21,7 @@
 
   /// Returns box, incarnation and number. Too long a text loses its first characters.
   fn next_name<T: FromStr>(&self) -> T {
-    let text = format!("{}-{:x}-{:x}", self.box_id, self.incarnation.0, self.next_number());
+    let text = format!("{}-{:x}-{:x}", self.box_id.short(), self.incarnation.0, self.next_number());
     let start = text.len().saturating_sub(text::NAME_LENGTH_MAX);
     let name = text[start..].parse().ok();
     name.expect("a box name with hexadecimal digits is a name")
@@ -29,7 +29,7 @@
 
   /// Returns the id of an attempt to claim.
   pub fn attempt_id(&self) -> String {
-    format!("{}.{}.{}", self.box_id, self.incarnation, self.next_number())
+    format!("{}.{}.{}", self.box_id.short(), self.incarnation, self.next_number())
   }
 
   /// Returns the id of a change.
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -64,7 +64,7 @@
       info!(
         self.shared.log.logger,
         "a process started at the backend server's address: it gets no work before it reports its service";
-        "instance" => %id, "service_in_settings" => self.shared.service.borrow().as_str()
+        "instance" => %id, "service_in_settings" => %self.shared.service.borrow()
       );
     }
   }
@@ -84,7 +84,7 @@
     let reported = shared.backend.borrow().service().map(ToString::to_string);
     info!(
       shared.log.logger, "the settings name another service";
-      "before" => before.as_str(), "service" => service.as_str(), "reported" => reported.as_deref().unwrap_or("none")
+      "before" => %before, "service" => %service, "reported" => reported.as_deref().unwrap_or("none")
     );
     if reported.is_none() {
       self.announce_service(service);
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -236,9 +236,10 @@
   /// Puts a configuration in force. All routes switch to its version at once.
   pub fn apply(&self, configuration: Arc<Configuration>) {
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
-    self.metrics.version.set(gauge(configuration.version.0));
-    self.metrics.applied_unix_ms.set(gauge(self.now().unix_ms));
+    self.metrics.configuration.version.set(gauge(configuration.version.0));
+    self.metrics.configuration.applied_unix_ms.set(gauge(self.now().unix_ms));
     info!(self.log.logger, "a configuration is in force"; "version" => configuration.version.0);
+    self.note_omissions(&configuration);
     if let Some(limits) = configuration.limits {
       self.caller_limits.set(ServerLimits {
         body_bytes_max: limits.body_bytes_max,
@@ -271,6 +272,23 @@
     self.apply_queue_length();
   }
 
+  /// Counts the items that a configuration leaves out, and logs those that the one before didn't.
+  fn note_omissions(&self, configuration: &Configuration) {
+    let count = configuration.omissions.len();
+    self.metrics.configuration.items_omitted.set(i64::try_from(count).unwrap_or(i64::MAX));
+    let before = self.configuration.borrow();
+    let is_known = |omission: &&Omission| {
+      before.as_ref().is_some_and(|before| before.omissions.contains(omission))
+    };
+    for omission in configuration.omissions.iter().filter(|omission| !is_known(omission)) {
+      warn!(
+        self.log.logger, "an item of the configuration cannot be read and is left out";
+        "item" => &omission.item, "reason" => &omission.reason,
+        "version" => configuration.version.0
+      );
+    }
+  }
+
   /// Applies the queue length of the policy of the backend server's service.
   pub(super) fn apply_queue_length(&self) {
     let queue = self.policy(&self.own_service()).map(|policy| policy.queue_length);
@@ -419,14 +437,14 @@
   /// Logs the outcome of a request and its reason.
   pub fn log_request(&self, record: &RequestRecord) {
     let last = record.attempts.last();
-    let route = record.route.as_ref().map_or("none", |(route, _)| route.as_str());
-    let service = record.route.as_ref().map_or("none", |(_, service)| service.as_str());
+    let route = record.route.as_ref().map_or("none".into(), |(route, _)| route.to_string());
+    let service = record.route.as_ref().map_or("none".into(), |(_, service)| service.to_string());
     let values = o!(
       "request_id" => record.id.to_string(), "line" => record.line.clone(),
       "status" => record.status,
-      "version" => record.version.0, "route" => route.to_string(),
-      "service" => service.to_string(), "took_us" => record.took_us,
-      "box" => last.map_or("none", |last| last.box_id.as_str()).to_string(),
+      "version" => record.version.0, "route" => route,
+      "service" => service, "took_us" => record.took_us,
+      "box" => last.map_or("none".into(), |last| last.box_id.to_string()),
       "tries" => record.attempts.len()
     );
     let log = self.log.logger.new(values);
@@ -470,7 +488,7 @@
 
   /// Records that a configuration of the store was refused. The one in force stays.
   pub fn note_refused_configuration(&self, reason: &str, version: Option<Version>) {
-    self.metrics.configurations_refused.inc();
+    self.metrics.configuration.refused.inc();
     let refused = version.map_or("unknown".into(), |version| version.to_string());
     warn!(
       self.log.logger, "the store's configuration was refused";
@@ -493,7 +511,7 @@
     self.metrics.entries_unreadable.inc();
     warn!(
       self.log.logger, "an entry of the directory cannot be read and is ignored";
-      "reason" => &entry.reason, "revision" => entry.revision.count, "key" => entry.key.as_str()
+      "reason" => &entry.reason, "revision" => entry.revision.count, "key" => %entry.key
     );
   }
 
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+use crate::values::percent_decoded;
+
 use std::num::NonZeroU32;
 
 /// The platform's maximum size of a backend server's report, in bytes.
@@ -54,7 +56,7 @@
   let Some(call) = path.strip_prefix("/ferryyoke/instances/") else {
     return web::text(StatusCode::NOT_FOUND, "give POST /ferryyoke/instances/ID/heartbeat");
   };
-  let Some((Ok(id), call)) = call.split_once('/').map(|(id, call)| (id.parse(), call)) else {
+  let Some((Ok(id), call)) = call.rsplit_once('/').map(|(id, call)| (read_id(id), call)) else {
     return web::text(StatusCode::BAD_REQUEST, "the path lacks an instance or a call");
   };
   let whole = request.into_body().whole(REPORT_BYTES_MAX);
@@ -77,6 +79,11 @@
   }
 }
 
+/// Reads the id of a process from a segment of a path. An id that isn't encoded stands for itself.
+fn read_id(segment: &str) -> crate::values::Result<InstanceId> {
+  percent_decoded(segment).as_deref().unwrap_or(segment).parse()
+}
+
 fn heartbeat(node: &Node, id: InstanceId, body: &[u8]) -> Result<(), String> {
   let fields = Fields::of(text(body)?)?;
   let (info, status): (Info, Status) = (fields.get("Info")?, fields.get("Status")?);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,8 +7,8 @@
 
 use crate::{
   configuration::{
-    CallerLimits, ColdStart, Configuration, Handling, Organisation, ParseError, Patch, Policy,
-    RateLimit, Revised, Route, Service, Source, WeightedService,
+    CallerLimits, ColdStart, Configuration, Handling, ObjectName, Omission, Organisation,
+    ParseError, Patch, Policy, RateLimit, Revised, Route, Service, Source, WeightedService,
   },
   fleet::{BackendReport, Process, ReportOutcome},
   node::{HeaderNames, Node},
@@ -37,6 +37,7 @@
 mod rollout_status;
 mod store_bodies;
 mod store_client;
+mod translation;
 
 /// Deserializes a duration in the platform's format, such as `1500ms`, into milliseconds.
 fn duration_ms<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
--- a/src/proxy/answer_reservation.rs
+++ b/src/proxy/answer_reservation.rs
@@ -74,7 +74,7 @@
   shared.metrics.outbound.answers_refused.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "the box's link has no room for an answer";
-    "request_id" => id.as_str(), "expected_bytes" => expected_bytes,
+    "request_id" => %id, "expected_bytes" => expected_bytes,
     "retry_after_ms" => retry_after_ms
   );
 }
--- a/src/proxy/early_return.rs
+++ b/src/proxy/early_return.rs
@@ -29,7 +29,7 @@
   shared.metrics.requests_early.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused because its caller came back early";
-    "request_id" => forwarded.id.as_str(), "fingerprint" => %forwarded.fingerprint,
+    "request_id" => %forwarded.id, "fingerprint" => %forwarded.fingerprint,
     "elapsed_ms" => forwarded.urgency.elapsed_ms, "retry_after_ms" => early_ms
   );
   let reason = "its caller was told to come back later";
@@ -60,7 +60,7 @@
   shared.metrics.returns_refused_for_class.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused because its class comes back early";
-    "request_id" => forwarded.id.as_str(), "class" => class.as_str(),
+    "request_id" => %forwarded.id, "class" => %class,
     "elapsed_ms" => urgency.elapsed_ms, "forecast" => %forecast, "retry_after_ms" => retry_after_ms
   );
   let reason = format!(
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -45,7 +45,7 @@
   if let Some(limit) = shared.limit_hint() {
     headers::set(own_headers, headers::BACKEND_LIMIT, limit);
   }
-  headers::set(own_headers, headers::REQUEST_ID, &forwarded.id);
+  headers::set_name(own_headers, headers::REQUEST_ID, &forwarded.id);
   RunWork::tell(&mut response);
   let response = arrived.retain_answer(&forwarded, response).await;
   let due = forwarded.urgency.due;
@@ -69,23 +69,22 @@
     attempts_max: 1,
     call_credit: headers::parsed(&head.headers, headers::CALL_CREDIT).unwrap_or_default(),
     calls: None,
-    caller_service: headers::parsed(&head.headers, headers::CALLER_SERVICE)
-      .ok_or_else(malformed)?,
+    caller_service: headers::name(&head.headers, headers::CALLER_SERVICE).ok_or_else(malformed)?,
     class: headers::parsed(&head.headers, headers::CALLER_CLASS).ok_or_else(malformed)?,
     deadline: shared.now().time.after(time_left_ms),
     estimate: headers::parsed(&head.headers, headers::ESTIMATE),
     fingerprint: headers::parsed(&head.headers, headers::FINGERPRINT).ok_or_else(malformed)?,
-    id: headers::parsed(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
+    id: headers::name(&head.headers, headers::REQUEST_ID).ok_or_else(malformed)?,
     known_limit: headers::parsed(&head.headers, headers::BACKEND_LIMIT),
     may_queue: headers::parsed(&head.headers, headers::INSISTS).ok_or_else(malformed)?,
     lane: Lane::InForce,
     only_box: None,
-    organisation: headers::parsed(&head.headers, headers::ORGANISATION),
+    organisation: headers::name(&head.headers, headers::ORGANISATION),
     regions: None,
     repeatable: headers::parsed(&head.headers, headers::REPEATABLE).ok_or_else(malformed)?,
     retry_failures: false,
-    route: headers::parsed(&head.headers, headers::ROUTE),
-    service: headers::parsed(&head.headers, headers::SERVICE).ok_or_else(malformed)?,
+    route: headers::name(&head.headers, headers::ROUTE),
+    service: headers::name(&head.headers, headers::SERVICE).ok_or_else(malformed)?,
     urgency: urgency(&head.headers, shared.now().time).ok_or_else(malformed)?,
     version: headers::parsed(&head.headers, headers::VERSION).ok_or_else(malformed)?,
     head: forwarded_request::ForwardedHead {
@@ -179,7 +178,7 @@
     let (running, waiting) = shared.load();
     info!(
       shared.log.logger, #Log::REQUEST, "a request for the backend server ended";
-      "request_id" => forwarded.id.as_str(), "line" => forwarded.head.line(),
+      "request_id" => %forwarded.id, "line" => forwarded.head.line(),
       "fingerprint" => %forwarded.fingerprint,
       "outcome" => outcome,
       "call_credit" => %forwarded.call_credit,
@@ -475,14 +474,12 @@
   if dialect.request_id != headers::REQUEST_ID {
     headers::remove_mesh_headers(headers);
   }
-  let instance = process.map(|process| process.id.to_string());
-  let values: [(&Option<HeaderName>, Option<String>); 3] = [
-    (&dialect.caller_service, Some(forwarded.caller_service.to_string())),
-    (&dialect.expected_instance, instance),
-    (&dialect.organisation, forwarded.organisation.as_ref().map(ToString::to_string)),
+  let values: [(&Option<HeaderName>, Option<HeaderValue>); 3] = [
+    (&dialect.caller_service, Some(forwarded.caller_service.header_value())),
+    (&dialect.expected_instance, process.map(|process| process.id.header_value())),
+    (&dialect.organisation, forwarded.organisation.as_ref().map(GivenName::header_value)),
   ];
   for (name, value) in values {
-    let value = value.and_then(|value| HeaderValue::from_str(&value).ok());
     if let Some((name, value)) = name.clone().zip(value) {
       headers.insert(name, value);
     }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -50,9 +50,9 @@
   let retry_after_ms = plan.map_or(refusal.retry_after_ms, ReturnPlan::after_ms);
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused for lack of room";
-    "request_id" => forwarded.id.as_str(), "route" => request.route.as_str(),
+    "request_id" => %forwarded.id, "route" => %request.route,
     "reason" => %refusal,
-    "organisation" => request.organisation.map_or("none", |name| name.as_str()),
+    "organisation" => request.organisation.map_or("none".into(), ToString::to_string),
     "elapsed_ms" => request.urgency.elapsed_ms, "retry_after_ms" => retry_after_ms
   );
   let reason = plan.map_or(refusal.to_string(), |plan| format!("{refusal}; {plan}"));
@@ -66,7 +66,7 @@
   };
   info!(
     shared.log.logger, "another share of a service's demand enters here";
-    "service" => service.as_str(), "before_percent" => change.before_percent,
+    "service" => %service, "before_percent" => change.before_percent,
     "after_percent" => change.after_percent, "waiting_percent_of_slots" => change.excess_percent,
     "reports" => change.reports, "ended" => change.ended, "refused" => change.refused
   );
@@ -88,7 +88,7 @@
   shared.metrics.requests_refused_for_calls.inc();
   info!(
     shared.log.logger, #Log::REQUEST, "a request is refused for the calls of its route";
-    "request_id" => id.as_str(), "route" => request.route.as_str(), "reason" => reason,
+    "request_id" => %id, "route" => %request.route, "reason" => reason,
     "calls" => shared.call_trees.borrow().describe(now, request.route),
     "retry_after_ms" => retry_after_ms
   );
--- a/src/proxy/exchange_guard.rs
+++ b/src/proxy/exchange_guard.rs
@@ -37,7 +37,7 @@
     let age_ms = self.shared.now().time.since_ms(exchange.started_at);
     info!(
       self.shared.log.logger, #Log::REQUEST, "an answer was cut off";
-      "request_id" => exchange.request_id.as_str(), "to" => %exchange.from, "age_ms" => age_ms,
+      "request_id" => %exchange.request_id, "to" => %exchange.from, "age_ms" => age_ms,
       "given_bytes" => answer.sent_bytes, "whole_bytes" => answer.total_bytes, "why" => why
     );
   }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -187,7 +187,7 @@
     headers::set(request_headers, headers::CALL_CREDIT, &forwarded.call_credit);
   }
   headers::set(request_headers, headers::CALLER_CLASS, &forwarded.class);
-  headers::set(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
+  headers::set_name(request_headers, headers::CALLER_SERVICE, &forwarded.caller_service);
   let urgency = forwarded.urgency;
   headers::set(request_headers, headers::DUE_MS, urgency.due.since_ms(now));
   if urgency.elapsed_ms > 0 {
@@ -202,16 +202,16 @@
     headers::set(request_headers, headers::IS_CALL, true);
   }
   if let Some(organisation) = &forwarded.organisation {
-    headers::set(request_headers, headers::ORGANISATION, organisation);
+    headers::set_name(request_headers, headers::ORGANISATION, organisation);
   }
   headers::set(request_headers, headers::PATIENCE_MS, urgency.wait_until.since_ms(now));
   headers::set(request_headers, headers::PRIORITY, urgency.priority);
   headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
   if let Some(route) = &forwarded.route {
-    headers::set(request_headers, headers::ROUTE, route);
+    headers::set_name(request_headers, headers::ROUTE, route);
   }
   headers::set(request_headers, headers::SEAL, seal);
-  headers::set(request_headers, headers::SERVICE, &forwarded.service);
+  headers::set_name(request_headers, headers::SERVICE, &forwarded.service);
   headers::set(request_headers, headers::TRY, key);
   headers::set(request_headers, headers::VERSION, forwarded.version);
   // The daemon of the box answers at the deadline at the latest; the grace lets that answer arrive.
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -93,7 +93,7 @@
     *request.uri_mut() = self.head.target.clone();
     *request.headers_mut() = self.head.headers.clone();
     let headers = request.headers_mut();
-    headers::set(headers, headers::REQUEST_ID, &self.id);
+    headers::set_name(headers, headers::REQUEST_ID, &self.id);
     headers::set(headers, headers::TIME_LEFT_MS, self.deadline.since_ms(now));
     request
   }
@@ -131,18 +131,18 @@
   /// Returns the text that the forwarding daemon seals, so that no other process can impersonate
   /// it.
   pub fn sealed_text(&self, key: TryKey, time_left_ms: u64) -> String {
-    let organisation = self.organisation.as_ref().map_or("", OrganisationName::as_str);
+    let organisation = self.organisation.as_ref().map_or(Cow::Borrowed(""), GivenName::encoded);
     format!(
       "{key} {} {} {} {} {} {} {time_left_ms} {} {} {} {} {organisation}",
       self.head.method,
       self.head.target,
-      self.id,
+      self.id.encoded(),
       self.fingerprint,
-      self.service,
+      self.service.encoded(),
       self.class,
       self.version,
       self.repeatable,
-      self.caller_service,
+      self.caller_service.encoded(),
       self.urgency.priority,
     )
   }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -110,6 +110,16 @@
   }
 }
 
+/// Sets a header between daemons to a name, encoded.
+pub fn set_name(headers: &mut HeaderMap, header: &'static str, name: &impl GivenName) {
+  set(headers, header, name.encoded());
+}
+
+/// Returns the name that a header between daemons holds encoded.
+pub fn name<T: GivenName>(headers: &HeaderMap, header: &str) -> Option<T> {
+  text(headers, header).and_then(T::decoded)
+}
+
 /// Removes the headers that apply to one connection only, including those that `connection` names.
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
   let named: Vec<HeaderName> = headers
--- a/src/proxy/incoming_request.rs
+++ b/src/proxy/incoming_request.rs
@@ -17,6 +17,9 @@
 }
 
 impl IncomingRequest {
+  /// Longest id of a caller in bytes. A request with a longer one gets an id of this daemon, as ids
+  /// are kept for some time after their requests.
+  const ID_BYTES_MAX: usize = 200;
   /// Largest depth of nested calls. The mesh is designed for 21; a deeper request counts as a loop.
   pub const DEPTH_MAX: u32 = 32;
 
@@ -31,8 +34,9 @@
         .unwrap_or_else(CallerClass::unnamed),
       depth: headers::parsed(&head.headers, headers::DEPTH).unwrap_or(0),
       host,
-      id: headers::parsed(&head.headers, shared.header_names.request_id.as_str())
-        .unwrap_or_else(|| shared.names.request_id()),
+      id: headers::text(&head.headers, shared.header_names.request_id.as_str())
+        .filter(|id| (1..=Self::ID_BYTES_MAX).contains(&id.len()))
+        .map_or_else(|| shared.names.request_id(), RequestId::from),
       key: headers::text(&head.headers, headers::KEY).map(ToString::to_string),
       time_left_ms: headers::parsed(&head.headers, shared.header_names.time_left_ms.as_str()),
     }
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -41,7 +41,7 @@
   learn_calls(&shared, &recorder, &id, &mut response);
   let version = recorder.record.version;
   let own_headers = response.headers_mut();
-  headers::set(own_headers, headers::REQUEST_ID, &id);
+  headers::set_name(own_headers, headers::REQUEST_ID, &id);
   headers::set(own_headers, headers::VERSION, version);
   if shared.is_stopping() {
     headers::set(own_headers, "connection", "close");
@@ -270,7 +270,17 @@
   let path = head.uri.path();
   let router = shared.router();
   let matched = router.find(&head.method, incoming.host.as_deref(), path, &head.headers);
-  matched.ok_or_else(|| unknown_route(shared, router.version(), &head.method, path))
+  matched.ok_or_else(|| match router.omitted(incoming.host.as_deref(), path) {
+    Some(omission) => omitted_route(router.version(), omission),
+    None => unknown_route(shared, router.version(), &head.method, path),
+  })
+}
+
+/// Refuses a request whose route is left out of the configuration. It has not run, and the next
+/// version may have the route.
+fn omitted_route(version: Version, omission: &Omission) -> Refusal {
+  let reason = format!("in version {version}, {omission}");
+  Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, UNCONFIGURED_RETRY_MS)
 }
 
 /// Refuses a request that matches no route in force. If a newer version may contain its route, the
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 use crate::{
-  configuration::{Handling, Policy, RateLimit},
+  configuration::{Handling, Omission, Policy, RateLimit},
   fleet::{BackendState, EndpointState, Process},
   node::{BackendNotices, OutboundLink, Shared, SlotHolder},
   organisations::{Admission, CallerOrganisation, Grant, KeyFault},
--- a/src/proxy/organisation_admission.rs
+++ b/src/proxy/organisation_admission.rs
@@ -123,7 +123,7 @@
       shared.rate_limits.borrow_mut().draw_completed(now, &organisation, limit, wanted, grant);
     debug!(
       shared.log.logger, #Log::REQUEST, "tokens were drawn";
-      "organisation" => organisation.as_str(), "wanted" => wanted,
+      "organisation" => %organisation, "wanted" => wanted,
       "granted" => grant.map_or("no answer".into(), |grant| grant.tokens.to_string()),
       "settled" => woken.settled.len()
     );
@@ -157,7 +157,7 @@
 
 /// Text that a daemon seals with the fleet key when it draws tokens.
 fn sealed_text(organisation: &OrganisationName, wanted: u64) -> String {
-  format!("draw {organisation} {wanted}")
+  format!("draw {} {wanted}", organisation.encoded())
 }
 
 async fn ask(
@@ -171,7 +171,7 @@
   let headers = request.headers_mut();
   headers::set(headers, headers::DRAW, wanted);
   headers::set(headers, "host", address);
-  headers::set(headers, headers::ORGANISATION, organisation);
+  headers::set_name(headers, headers::ORGANISATION, organisation);
   headers::set(headers, headers::SEAL, shared.seal(&sealed_text(organisation, wanted)));
   let response = shared.peer_pool.send(client, request, None).await.ok()?;
   let (head, body) = response.into_parts();
@@ -188,7 +188,7 @@
 /// Grants tokens to another daemon from a ledger that this daemon owns.
 pub(super) fn answer(shared: &Shared, asked: &HeaderMap) -> Response<AnyBody> {
   let wanted = headers::parsed::<u64>(asked, headers::DRAW);
-  let organisation = headers::parsed::<OrganisationName>(asked, headers::ORGANISATION);
+  let organisation = headers::name::<OrganisationName>(asked, headers::ORGANISATION);
   let seal = headers::parsed::<Digest>(asked, headers::SEAL);
   let (Some(wanted), Some(organisation), Some(seal)) = (wanted, organisation, seal) else {
     return web::text(StatusCode::BAD_REQUEST, "a draw lacks a header");
--- a/src/proxy/outbound_turns.rs
+++ b/src/proxy/outbound_turns.rs
@@ -117,7 +117,7 @@
     }
     info!(
       self.shared.log.logger, #Log::REQUEST, "an answer waited for the box's link";
-      "request_id" => self.request_id.as_str(), "bytes" => self.bytes, "waited_ms" => waited_ms,
+      "request_id" => %self.request_id, "bytes" => self.bytes, "waited_ms" => waited_ms,
       "took_ms" => now.since_ms(self.arrived_at), "left_bytes" => self.buffered_bytes,
       "begun" => self.begun_at.is_some(), "in_time" => now <= self.due
     );
--- a/src/proxy/planned_return.rs
+++ b/src/proxy/planned_return.rs
@@ -47,7 +47,7 @@
   shared.metrics.count_return(plan.name());
   info!(
     shared.log.logger, #Log::REQUEST, "a refused caller is told when to come back";
-    "request_id" => forwarded.id.as_str(), "service" => service.as_str(), "plan" => plan.name(),
+    "request_id" => %forwarded.id, "service" => %service, "plan" => plan.name(),
     "retry_after_ms" => plan.after_ms(), "left_ms" => left_ms, "due_ms" => caller.due_ms,
     "forecast" => %forecast
   );
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -92,7 +92,7 @@
     );
     let headers = response.headers_mut();
     headers::set(headers, headers::OUTCOME, self.outcome());
-    headers::set(headers, headers::REQUEST_ID, id);
+    headers::set_name(headers, headers::REQUEST_ID, id);
     if self.arrived {
       headers::set(headers, headers::ARRIVED, "yes");
     }
--- a/src/proxy/run_guard.rs
+++ b/src/proxy/run_guard.rs
@@ -31,7 +31,7 @@
     if is_on_trial {
       info!(
         shared.log.logger, #Log::REQUEST, "a request that was held back runs on trial";
-        "request_id" => id.as_str(), "fingerprint" => %fingerprint
+        "request_id" => %id, "fingerprint" => %fingerprint
       );
     }
     Ok(Self { fingerprint, id: id.clone(), is_on_trial, run: Some(run), shared: shared.clone() })
--- a/src/proxy/slot_transfer.rs
+++ b/src/proxy/slot_transfer.rs
@@ -86,7 +86,7 @@
     self.shared.metrics.connections.transfers_stopped.inc();
     info!(
       self.shared.log.logger, #Log::REQUEST, "a transfer stalled while others waited for its slot";
-      "request_id" => self.request_id.as_str(), "transfer" => %self.kind
+      "request_id" => %self.request_id, "transfer" => %self.kind
     );
   }
 }
--- a/src/proxy/tries.rs
+++ b/src/proxy/tries.rs
@@ -207,7 +207,7 @@
   fn log(&self, what: &'static str) {
     info!(
       self.shared.log.logger, #Log::REQUEST, "{}", what;
-      "try" => self.key.0, "box" => self.order.endpoint.peer.box_id.as_str(),
+      "try" => self.key.0, "box" => %self.order.endpoint.peer.box_id,
       "age_ms" => (self.shared.elapsed_us() - self.started_us) / 1_000
     );
   }
--- a/src/requests/calls/call_credit.rs
+++ b/src/requests/calls/call_credit.rs
@@ -53,7 +53,7 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     for (index, (service, thousandths)) in self.services.iter().enumerate() {
       let separator = if index == 0 { "" } else { "," };
-      write!(f, "{separator}{service}:{thousandths}")?;
+      write!(f, "{separator}{}:{thousandths}", service.encoded())?;
     }
     Ok(())
   }
@@ -67,7 +67,8 @@
     let mut credit = Self::default();
     for part in text.split(',').filter(|part| !part.is_empty()).take(Self::SERVICES_MAX) {
       let (service, thousandths) = part.split_once(':').ok_or_else(malformed)?;
-      credit.add(&service.parse()?, thousandths.parse().map_err(|_| malformed())?);
+      let service = ServiceName::decoded(service).ok_or_else(malformed)?;
+      credit.add(&service, thousandths.parse().map_err(|_| malformed())?);
     }
     Ok(credit)
   }
--- a/src/requests/calls/service_calls.rs
+++ b/src/requests/calls/service_calls.rs
@@ -18,6 +18,7 @@
 impl Display for ServiceCalls {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     let Self { count, failed, service, together, took_us } = self;
+    let service = service.encoded();
     write!(f, "{service}:{count}:{failed}:{together}:{took_us}")
   }
 }
@@ -28,7 +29,7 @@
   fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
     let malformed = || Self::Err::Number { found: text.into(), kind: "calls" };
     let mut parts = text.split(':');
-    let service = parts.next().ok_or_else(malformed)?.parse()?;
+    let service = parts.next().and_then(ServiceName::decoded).ok_or_else(malformed)?;
     let mut next = || parts.next().and_then(|part| part.parse::<u64>().ok()).ok_or_else(malformed);
     let narrow = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
     let (count, failed, together) = (narrow(next()?), narrow(next()?), narrow(next()?));
--- a/src/requests/claim_ticket.rs
+++ b/src/requests/claim_ticket.rs
@@ -16,6 +16,6 @@
 impl ClaimTicket {
   /// Returns the store key of the claim's record.
   pub fn store_key(&self) -> Key {
-    Key::of(&["claims", self.service.as_str(), self.key.as_str()])
+    Key::of(&["claims", &self.service.short(), self.key.as_str()])
   }
 }
--- a/src/requests/limit_hint.rs
+++ b/src/requests/limit_hint.rs
@@ -13,7 +13,7 @@
 impl Display for LimitHint {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match &self.instance {
-      Some(instance) => write!(f, "{} {instance}", self.rate),
+      Some(instance) => write!(f, "{} {}", self.rate, instance.encoded()),
       None => self.rate.fmt(f),
     }
   }
@@ -24,7 +24,7 @@
 
   fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
     let (rate, instance) = match text.split_once(' ') {
-      Some((rate, instance)) => (rate, Some(instance.parse()?)),
+      Some((rate, instance)) => (rate, InstanceId::decoded(instance)),
       None => (text, None),
     };
     Ok(Self { instance, rate: rate.parse()? })
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -6,7 +6,7 @@
 use super::*;
 
 use crate::{
-  configuration::{Configuration, Handling, Route, WeightedService},
+  configuration::{Configuration, Handling, Omission, Route, WeightedService},
   fleet::{Endpoint, EndpointState, RunFinding, RunOutcome},
   rollout::{Lane, Traffic},
   store::{Entry, Key, Refusal, Reply, Revision, StoreRequest},
--- a/src/requests/router.rs
+++ b/src/requests/router.rs
@@ -5,6 +5,8 @@
 pub struct Router {
   /// Routes by the first segment of their path prefix, most specific first.
   by_segment: BTreeMap<String, Vec<(RouteName, Route)>>,
+  /// The routes that the configuration leaves out.
+  omissions: Vec<Omission>,
   version: Version,
 }
 
@@ -22,7 +24,8 @@
         other.specificity().cmp(&route.specificity()).then(name.cmp(other_name))
       });
     }
-    Self { by_segment, version: configuration.version }
+    let omissions = configuration.omissions.clone();
+    Self { by_segment, omissions, version: configuration.version }
   }
 
   /// Returns the most specific route that matches the request.
@@ -46,6 +49,10 @@
     let best = lists
       .filter_map(|routes| routes.iter().find(|(_, route)| takes(route)))
       .max_by_key(|(_, route)| route.specificity())?;
+    let omitted = self.omitted(host, path).and_then(|omission| omission.path_prefix.as_ref());
+    if omitted.is_some_and(|prefix| prefix.len() > best.1.path_prefix.len()) {
+      return None;
+    }
     Some(RouteMatch {
       handling: best.1.handling.clone(),
       repeatable: best.1.repeatable,
@@ -54,6 +61,13 @@
     })
   }
 
+  /// Returns the omission of the most specific route that the request would match if it could be
+  /// read.
+  pub fn omitted(&self, host: Option<&str>, path: &str) -> Option<&Omission> {
+    let matching = self.omissions.iter().filter(|omission| omission.matches(host, path));
+    matching.max_by_key(|omission| omission.path_prefix.as_ref().map_or(0, String::len))
+  }
+
   /// The configuration version of the routes.
   pub fn version(&self) -> Version {
     self.version
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -56,7 +56,7 @@
     "stop_deadline_ms",
     "store",
   ];
-  const NAME: &str = "a name of 1 to 63 of the characters a-z, A-Z, 0-9, `-`, `_`, `.`";
+  const NAME: &str = "a name that is not empty";
 
   /// Reads and checks a settings file.
   pub fn load(path: &Path) -> Result<Self> {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -17,8 +17,8 @@
 
 /// The daemon's metrics.
 pub struct Metrics {
-  /// When the configuration in force was applied, in milliseconds since 1970.
-  pub applied_unix_ms: Gauge,
+  /// The configuration in force.
+  pub configuration: ConfigurationMetrics,
   /// The connections of all peers.
   pub connections: ConnectionMetrics,
   /// Processes of the backend server that ended while they ran requests.
@@ -29,8 +29,6 @@
   pub backend_slowdown_percent: Gauge,
   /// Requests passed to the backend server.
   pub backend_requests: Counter,
-  /// Configurations of the store that were refused.
-  pub configurations_refused: Counter,
   /// Entries of the directory that could not be read. Each counts once.
   pub entries_unreadable: Counter,
   /// Callers' requests that were tried or refused before any try.
@@ -67,8 +65,6 @@
   store_calls: Family<StoreLabels, Counter>,
   /// Number of restores of the store from a backup.
   pub store_era: Gauge,
-  /// The configuration version in force.
-  pub version: Gauge,
 }
 
 impl Metrics {
@@ -83,11 +79,6 @@
     let mut registry = Registry::with_prefix("ferryyoke");
     let of = &mut registry;
     Self {
-      applied_unix_ms: registered(
-        of,
-        "configuration_applied_unix_ms",
-        "When the version in force was applied, in milliseconds since 1970",
-      ),
       backend_crashes: registered(
         of,
         "backend_crashes",
@@ -104,12 +95,8 @@
         "backend_slowdown_percent",
         "How long work takes at the backend server, in percent of the usual time of its service",
       ),
+      configuration: ConfigurationMetrics::new(of),
       connections: ConnectionMetrics::new(of),
-      configurations_refused: registered(
-        of,
-        "configurations_refused",
-        "Configurations in the store that were not taken",
-      ),
       entries_unreadable: registered(
         of,
         "entries_unreadable",
@@ -177,7 +164,6 @@
       ),
       store_calls: registered(of, "store_calls", "Calls to the store, by result"),
       store_era: registered(of, "store_era", "How often the store came back from a copy"),
-      version: registered(of, "configuration_version", "The version in force"),
       registry,
     }
   }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,12 +3,13 @@
 use super::*;
 
 pub use self::{
-  buffered_output::BufferedOutput, connection_metrics::ConnectionMetrics, log::Log,
-  log_format::LogFormat, log_level::LogLevel, metrics::Metrics, outbound_metrics::OutboundMetrics,
-  quota::Quota,
+  buffered_output::BufferedOutput, configuration_metrics::ConfigurationMetrics,
+  connection_metrics::ConnectionMetrics, log::Log, log_format::LogFormat, log_level::LogLevel,
+  metrics::Metrics, outbound_metrics::OutboundMetrics, quota::Quota,
 };
 
 mod buffered_output;
+mod configuration_metrics;
 mod connection_metrics;
 mod labels;
 mod log;
--- a/src/values/error.rs
+++ b/src/values/error.rs
@@ -8,6 +8,11 @@
     /// The text found.
     found: String,
   },
+  /// There is no text where a name is expected.
+  Empty {
+    /// What is named, such as `box`.
+    kind: &'static str,
+  },
   /// The text is not a name.
   Name {
     /// The text found.
@@ -28,6 +33,7 @@
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
       Self::Digest { found } => write!(f, "`{found}` is not a digest: give 64 hexadecimal digits"),
+      Self::Empty { kind } => write!(f, "the {kind} name is empty: give a name"),
       Self::Name { found, kind } => write!(
         f,
         "`{found}` is not a {kind} name: give 1 to 63 of the characters a-z, A-Z, 0-9, `-`, `_`, `.`"
--- a/src/values/instance_id.rs
+++ b/src/values/instance_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text::name! {
+text::given_name! {
   /// The id of one process of a backend server. A restart takes another one.
   InstanceId, "instance"
 }
--- a/src/values/mod.rs
+++ b/src/values/mod.rs
@@ -2,13 +2,18 @@
 
 use super::*;
 
+use std::fmt::Write as _;
+
+pub(crate) use self::given_name::percent_decoded;
+
 pub use self::{
   box_id::BoxId, change_id::ChangeId, data_hall::DataHall, digest::Digest, duration_ms::DurationMs,
-  error::Error, fingerprint::Fingerprint, incarnation::Incarnation, instance_id::InstanceId,
-  key_digest::KeyDigest, operator::Operator, organisation_name::OrganisationName,
-  policy_name::PolicyName, rate::Rate, region::Region, request_id::RequestId,
-  route_name::RouteName, service_name::ServiceName, software_version::SoftwareVersion,
-  start_time::StartTime, team::Team, time::Time, try_key::TryKey, version::Version,
+  error::Error, fingerprint::Fingerprint, given_name::GivenName, incarnation::Incarnation,
+  instance_id::InstanceId, key_digest::KeyDigest, operator::Operator,
+  organisation_name::OrganisationName, policy_name::PolicyName, rate::Rate, region::Region,
+  request_id::RequestId, route_name::RouteName, service_name::ServiceName,
+  software_version::SoftwareVersion, start_time::StartTime, team::Team, time::Time,
+  try_key::TryKey, version::Version,
 };
 
 mod box_id;
@@ -18,6 +23,7 @@
 mod duration_ms;
 mod error;
 mod fingerprint;
+mod given_name;
 mod incarnation;
 mod instance_id;
 mod key_digest;
--- a/src/values/region.rs
+++ b/src/values/region.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text::name! {
+text::given_name! {
   /// The name of a region: data halls that share a site.
   Region, "region"
 }
--- a/src/values/request_id.rs
+++ b/src/values/request_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text::name! {
+text::given_name! {
   /// The id of a request, the same on its whole way through the mesh.
   RequestId, "request id"
 }
--- a/src/values/service_name.rs
+++ b/src/values/service_name.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text::name! {
+text::given_name! {
   /// The name of a service.
   ServiceName, "service"
 }
