Take any version of software in a backend server's report

Cause: the version was held to the signs of our own names, and the report's parse read all its fields at once, so the whole report was refused. Ruled out: a report taken for another writer's (no other process or service is named, and the line's reason is the version).

Change: a version of software is a given name, any text; one that is no text is taken as it is written. Why it works: nothing in a version can make a report unreadable any more.

--- a/crates/ferryyoke-soak/tests/odd_names.rs
+++ b/crates/ferryyoke-soak/tests/odd_names.rs
@@ -75,7 +75,7 @@
       settings["service"] = json!(service);
     })
     .expect("settings");
-  let versions = ["2.4.0", "v1"];
+  let versions = ["2.4.0+20261206", "Ünstable build #7, \"x\"", "v1"];
   one.backend_server.rename(&format!("i/{index} é+%41"), service, versions[index % versions.len()]);
 }
 
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -18,10 +18,21 @@
   service: ServiceName,
   slots: NonZeroU32,
   /// The version of the backend server's software.
-  #[serde(default)]
+  #[serde(default, deserialize_with = "software")]
   version: Option<SoftwareVersion>,
 }
 
+/// Reads a version of software: a text, or another value as it is written.
+fn software<'de, D: serde::Deserializer<'de>>(
+  deserializer: D,
+) -> Result<Option<SoftwareVersion>, D::Error> {
+  Ok(match serde_json::Value::deserialize(deserializer)? {
+    serde_json::Value::Null => None,
+    serde_json::Value::String(version) => version.parse().ok(),
+    other => other.to_string().parse().ok(),
+  })
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Status {
--- a/src/values/software_version.rs
+++ b/src/values/software_version.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text::name!(
+text::given_name!(
   /// The version of the software that a backend server runs, as the server reports it.
   SoftwareVersion, "software version"
 );
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -13,7 +13,10 @@
     requests::{CallCredit, CallerClass, LimitHint, RunCalls},
     rollout,
     telemetry::Metrics,
-    values::{BoxId, GivenName, InstanceId, OrganisationName, Region, RouteName, ServiceName},
+    values::{
+      BoxId, GivenName, InstanceId, OrganisationName, Region, RouteName, ServiceName,
+      SoftwareVersion,
+    },
   },
   serde_json::{Value, json},
   std::{collections::BTreeSet, fs, path::Path},
@@ -334,3 +337,11 @@
     assert!(!template.contains(&format!("{{{{{name}}}}}")), "{name}");
   }
 }
+
+/// Guards against backend servers whose reports are refused for the version of their software.
+#[test]
+fn a_version_of_software_may_hold_any_text() {
+  for text in odd_names().iter().filter(|text| !text.is_empty()) {
+    assert_eq!(text.parse::<SoftwareVersion>().expect("a version").as_str(), text);
+  }
+}
