--- a/crates/ferryyoke-soak/src/platform/backend_server.rs
+++ b/crates/ferryyoke-soak/src/platform/backend_server.rs
@@ -28,6 +28,8 @@
   running: Rc<Cell<u32>>,
   sequence: u64,
   service: String,
+  /// Number of concurrent requests that the process reports.
+  slots: u32,
   started: Instant,
   /// When the process started, in milliseconds since 1970. Strictly increases with each restart, also under the same
   /// id.
@@ -81,6 +83,7 @@
       running: Rc::default(),
       sequence: 0,
       service: service.into(),
+      slots: Self::SLOTS,
       started,
       started_unix_ms: unix_ms(),
       told: Told::Missing,
@@ -176,6 +179,11 @@
     self.state.borrow_mut().callers = Some(callers);
   }
 
+  /// Sets the number of concurrent requests that the process reports from now on.
+  pub fn offer_slots(&self, slots: u32) {
+    self.state.borrow_mut().slots = slots;
+  }
+
   /// Gives the process another id, service and version of its software. Takes effect with its next report.
   pub fn rename(&self, instance: &str, service: &str, version: &str) {
     let mut state = self.state.borrow_mut();
@@ -287,7 +295,7 @@
     let body = serde_json::json!({
       "Address": "127.0.0.1:1",
       "Info": {
-        "Service": state.service, "Slots": BackendServer::SLOTS, "Version": state.version, "Zone": "hall",
+        "Service": state.service, "Slots": state.slots, "Version": state.version, "Zone": "hall",
       },
       "Status": { "CallSeq": state.sequence, "ColdLeft": "0ms", "State": word },
       "born": state.started_unix_ms,
