Hold the rest of an answer whose reader stalls

Cause: answers go back in order, so the box that took the requests reads the later ones when their turn comes. The box beside the backend server took that for a caller that doesn't read, and broke the answer off a second later as others waited for its slot. Ruled out: callers that don't read (they read all the time), and deadlines (three tenths of the time and more were left).

Change: the rest of such an answer is read into memory, which frees its slot, and its reader gets it from there. It counts as held for peers and may take an eighth of the room that is left; otherwise, or if its size is unknown, it is broken off as before. Metrics and the log line tell the two apart. Why it works: the slot no longer depends on the reader, so nothing has to be given up for it.

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -34,7 +34,7 @@
 
 use self::{
   answer_reservation::AnswerReservation, attempt_result::AttemptResult,
-  exchange_guard::ExchangeGuard, forwarded_request::ForwardedRequest,
+  exchange_guard::ExchangeGuard, forwarded_request::ForwardedRequest, held_answer::HeldAnswer,
   incoming_request::IncomingRequest, observed_run::ObservedRun, on_end_body::OnEndBody,
   organisation_admission::AdmittedRequest, outbound_turns::OutboundTurns, paced_body::PacedBody,
   peer_notices::PeerNotices, refusal::Refusal, request_body::RequestBody,
@@ -55,6 +55,7 @@
 mod forward;
 mod forwarded_request;
 pub mod headers;
+mod held_answer;
 mod incoming_request;
 mod ingress;
 mod observed_run;
--- a/src/proxy/slot_body.rs
+++ b/src/proxy/slot_body.rs
@@ -1,13 +1,29 @@
 use super::{slot_transfer::TransferKind, *};
 
 /// The body of a request on its way to the backend server, or that of its answer. Can be taken away from whoever reads
-/// it, so that its slot is free.
+/// it, so that its slot is free. The rest of an answer is then held in memory for its reader, if there is room.
 pub(super) struct SlotBody {
-  inner: Rc<RefCell<Option<AnyBody>>>,
+  inner: Rc<RefCell<Inner>>,
   kind: TransferKind,
   transfer: Rc<SlotTransfer>,
 }
 
+/// A body that can be replaced while it is read.
+struct Inner {
+  body: Option<AnyBody>,
+  /// Who read it last.
+  reader: Option<std::task::Waker>,
+}
+
+impl Inner {
+  fn replace(&mut self, body: Option<AnyBody>) {
+    self.body = body;
+    if let Some(reader) = self.reader.take() {
+      reader.wake();
+    }
+  }
+}
+
 impl SlotBody {
   /// Watches the body of a request that holds a slot. `release` is called as it is taken away.
   pub(super) fn upload(
@@ -33,11 +49,16 @@
     kind: TransferKind,
     release: impl FnOnce() + 'static,
   ) -> Self {
-    let inner = Rc::new(RefCell::new(Some(body)));
-    let taken = inner.clone();
+    let inner = Rc::new(RefCell::new(Inner { body: Some(body), reader: None }));
+    let (taken, holder) = (inner.clone(), shared.clone());
     let transfer = SlotTransfer::begin(shared, request_id, kind, move || {
-      drop(taken.take());
+      let body = taken.borrow_mut().body.take();
+      let held = body.filter(|_| kind == TransferKind::Answer);
+      let held = held.and_then(|body| HeldAnswer::begin(&holder, body));
+      let is_held = held.is_some();
+      taken.borrow_mut().replace(held);
       release();
+      is_held
     });
     Self { inner, kind, transfer }
   }
@@ -63,7 +84,8 @@
     context: &mut Context,
   ) -> Poll<Option<std::result::Result<http_body::Frame<Bytes>, web::BodyError>>> {
     let mut inner = self.inner.borrow_mut();
-    let Some(body) = inner.as_mut() else {
+    inner.reader.get_or_insert_with(|| context.waker().clone()).clone_from(context.waker());
+    let Some(body) = inner.body.as_mut() else {
       return Poll::Ready(Some(Err("its slot was given to others, as it stalled".into())));
     };
     let polled = Pin::new(body).poll_frame(context);
@@ -74,12 +96,12 @@
   }
 
   fn is_end_stream(&self) -> bool {
-    self.inner.borrow().as_ref().is_some_and(Body::is_end_stream)
+    self.inner.borrow().body.as_ref().is_some_and(Body::is_end_stream)
   }
 
   fn size_hint(&self) -> http_body::SizeHint {
     let inner = self.inner.borrow();
-    inner.as_ref().map_or_else(http_body::SizeHint::new, Body::size_hint)
+    inner.body.as_ref().map_or_else(http_body::SizeHint::new, Body::size_hint)
   }
 }
 
--- a/src/proxy/slot_transfer.rs
+++ b/src/proxy/slot_transfer.rs
@@ -1,16 +1,19 @@
 use super::*;
 
 /// A transfer between a caller and a backend server that holds a slot: of a request's body, or of its answer. While
-/// others wait for a slot, it ends if the caller neither sends nor reads.
+/// others wait for a slot, it ends if the caller neither sends nor reads, or an answer goes on without the slot.
 pub(super) struct SlotTransfer {
   kind: TransferKind,
   progress: RefCell<TransferProgress>,
-  release: RefCell<Option<Box<dyn FnOnce()>>>,
+  release: RefCell<Option<Release>>,
   request_id: RequestId,
   shared: Rc<Shared>,
   ticket: Ticket,
 }
 
+/// Frees the slot of a transfer. Returns whether the rest of an answer is held for its reader.
+type Release = Box<dyn FnOnce() -> bool>;
+
 /// What a transfer carries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum TransferKind {
@@ -33,12 +36,12 @@
   /// Milliseconds for which transfers are looked at after a request found no slot.
   const SHORTAGE_MS: u64 = 2_000;
 
-  /// Lists a transfer of a request. `release` ends it.
+  /// Lists a transfer of a request. `release` frees its slot, and returns whether the transfer goes on.
   pub(super) fn begin(
     shared: &Rc<Shared>,
     request_id: &RequestId,
     kind: TransferKind,
-    release: impl FnOnce() + 'static,
+    release: impl FnOnce() -> bool + 'static,
   ) -> Rc<Self> {
     let ticket = shared.names.ticket();
     let transfer = Rc::new(Self {
@@ -80,13 +83,16 @@
   }
 
   fn release(&self) {
-    if let Some(release) = self.release.take() {
-      release();
-    }
-    self.shared.metrics.connections.transfers_stopped.inc();
+    let is_held = self.release.take().is_some_and(|release| release());
+    let metrics = &self.shared.metrics.connections;
+    if is_held {
+      metrics.transfers_held.inc()
+    } else {
+      metrics.transfers_stopped.inc()
+    };
     info!(
       self.shared.log.logger, #Log::REQUEST, "a transfer stalled while others waited for its slot";
-      "request_id" => %self.request_id, "transfer" => %self.kind
+      "request_id" => %self.request_id, "transfer" => %self.kind, "is_held" => is_held
     );
   }
 }
--- a/src/telemetry/connection_metrics.rs
+++ b/src/telemetry/connection_metrics.rs
@@ -10,6 +10,8 @@
   evicted: Family<EvictionLabels, Counter>,
   held_bytes: Gauge,
   open: Family<PeerLabels, Gauge>,
+  /// Answers of which the rest is held here, as they stalled while others waited for their slots.
+  pub transfers_held: Counter,
   /// Transfers that ended because they stalled while others waited for their slots.
   pub transfers_stopped: Counter,
 }
@@ -25,6 +27,11 @@
       ),
       held_bytes: registered(registry, "peers_held_bytes", "Bytes held for all peers"),
       open: registered(registry, "connections_open", "Open connections, by kind of peer"),
+      transfers_held: registered(
+        registry,
+        "transfers_held",
+        "Answers held for their readers because they stalled while others waited for their slots",
+      ),
       transfers_stopped: registered(
         registry,
         "transfers_stopped",
--- a/src/web/connections/connection_table.rs
+++ b/src/web/connections/connection_table.rs
@@ -41,11 +41,15 @@
 
   /// Bytes that one connection may hold now. The less room is left, the fewer.
   pub fn allowance_bytes(&self, reserved_bytes: usize) -> usize {
-    let taken = self.held_bytes + reserved_bytes;
-    let left = self.limits.held_bytes_max.saturating_sub(taken);
+    let left = self.room_bytes(reserved_bytes);
     (left / Self::ALLOWANCE_DIVISOR).clamp(Self::ALLOWANCE_MIN_BYTES, Self::ALLOWANCE_MAX_BYTES)
   }
 
+  /// Bytes that may be held further.
+  pub fn room_bytes(&self, reserved_bytes: usize) -> usize {
+    self.limits.held_bytes_max.saturating_sub(self.held_bytes + reserved_bytes)
+  }
+
   /// Bytes that all connections hold.
   pub fn held_bytes(&self) -> usize {
     self.held_bytes
--- a/src/web/connections/mod.rs
+++ b/src/web/connections/mod.rs
@@ -8,7 +8,7 @@
 pub use self::{
   connection_limits::ConnectionLimits, connection_table::ConnectionTable, eviction::Eviction,
   held_body::HeldBody, open_connection::OpenConnection, opening::Opening, peer_kind::PeerKind,
-  phase::Phase, shared_connections::SharedConnections,
+  phase::Phase, reserved_bytes::ReservedBytes, shared_connections::SharedConnections,
 };
 
 mod connection_limits;
@@ -19,6 +19,7 @@
 mod opening;
 mod peer_kind;
 mod phase;
+mod reserved_bytes;
 mod shared_connections;
 
 /// Identifies an open connection within a process.
--- a/src/web/connections/shared_connections.rs
+++ b/src/web/connections/shared_connections.rs
@@ -13,6 +13,9 @@
 }
 
 impl SharedConnections {
+  /// The part of the room that is left which may be reserved at once.
+  const RESERVED_DIVISOR: usize = 8;
+
   /// Creates an empty set of connections.
   pub fn new(limits: ConnectionLimits) -> Rc<Self> {
     Rc::new(Self {
@@ -60,7 +63,16 @@
 
   /// Counts the bytes of a body until the last reference to it is dropped.
   pub fn hold(&self, body: BytesMut) -> Bytes {
-    Bytes::from_owner(HeldBody::new(body, self.reserved_bytes.clone()))
+    let reserved = ReservedBytes::new(body.capacity(), self.reserved_bytes.clone());
+    Bytes::from_owner(HeldBody::new(body, reserved))
+  }
+
+  /// Counts `bytes` as held until the result is dropped, or returns `None` if they would take too much of the room that
+  /// is left.
+  pub fn reserve(&self, bytes: usize) -> Option<ReservedBytes> {
+    let room_bytes = self.table.borrow().room_bytes(self.reserved_bytes());
+    let is_small = bytes <= room_bytes / Self::RESERVED_DIVISOR;
+    is_small.then(|| ReservedBytes::new(bytes, self.reserved_bytes.clone()))
   }
 
   /// Returns how many connections were told to end since the last call.
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -11,7 +11,7 @@
   client_location::ClientLocation,
   connections::{
     ConnectionLimits, ConnectionTable, Eviction, OpenConnection, Opening, PeerKind, Phase,
-    SharedConnections,
+    ReservedBytes, SharedConnections,
   },
   error::Error,
   incoming::Incoming,
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -2,7 +2,8 @@
 
 use {
   ferryyoke::web::{
-    ConnectionLimits, ConnectionTable, Opening, PeerKind, Phase, connections::ConnectionId,
+    ConnectionLimits, ConnectionTable, Opening, PeerKind, Phase, SharedConnections,
+    connections::ConnectionId,
   },
   std::{collections::BTreeMap, time::Duration},
 };
@@ -113,3 +114,20 @@
     assert!(PeerKind::ALL.iter().all(|kind| limits.connections_max[kind] >= 4));
   }
 }
+
+// Guards against held answers that take all the room of the process.
+#[test]
+fn what_is_reserved_stays_a_small_part_of_the_room() {
+  let limits = ConnectionLimits { connections_max: BTreeMap::new(), held_bytes_max: ROOM_BYTES };
+  let connections = SharedConnections::new(limits);
+  assert!(connections.reserve(ROOM_BYTES / 8 + 1).is_none());
+  let mut reserved = Vec::new();
+  while let Some(one) = connections.reserve(ROOM_BYTES / 16) {
+    reserved.push(one);
+  }
+  assert!(reserved.len() >= 8 && connections.held_bytes() < ROOM_BYTES, "{}", reserved.len());
+  assert!(connections.allowance_bytes() >= 4_096);
+  drop(reserved);
+  assert_eq!(connections.held_bytes(), 0);
+  assert!(connections.reserve(ROOM_BYTES / 8).is_some());
+}
