Shorten a route's name between daemons, and read raw answers in one place

Cause: the header that names a route during a roll-out held the whole name, so that one of ten thousand letters would not fit the head of a forwarded request.

Change: the header holds the name as keys do, shortened by a digest beyond 63 characters; it serves as a label only. The tests share their reader and their exchange.

--- a/crates/ferryyoke-soak/tests/calm_stops.rs
+++ b/crates/ferryyoke-soak/tests/calm_stops.rs
@@ -9,13 +9,13 @@
   ferryyoke_soak::platform,
   std::{
     collections::BTreeSet,
-    io::{Read, Write},
+    io::Write,
     net::{SocketAddr, TcpStream},
     sync::mpsc,
     thread,
     time::{Duration, Instant},
   },
-  support::{Answer, Fleet, LOOK_MS, pause_ms, run, soon},
+  support::{Answer, Fleet, LOOK_MS, crowd, pause_ms, run, soon},
 };
 
 /// Number of boxes, which run two services by turns.
@@ -67,7 +67,7 @@
   );
   let sent_at = Instant::now();
   // A write that fails sent no whole request.
-  let status = stream.write_all(head.as_bytes()).ok().and_then(|()| read_answer(stream));
+  let status = stream.write_all(head.as_bytes()).ok().and_then(|()| crowd::read_answer(stream));
   Seen { id, is_read, status, took: sent_at.elapsed() }
 }
 
@@ -118,34 +118,6 @@
   )]
 }
 
-/// Reads a whole answer. Returns its status.
-fn read_answer(stream: &mut TcpStream) -> Option<u16> {
-  let mut head = Vec::new();
-  while !head.ends_with(b"\r\n\r\n") {
-    head.push(read_byte(stream)?);
-  }
-  let head = String::from_utf8(head).expect("a head").to_ascii_lowercase();
-  let field = |name: &str| {
-    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')).map(str::trim)
-  };
-  if field("transfer-encoding").is_some() {
-    let mut body = Vec::new();
-    while !body.ends_with(b"\r\n0\r\n\r\n") && body != b"0\r\n\r\n" {
-      body.push(read_byte(stream)?);
-    }
-  } else {
-    let length = field("content-length").expect("a length").parse().expect("a number");
-    stream.read_exact(&mut vec![0; length]).ok()?;
-  }
-  head.split(' ').nth(1)?.parse().ok()
-}
-
-fn read_byte(stream: &mut TcpStream) -> Option<u8> {
-  let mut byte = [0];
-  stream.read_exact(&mut byte).ok()?;
-  Some(byte[0])
-}
-
 /// Stops one box under load, and checks the requests that its callers sent.
 async fn stop(stopped: usize) {
   let fleet = Fleet::prepare(BOXES);
--- a/crates/ferryyoke-soak/tests/held_answers.rs
+++ b/crates/ferryyoke-soak/tests/held_answers.rs
@@ -8,7 +8,7 @@
 use {
   ferryyoke_soak::platform,
   std::{
-    io::{Read, Write},
+    io::Write,
     net::{SocketAddr, TcpStream},
     sync::{
       Arc,
@@ -18,7 +18,7 @@
     thread,
     time::Duration,
   },
-  support::{Answer, Fleet, LOOK_MS, pause_ms, run, soon},
+  support::{Answer, Fleet, LOOK_MS, crowd, pause_ms, run, soon},
 };
 
 /// Boxes 0 and 2 run reads, 1 and 3 other requests.
@@ -65,22 +65,7 @@
   });
   let requests = slow + &reads.collect::<String>();
   stream.write_all(requests.as_bytes()).expect("sent");
-  (0..=READS).map_while(|_| read_answer(&mut stream)).collect()
-}
-
-/// Reads an answer with a length. Returns its status, or `None` if it is not whole.
-fn read_answer(stream: &mut TcpStream) -> Option<u16> {
-  let mut head = Vec::new();
-  while !head.ends_with(b"\r\n\r\n") {
-    let mut byte = [0];
-    stream.read_exact(&mut byte).ok()?;
-    head.extend(byte);
-  }
-  let head = String::from_utf8(head).expect("a head").to_ascii_lowercase();
-  let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-  let length = length.expect("a length").parse().expect("a number");
-  stream.read_exact(&mut vec![0; length]).ok()?;
-  head.split(' ').nth(1)?.parse().ok()
+  (0..=READS).map_while(|_| crowd::read_answer(&mut stream)).collect()
 }
 
 /// Sends short reads one after the other.
@@ -92,7 +77,7 @@
     for number in 0..20 {
       let head = head("/read/", &format!("short{caller}x{number}"), 100, 0);
       let is_sent = stream.write_all(head.as_bytes()).is_ok();
-      if !is_sent || read_answer(&mut stream).is_none() {
+      if !is_sent || crowd::read_answer(&mut stream).is_none() {
         break;
       }
     }
--- a/crates/ferryyoke-soak/tests/support/crowd.rs
+++ b/crates/ferryyoke-soak/tests/support/crowd.rs
@@ -94,6 +94,34 @@
   }
 }
 
+/// Reads a whole answer. Returns its status, or `None` if the connection ends before.
+pub fn read_answer(stream: &mut TcpStream) -> Option<u16> {
+  let mut head = Vec::new();
+  while !head.ends_with(b"\r\n\r\n") {
+    head.push(read_byte(stream)?);
+  }
+  let head = String::from_utf8(head).expect("a head").to_ascii_lowercase();
+  let field = |name: &str| {
+    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')).map(str::trim)
+  };
+  if field("transfer-encoding").is_some() {
+    let mut body = Vec::new();
+    while !body.ends_with(b"\r\n0\r\n\r\n") && body != b"0\r\n\r\n" {
+      body.push(read_byte(stream)?);
+    }
+  } else {
+    let length = field("content-length").expect("a length").parse().expect("a number");
+    stream.read_exact(&mut vec![0; length]).ok()?;
+  }
+  head.split(' ').nth(1)?.parse().ok()
+}
+
+fn read_byte(stream: &mut TcpStream) -> Option<u8> {
+  let mut byte = [0];
+  stream.read_exact(&mut byte).ok()?;
+  Some(byte[0])
+}
+
 /// One connection.
 struct Member {
   sent_bytes: usize,
--- a/crates/ferryyoke-soak/tests/support/mod.rs
+++ b/crates/ferryyoke-soak/tests/support/mod.rs
@@ -188,14 +188,7 @@
     path: &str,
     body: String,
   ) -> Result<StatusCode, String> {
-    let request = Request::builder().method(method).uri(path);
-    let request = request.header(http::header::HOST, address.to_string());
-    let request = request.body(web::full(body)).expect("a valid head");
-    let pool = Rc::new(Pool::new(ANSWER_MS));
-    let exchange = pool.exchange(address, request, 1 << 20);
-    let answered = monoio::time::timeout(Duration::from_millis(ANSWER_MS), exchange).await;
-    let answered = answered.map_err(|_| "no answer in time".to_string())?;
-    answered.map(|(status, _)| status).map_err(|err| err.to_string())
+    self.exchange_with(address, method, path, body).await.map(|answer| answer.status)
   }
 
   /// Sends a request to another address of a daemon. Returns the text of its answer.
@@ -206,15 +199,26 @@
     path: &str,
     body: String,
   ) -> Result<String, String> {
+    self.exchange_with(address, method, path, body).await.map(|answer| answer.body)
+  }
+
+  async fn exchange_with(
+    &self,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+  ) -> Result<Answer, String> {
     let request = Request::builder().method(method).uri(path);
     let request = request.header(http::header::HOST, address.to_string());
     let request = request.body(web::full(body)).expect("a valid head");
     let pool = Rc::new(Pool::new(ANSWER_MS));
     let exchange = pool.exchange_whole(address, request, 1 << 20);
-    let answered = monoio::time::timeout(Duration::from_millis(2 * ANSWER_MS), exchange).await;
+    let answered = monoio::time::timeout(Duration::from_millis(ANSWER_MS), exchange).await;
     let answered = answered.map_err(|_| "no answer in time".to_string())?;
-    let (_, body) = answered.map_err(|err| err.to_string())?;
-    Ok(String::from_utf8_lossy(&body).into_owned())
+    let (head, body) = answered.map_err(|err| err.to_string())?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Ok(Answer { body, headers: head.headers, status: head.status })
   }
 
   /// Repeats a GET request until `is_wanted` accepts an answer. Panics if none arrives before `until`.
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -83,7 +83,7 @@
     regions: None,
     repeatable: headers::parsed(&head.headers, headers::REPEATABLE).ok_or_else(malformed)?,
     retry_failures: false,
-    route: headers::name(&head.headers, headers::ROUTE),
+    route: headers::short_name(&head.headers, headers::ROUTE),
     service: headers::name(&head.headers, headers::SERVICE).ok_or_else(malformed)?,
     urgency: urgency(&head.headers, shared.now().time).ok_or_else(malformed)?,
     version: headers::parsed(&head.headers, headers::VERSION).ok_or_else(malformed)?,
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -208,7 +208,7 @@
   headers::set(request_headers, headers::PRIORITY, urgency.priority);
   headers::set(request_headers, headers::REPEATABLE, forwarded.repeatable);
   if let Some(route) = &forwarded.route {
-    headers::set_name(request_headers, headers::ROUTE, route);
+    headers::set(request_headers, headers::ROUTE, route.short());
   }
   headers::set(request_headers, headers::SEAL, seal);
   headers::set_name(request_headers, headers::SERVICE, &forwarded.service);
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -56,7 +56,7 @@
 pub const REPLAYED: &str = "x-ferryyoke-replayed";
 /// Between daemons: whether the request may run more than once.
 pub const REPEATABLE: &str = "x-ferryyoke-repeatable";
-/// Between daemons: the route of the request, during a rollout of its service.
+/// Between daemons: the route of the request, during a rollout of its service, perhaps shortened.
 pub const ROUTE: &str = "x-ferryyoke-route";
 /// On a refusal: milliseconds after which to retry.
 pub const RETRY_AFTER_MS: &str = "x-ferryyoke-retry-after-ms";
@@ -120,6 +120,11 @@
   text(headers, header).and_then(T::decoded)
 }
 
+/// Returns the name that a header between daemons holds encoded, and perhaps shortened: a shortened one stands for itself.
+pub fn short_name<T: GivenName>(headers: &HeaderMap, header: &str) -> Option<T> {
+  text(headers, header).map(|found| T::decoded(found).unwrap_or_else(|| T::from(found)))
+}
+
 /// Removes the headers that apply to one connection only, including those that `connection` names.
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
   let named: Vec<HeaderName> = headers
