Take no reset for the end of an answer

Seen by callers: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. Callers got that part as the whole answer, framed as whole.

Cause: the kernel reports a reset once. Where a write of the upload took the error before the answer was read, reads returned what had come and then a plain end, which is how an answer without a length ends. Shown with plain sockets: after a reset, `send` fails with ECONNRESET and the next `recv` returns the part, then an end; read first, it returns the part, then ECONNRESET. Where the peer had closed its side before, `send` fails with EPIPE.

Change: `net::FairStream`, through which all connections of the daemon are read (callers, backend servers, other daemons, the store, links, operators' commands), remembers the error that a write took and gives it to the read that would see an end. A broken pipe is not remembered: the peer had closed its side, so the answer ended as its server meant it to. Answers with a length or in chunks tell their end and are read as before: whole ones stay whole.

--- a/src/net/fair_stream.rs
+++ b/src/net/fair_stream.rs
@@ -9,7 +9,13 @@
 /// the event loop.
 ///
 /// Writes are not bounded: what is written comes from memory, or from another connection that rests.
+///
+/// A reset is never read as the end that the peer sent. The kernel reports it once: if a write takes the error, reads
+/// return what arrived before and then an end, as if the peer had closed its side.
 pub struct FairStream {
+  /// The error that a write took in place of the reads. Invariant: never that of a connection whose peer had closed its
+  /// side before, as that is a broken pipe.
+  broken_by: Option<io::ErrorKind>,
   inner: TcpStreamPoll,
   reads: Turns,
 }
@@ -21,7 +27,7 @@
   /// Wraps a connection.
   pub fn new(stream: TcpStream) -> io::Result<Self> {
     let inner = stream.try_into_poll_io().map_err(|(err, _)| err)?;
-    Ok(Self { inner, reads: Turns::new(Self::READS_MAX) })
+    Ok(Self { broken_by: None, inner, reads: Turns::new(Self::READS_MAX) })
   }
 
   /// Reads available bytes also during a rest. For a single look, not for a loop.
@@ -30,7 +36,14 @@
     context: &mut Context,
     buffer: &mut ReadBuf,
   ) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.inner).poll_read(context, buffer)
+    let filled_before = buffer.filled().len();
+    let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+    match (&read, self.broken_by) {
+      (Poll::Ready(Ok(())), Some(kind)) if buffer.filled().len() == filled_before => {
+        Poll::Ready(Err(kind.into()))
+      }
+      _ => read,
+    }
   }
 }
 
@@ -58,7 +71,13 @@
     context: &mut Context,
     bytes: &[u8],
   ) -> Poll<io::Result<usize>> {
-    Pin::new(&mut self.inner).poll_write(context, bytes)
+    let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+    if let Poll::Ready(Err(err)) = &written
+      && err.kind() != io::ErrorKind::BrokenPipe
+    {
+      self.broken_by.get_or_insert(err.kind());
+    }
+    written
   }
 
   fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
