Read what came before a body that was asked for can't be written

Seen by callers: nothing that we know of. Shown by a test only: a server asks for the body (100 Continue), then answers whole with a length or in chunks, and resets the connection before a byte of the body is written. The request failed with 502, though its whole answer had come. Daemons send `expect: 100-continue` to each other alone, so this is an answer of a box that ends right behind it.

Cause: looked for where answers are read beside a broken write. In all other places a failed write of the body leaves the connection to be read to its end; right behind 100 Continue it failed the exchange.

Change: there too a connection that takes no more bytes is read. A body that itself broke off fails the exchange as before.

Measured: `a_whole_answer_that_tells_its_end_is_delivered_however_its_connection_ends` in `tests/broken_answers.rs` failed before (`Reset, AfterContinue: Err(Broken { reason: "Connection reset by peer (os error 104)" })`) and passes; parts of answers in the same place were held before and are held since.

--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -61,10 +61,10 @@
     let mut reader = HeadReader::new(bodiless, correlation.as_ref());
     let head = std::future::poll_fn(|context| {
       let sent = sending.poll(&mut self.socket, &mut body, context);
-      if let Poll::Ready(Err(err)) = sent {
+      if let Poll::Ready(Err(fault)) = sent {
         // The server may have answered before it closed.
         if !sending.is_begun {
-          return Poll::Ready(Err(Error::Unsent { reason: err.to_string() }));
+          return Poll::Ready(Err(Error::Unsent { reason: fault.to_string() }));
         }
       }
       loop {
@@ -73,8 +73,8 @@
           HeadProgress::Continue => {
             sending.awaits_continue = false;
             let sent = sending.poll(&mut self.socket, &mut body, context);
-            if let Poll::Ready(Err(err)) = sent {
-              return Poll::Ready(Err(err));
+            if let Poll::Ready(Err(fault @ SendFault::Body { .. })) = sent {
+              return Poll::Ready(Err(broken(&fault.to_string())));
             }
             continue;
           }
@@ -123,7 +123,7 @@
     socket: &mut Socket,
     body: &mut AnyBody,
     context: &mut Context,
-  ) -> Poll<Result<()>> {
+  ) -> Poll<Result<(), SendFault>> {
     while !self.is_done {
       if self.awaits_continue {
         return self.write(socket, context);
@@ -136,16 +136,16 @@
           Poll::Ready(Some(Ok(frame))) => {
             let data = frame.into_data().unwrap_or_default();
             if !self.encoder.put(&data, &mut socket.outbound) {
-              return Poll::Ready(Err(broken("the request's body is longer than was told")));
+              return Poll::Ready(Err(SendFault::body("is longer than was told")));
             }
             continue;
           }
           Poll::Ready(Some(Err(err))) => {
-            return Poll::Ready(Err(broken(&format!("the request's body broke off: {err}"))));
+            return Poll::Ready(Err(SendFault::body(&format!("broke off: {err}"))));
           }
           Poll::Ready(None) => {
             if !self.encoder.finish(&mut socket.outbound) {
-              return Poll::Ready(Err(broken("the request's body is shorter than was told")));
+              return Poll::Ready(Err(SendFault::body("is shorter than was told")));
             }
             self.is_done = true;
           }
@@ -159,11 +159,40 @@
     self.write(socket, context)
   }
 
-  fn write(&mut self, socket: &mut Socket, context: &mut Context) -> Poll<Result<()>> {
+  fn write(&mut self, socket: &mut Socket, context: &mut Context) -> Poll<Result<(), SendFault>> {
     let before = socket.outbound.len();
     let wrote = socket.poll_write(context);
     self.is_begun |= socket.outbound.len() < before;
-    wrote.map_err(|err| broken(&err.to_string()))
+    wrote.map_err(|err| SendFault::Connection { reason: err.to_string() })
+  }
+}
+
+/// Why the rest of a request is not sent.
+enum SendFault {
+  /// The body broke off, or has another length than was told.
+  Body {
+    /// What the body is or does.
+    reason: String,
+  },
+  /// The connection takes no more bytes. An answer may have come before.
+  Connection {
+    /// What went wrong.
+    reason: String,
+  },
+}
+
+impl SendFault {
+  fn body(reason: &str) -> Self {
+    Self::Body { reason: reason.into() }
+  }
+}
+
+impl Display for SendFault {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Body { reason } => write!(f, "the request's body {reason}"),
+      Self::Connection { reason } => f.write_str(reason),
+    }
   }
 }
 
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -42,6 +42,8 @@
 enum Moment {
   /// After it has read the whole request.
   AfterBody,
+  /// Once it has read the head and asked for the body, before a byte of that is written.
+  AfterContinue,
   /// Before a byte of the request is written.
   BeforeRequest,
   /// Once it has read the head, while the body is being written.
@@ -78,6 +80,10 @@
       let (mut stream, _) = listener.accept().expect("a connection");
       match moment {
         Moment::AfterBody => read_until(&mut stream, b"\r\n0\r\n\r\n"),
+        Moment::AfterContinue => {
+          read_until(&mut stream, b"\r\n\r\n");
+          stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").expect("sent");
+        }
         Moment::BeforeRequest => {}
         Moment::DuringBody => read_until(&mut stream, b"\r\n\r\n"),
       }
@@ -160,11 +166,14 @@
   let Server { address, ended, go } = Server::start(answer, end, moment);
   let answered_before = match moment {
     Moment::AfterBody => Step::Never,
-    Moment::BeforeRequest => Step::Start,
+    Moment::AfterContinue | Moment::BeforeRequest => Step::Start,
     Moment::DuringBody => Step::Rest,
   };
   let body = SteppedBody { ended, go, answered_before, next: Step::Start };
-  let request = Request::post("/").header("host", "a");
+  let mut request = Request::post("/").header("host", "a");
+  if moment == Moment::AfterContinue {
+    request = request.header("expect", "100-continue");
+  }
   let request = request.body(AnyBody::streamed(body)).expect("a head");
   let pool = Rc::new(Pool::new(1_000));
   let asked = pool.exchange(address, request, 1 << 20);
@@ -196,7 +205,7 @@
 
 /// All ends of a connection at all moments after the head of the request has arrived.
 fn ends() -> impl Iterator<Item = (End, Moment)> {
-  let moments = [Moment::AfterBody, Moment::DuringBody];
+  let moments = [Moment::AfterBody, Moment::AfterContinue, Moment::DuringBody];
   let ends = [End::Close, End::Reset];
   ends.into_iter().flat_map(move |end| moments.map(|moment| (end, moment)))
 }
