Play answers with a malformed status or field name

Cause: operators of other systems saw backend servers in trouble send a status 000, or a blank or control byte in the name of a field, and callers got that as an answer, with the malformed line or with another body. No such bytes were played by a test with real daemons.

Change: a test only. 56 heads (ten statuses, 23 names before and behind the length) at a server beside the caller's box and behind another, on a route whose requests may run again and on one whose requests may not.

The product was not changed for it: `httparse` and `http` refuse such heads.

--- a/crates/ferryyoke-soak/tests/broken_answers.rs
+++ b/crates/ferryyoke-soak/tests/broken_answers.rs
@@ -1,7 +1,7 @@
-//! Backend servers whose answers break off while a long upload is written to them: beside the caller's box, and behind
-//! another one.
+//! Backend servers whose answers break off while a long upload is written to them, or whose heads are malformed, beside
+//! real daemons: beside the caller's box, and behind another one.
 //!
-//! Guards against callers that get a part of an answer as a whole answer of the backend server.
+//! Guards against callers that get a part of an answer, or a malformed one, as a whole answer of the backend server.
 
 mod support;
 
@@ -452,3 +452,77 @@
     check_uploads(&scripts, is_delivered).await;
   });
 }
+
+/// Heads that are no HTTP: a status or the name of a field is malformed. Each is followed by a whole body.
+fn odd_heads() -> Vec<Vec<u8>> {
+  let statuses = ["000", "099", "00", "20", "0200", "1000", "2x0", "-20", "+200", "0x1"];
+  let mut heads: Vec<Vec<u8>> = statuses
+    .iter()
+    .map(|status| format!("HTTP/1.1 {status} OK\r\ncontent-length: 6\r\n").into_bytes())
+    .collect();
+  let names: [&[u8]; 23] = [
+    b"x odd: v",
+    b"x-odd : v",
+    b"x\todd: v",
+    b"x-odd\t: v",
+    b" x-odd: v",
+    b"\tx-odd: v",
+    b": v",
+    b"x-odd",
+    b"x-\x00odd: v",
+    b"x-\x01odd: v",
+    b"x-\x07odd: v",
+    b"x-\x08odd: v",
+    b"x-\x0bodd: v",
+    b"x-\x0codd: v",
+    b"x-\x1bodd: v",
+    b"x-\x1fodd: v",
+    b"x-\x7fodd: v",
+    b"x-odd\x00: v",
+    b"x-\xffodd: v",
+    b"content-length : 3",
+    b"content length: 3",
+    b"content-length\x0b: 3",
+    b"transfer-encoding : chunked",
+  ];
+  for name in names {
+    // Before the other fields, and behind them.
+    heads.push([b"HTTP/1.1 200 OK\r\n", name, b"\r\ncontent-length: 6\r\n"].concat());
+    heads.push([b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n", name, b"\r\n"].concat());
+  }
+  heads
+}
+
+/// Guards against a malformed head of a backend server that callers get as an answer, with the malformed line or with
+/// another body than the backend server's.
+#[test]
+fn an_answer_with_a_malformed_head_is_no_answer() {
+  run(async {
+    let (fleet, server) = start().await;
+    for (number, odd) in odd_heads().into_iter().enumerate() {
+      let id = format!("{}: {ID}\r\n\r\n", platform::REQUEST_ID);
+      let answer = [&odd, id.as_bytes(), MARK.as_bytes()].concat();
+      server.play(&Script { answer, end: End::Close });
+      for path in PATHS {
+        for (index, one) in fleet.boxes.iter().enumerate() {
+          let before = server.answered.load(Ordering::SeqCst);
+          let callers = one.callers;
+          let id = format!("odd-{number}-{}-{index}", path.trim_matches('/'));
+          let ask = move || {
+            let mut stream = TcpStream::connect(callers).expect("a connection");
+            let wait = Duration::from_millis(2 * CALLER_MS);
+            stream.set_read_timeout(Some(wait)).expect("an option is set");
+            let request = head("GET", path, &id, "connection: close");
+            stream.write_all(request.as_bytes()).expect("sent");
+            read_answers(&mut stream)
+          };
+          let seen = at_once(vec![ask]).await.remove(0);
+          let text = String::from_utf8_lossy(&odd).into_owned();
+          assert!(server.answered.load(Ordering::SeqCst) > before, "{text:?}: not asked: {seen:?}");
+          let is_refused = matches!(&seen[..], [one] if one.is_bad_gateway());
+          assert!(is_refused, "{text:?}, {path} at box {index}: {seen:?}");
+        }
+      }
+    }
+  });
+}
