Let the load take no answer without a length for whole

Seen: not by users; found while looking where answers are read. The load of `ferryyoke-bench` took an answer whose head tells no length, or one in chunks, for a whole one with an empty body, however it ended.

Cause: a missing length was read as 0.

Change: such an answer is an error, and counts as failed.

--- a/crates/ferryyoke-bench/src/load/connection.rs
+++ b/crates/ferryyoke-bench/src/load/connection.rs
@@ -26,7 +26,8 @@
   }
 
   /// Sends a `GET` request for `path`, reads the whole response and returns its status. Reconnects
-  /// if the server announces that it closes the connection.
+  /// if the server announces that it closes the connection. Fails if the response tells no length,
+  /// as its end can't be told from its breaking off.
   pub fn get(&mut self, path: &str) -> Result<u16> {
     let request = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", self.address);
     self.stream.write_all(request.as_bytes())?;
@@ -40,7 +41,9 @@
     let text = String::from_utf8_lossy(&self.buffer[..head]).to_lowercase();
     let status = text.split(' ').nth(1).and_then(|text| text.parse().ok());
     let length = text.split("content-length: ").nth(1).and_then(|rest| rest.lines().next());
-    let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length: usize = length
+      .and_then(|text| text.parse().ok())
+      .ok_or_else(|| Error::Unexpected("a response tells no length".into()))?;
     while self.buffer.len() < head + length {
       self.read_more()?;
     }
