Test that a part of an answer is an error to a client without chunks

Cause: for a client of HTTP/1.0 an answer of unknown size would end with its connection, so a part would look whole. This was known by reading only.

Change: a test; the server takes in such answers first, as before.

Measured: the client gets 502 and no byte of the part. It passed at once; the product was not changed for it.

--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -197,22 +197,38 @@
   });
 }
 
+/// Starts a server whose answers break off.
+fn breaking_server() -> SocketAddr {
+  let (listener, address) = listener();
+  Server::start(listener, |_: Request<Incoming>| async {
+    let parts: Vec<Result<_, web::BodyError>> =
+      vec![Ok(http_body::Frame::data(Bytes::from_static(b"half"))), Err("broken".into())];
+    let stream = http_body_util::StreamBody::new(futures_util::stream::iter(parts));
+    Response::new(AnyBody::streamed(stream))
+  });
+  address
+}
+
 #[test]
 fn a_truncated_answer_does_not_look_complete() {
   run(async {
-    let (listener, address) = listener();
-    Server::start(listener, |_: Request<Incoming>| async {
-      let parts: Vec<Result<_, web::BodyError>> =
-        vec![Ok(http_body::Frame::data(Bytes::from_static(b"half"))), Err("broken".into())];
-      let stream = http_body_util::StreamBody::new(futures_util::stream::iter(parts));
-      Response::new(AnyBody::streamed(stream))
-    });
+    let address = breaking_server();
     let mut stream = TcpStream::connect_addr(address).await.expect("connected");
     let got = send_and_read(&mut stream, "GET / HTTP/1.1\r\nhost: a\r\n\r\n", |_| false).await;
     assert!(got.contains("chunked") && !got.contains("0\r\n\r\n"), "{got}");
   });
 }
 
+// Guards against a part of an answer that looks whole to a client without chunks, as its end is that of the connection.
+#[test]
+fn a_truncated_answer_to_a_client_without_chunks_is_an_error() {
+  run(async {
+    let mut stream = TcpStream::connect_addr(breaking_server()).await.expect("connected");
+    let got = send_and_read(&mut stream, "GET / HTTP/1.0\r\nhost: a\r\n\r\n", |_| false).await;
+    assert!(got.starts_with("HTTP/1.1 502 ") && !got.contains("half"), "{got}");
+  });
+}
+
 /// Starts a server that sends one of `answers` per connection after it read a request head.
 fn scripted_server(answers: &[&'static str]) -> SocketAddr {
   let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
